--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# make run    the main job: a whole system on stand-ins serves 300 requests
+# make test   build, format, lint and tests, as CI runs them
+
+PROGRAMS := gradetiller gradetiller-entry gradetiller-control gradetiller-load gradetiller-standin
+
+.PHONY: all build run pwani test capacity measure faults bench
+
+all: build
+
+build:
+	CGO_ENABLED=1 go build -o bin/ $(addprefix ./cmd/,$(PROGRAMS))
+
+run: build
+	scripts/run.sh whitmore
+
+pwani: build
+	scripts/run.sh pwani
+
+test:
+	scripts/test.sh
--- /dev/null
+++ b/client/try.go
@@ -0,0 +1,175 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"gradetiller.example/failure"
+)
+
+type runBody struct {
+	Input      string `json:"input"`
+	DeadlineMS int64  `json:"deadline_ms,omitempty"`
+	Repeatable bool   `json:"repeatable"`
+	Class      string `json:"class,omitempty"`
+	Stream     bool   `json:"stream,omitempty"`
+}
+
+type errorBody struct {
+	Error struct {
+		Code         string `json:"code"`
+		Ran          string `json:"ran"`
+		Message      string `json:"message"`
+		Stage        string `json:"stage"`
+		RetryAfterMS int64  `json:"retry_after_ms"`
+	} `json:"error"`
+}
+
+type wholeBody struct {
+	RequestID string `json:"request_id"`
+	OnTime    bool   `json:"on_time"`
+	Output    string `json:"output"`
+}
+
+type streamEvent struct {
+	Text   string `json:"text"`
+	End    bool   `json:"end"`
+	Length int    `json:"length"`
+	SHA256 string `json:"sha256"`
+	OnTime bool   `json:"on_time"`
+	errorBody
+}
+
+// errorOf reads an answer's error. An answer without one came from something
+// else than the system, so it promises nothing.
+func errorOf(data []byte, status int) error {
+	var body errorBody
+	if err := json.Unmarshal(data, &body); err != nil || body.Error.Code == "" {
+		return failure.New(failure.Internal, fmt.Sprintf("unreadable answer with status %d", status))
+	}
+	return body.failure()
+}
+
+func (b *errorBody) failure() error {
+	kind, _ := failure.ParseCode(b.Error.Code)
+	return failure.New(kind, b.Error.Message, failure.WithStage(b.Error.Stage),
+		failure.WithRetryAfter(time.Duration(b.Error.RetryAfterMS)*time.Millisecond))
+}
+
+// again reports whether a request may be sent once more after err.
+func again(req Request, err error) bool {
+	answer := failure.KindOf(err).Answer()
+	if answer.Ran() == failure.RanNo {
+		return answer.Again()
+	}
+	return !req.Once && answer.Ran() == failure.RanUnknown && failure.KindOf(err) == failure.StageUnknown
+}
+
+// try sends the request once and reports whether it may be sent again.
+func (c *Client) try(ctx context.Context, req Request, text func(string)) (*Answer, bool, error) {
+	address, err := c.address(ctx)
+	if err != nil {
+		f := failure.New(failure.NotReady, "no address answers", failure.WithCause(err))
+		return nil, true, f
+	}
+	resp, err := c.send(ctx, address, req, text != nil)
+	if err != nil {
+		c.gone(address)
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return nil, true, failure.New(failure.NotReady, "address can't be reached", failure.WithCause(err))
+		}
+		return nil, !req.Once, failure.New(failure.StageUnknown, "the connection broke", failure.WithCause(err))
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+		err := errorOf(data, resp.StatusCode)
+		if failure.KindOf(err) == failure.Draining {
+			c.gone(address)
+		}
+		return nil, again(req, err), err
+	}
+	if text != nil {
+		return readStream(resp.Body, req, text)
+	}
+	return readWhole(resp.Body, req)
+}
+
+func (c *Client) send(ctx context.Context, address string, req Request, stream bool) (*http.Response, error) {
+	body, err := json.Marshal(runBody{
+		Input: req.Input, DeadlineMS: req.Deadline.Milliseconds(), Repeatable: !req.Once, Class: req.Class, Stream: stream,
+	})
+	if err != nil {
+		return nil, err
+	}
+	// The wrapped reader keeps the transport from sending the request twice.
+	hreq, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+address+"/v1/pipelines/"+url.PathEscape(req.Pipeline)+"/run", struct{ io.Reader }{bytes.NewReader(body)})
+	if err != nil {
+		return nil, err
+	}
+	hreq.ContentLength = int64(len(body))
+	hreq.Header.Set("Authorization", "Bearer "+c.key)
+	hreq.Header.Set("X-Request-Id", req.ID)
+	hreq.Header.Set("Content-Type", "application/json")
+	return c.transport.RoundTrip(hreq)
+}
+
+func unknown(req Request, message string, cause error) (*Answer, bool, error) {
+	return nil, !req.Once, failure.New(failure.StageUnknown, message, failure.WithCause(cause))
+}
+
+func readWhole(r io.Reader, req Request) (*Answer, bool, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxAnswer))
+	if err != nil {
+		return unknown(req, "the answer broke off", err)
+	}
+	var body wholeBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return unknown(req, "the answer is not JSON", err)
+	}
+	if body.RequestID != req.ID {
+		return unknown(req, fmt.Sprintf("the answer is for request %q", body.RequestID), nil)
+	}
+	return &Answer{requestID: body.RequestID, output: body.Output, onTime: body.OnTime}, false, nil
+}
+
+// readStream accepts a stream only with its end event.
+func readStream(r io.Reader, req Request, text func(string)) (*Answer, bool, error) {
+	var whole strings.Builder
+	digest := sha256.New()
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxAnswer)
+	for lines.Scan() {
+		var e streamEvent
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			return nil, false, failure.New(failure.StageUnknown, "the stream holds a line that is not JSON", failure.WithCause(err))
+		}
+		switch {
+		case e.Error.Code != "":
+			return nil, false, e.failure()
+		case e.End:
+			if e.Length != whole.Len() || e.SHA256 != hex.EncodeToString(digest.Sum(nil)) {
+				return nil, false, failure.New(failure.StageUnknown, "the stream's end does not match its text")
+			}
+			return &Answer{requestID: req.ID, output: whole.String(), onTime: e.OnTime}, false, nil
+		}
+		whole.WriteString(e.Text)
+		digest.Write([]byte(e.Text))
+		text(e.Text)
+	}
+	return nil, false, failure.New(failure.StageUnknown, "the stream was cut before its end", failure.WithCause(lines.Err()))
+}
--- /dev/null
+++ b/cmd/gradetiller/cmd/show.go
@@ -0,0 +1,78 @@
+package cmd
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"gradetiller.example/internal/control"
+)
+
+type showCmd struct{ remote }
+
+// Run implements the subcommand.
+func (c *showCmd) Run(s *streams) error {
+	var current control.ConfigResponse
+	if err := c.ask(http.MethodGet, "/v1/config", nil, &current); err != nil {
+		return err
+	}
+	fmt.Fprint(s.out, current.Data)
+	return nil
+}
+
+type historyCmd struct{ remote }
+
+// Run implements the subcommand.
+func (c *historyCmd) Run(s *streams) error {
+	var lines []control.HistoryLine
+	if err := c.ask(http.MethodGet, "/v1/history", nil, &lines); err != nil {
+		return err
+	}
+	for _, l := range lines {
+		fmt.Fprintf(s.out, "version=%d operator=%s at=%s digest=%.12s\n", l.Version, l.Operator, l.At.UTC().Format(time.RFC3339), l.Digest)
+	}
+	return nil
+}
+
+type statusCmd struct{ remote }
+
+// Run implements the subcommand.
+func (c *statusCmd) Run(s *streams) error {
+	var st control.StatusResponse
+	if err := c.ask(http.MethodGet, "/v1/status", nil, &st); err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "seen by %s: version %d\n", st.Node, st.Version)
+	for _, m := range st.Members {
+		fmt.Fprintf(s.out, "node=%s state=%s failure_domain=%s entries=%s\n", m.Node, m.State, m.Domain, strings.Join(m.Entries, ","))
+	}
+	for _, e := range st.Leaving {
+		fmt.Fprintf(s.out, "leaving endpoint: %s/%s gets no new work\n", e.Pool, e.Name)
+	}
+	for _, what := range st.Impaired {
+		fmt.Fprintf(s.out, "impaired: %s\n", what)
+	}
+	return nil
+}
+
+type explainCmd struct {
+	remote
+	Subject string `arg:"" help:"Request id, endpoint name, or version/N."`
+}
+
+// Run implements the subcommand.
+func (c *explainCmd) Run(s *streams) error {
+	var lines []string
+	if err := c.ask(http.MethodGet, "/v1/explain?subject="+url.QueryEscape(c.Subject), nil, &lines); err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		fmt.Fprintf(s.out, "nothing is remembered about %s here; ask the control process of another node\n", c.Subject)
+	}
+	for _, l := range lines {
+		fmt.Fprintln(s.out, l)
+	}
+	return nil
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,257 @@
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"time"
+)
+
+// Defaults of settings that a file may leave out.
+const (
+	DefaultKeep        = 5 * time.Second
+	DefaultAddresses   = 3
+	DefaultOrder       = "weighted_fair"
+	DefaultPlace       = "predicted_finish"
+	DefaultRetryShare  = 0.1
+	DefaultQueue       = 256
+	DefaultSlots       = 8
+	DefaultConcurrency = 256
+)
+
+// Config is one checked configuration. It never changes after Parse, so that
+// any number of goroutines may read it.
+type Config struct {
+	f         fileConfig
+	data      []byte
+	digest    string
+	accounts  []Account
+	pools     []Pool
+	pipelines []Pipeline
+	byKey     map[string]int
+}
+
+// Name returns the system's name.
+func (c *Config) Name() string { return c.f.Name }
+
+// Data returns the file as it was written.
+func (c *Config) Data() []byte { return c.data }
+
+// Digest returns the SHA-256 of the file in hexadecimal.
+func (c *Config) Digest() string { return c.digest }
+
+// LocateKeep returns how long a caller may keep a locate answer.
+func (c *Config) LocateKeep() time.Duration { return c.f.Locate.Keep }
+
+// LocateAddresses returns how many addresses a locate answer holds.
+func (c *Config) LocateAddresses() int { return c.f.Locate.Addresses }
+
+// Policies returns the system-wide policies.
+func (c *Config) Policies() Policies { return Policies{f: c.f.Policies} }
+
+// Accounts returns all client accounts in the file's order.
+func (c *Config) Accounts() []Account { return c.accounts }
+
+// Pools returns all pools in the file's order.
+func (c *Config) Pools() []Pool { return c.pools }
+
+// Pipelines returns all pipelines in the file's order.
+func (c *Config) Pipelines() []Pipeline { return c.pipelines }
+
+// Pipeline finds a pipeline by name.
+func (c *Config) Pipeline(name string) (*Pipeline, bool) {
+	for i := range c.pipelines {
+		if c.pipelines[i].f.Name == name {
+			return &c.pipelines[i], true
+		}
+	}
+	return nil, false
+}
+
+// AccountByKey finds the account whose key hash matches the key, and returns
+// its index among Accounts.
+func (c *Config) AccountByKey(key string) (int, bool) {
+	sum := sha256.Sum256([]byte(key))
+	hash := hex.EncodeToString(sum[:])
+	i, ok := c.byKey[hash]
+	if !ok || subtle.ConstantTimeCompare([]byte(hash), []byte(c.accounts[i].f.KeySHA256)) != 1 {
+		return 0, false
+	}
+	return i, true
+}
+
+// Policies are the system-wide policies.
+type Policies struct{ f filePolicies }
+
+// Order names the default order policy.
+func (p Policies) Order() string { return p.f.Order }
+
+// Place names the default place policy.
+func (p Policies) Place() string { return p.f.Place }
+
+// PlainRetry reports whether retries are plain: without hedges and without a
+// budget. It is the baseline for comparisons.
+func (p Policies) PlainRetry() bool { return p.f.Retry == RetryPlain }
+
+// EarlyRefusal reports whether requests that cannot make their deadline are
+// refused at once.
+func (p Policies) EarlyRefusal() bool { return p.f.Admission != AdmissionNone }
+
+// RetryShare returns the retry budget as a share of fresh calls.
+func (p Policies) RetryShare() float64 { return *p.f.Share }
+
+// CostPrice returns how many seconds of delay one unit of cost is worth in
+// pipelines whose objective is cost.
+func (p Policies) CostPrice() float64 { return p.f.CostPrice }
+
+// Account is one client account.
+type Account struct{ f fileAccount }
+
+// Name returns the account's name.
+func (a *Account) Name() string { return a.f.Name }
+
+// Share returns the account's weight for fair shares.
+func (a *Account) Share() int { return a.f.Share }
+
+// Rate returns the account's requests a second over the whole system; 0 means
+// no limit.
+func (a *Account) Rate() float64 { return a.f.Rate }
+
+// Burst returns how many requests may come at once over the whole system.
+func (a *Account) Burst() float64 { return a.f.Burst }
+
+// Concurrency returns how many requests may be in flight on one node.
+func (a *Account) Concurrency() int { return a.f.Concurrency }
+
+// Kinds of pools.
+const (
+	KindEngine  = "engine"
+	KindService = "service"
+)
+
+// Pool is one pool of endpoints.
+type Pool struct {
+	f         filePool
+	endpoints []Endpoint
+	order     string
+	place     string
+}
+
+// Name returns the pool's name.
+func (p *Pool) Name() string { return p.f.Name }
+
+// Kind returns KindEngine or KindService.
+func (p *Pool) Kind() string { return p.f.Kind }
+
+// Queue returns how many stage calls may wait on one node.
+func (p *Pool) Queue() int { return p.f.Queue }
+
+// Order names the order policy in force for this pool.
+func (p *Pool) Order() string { return p.order }
+
+// Place names the place policy in force for this pool.
+func (p *Pool) Place() string { return p.place }
+
+// Endpoints returns the pool's endpoints in the file's order.
+func (p *Pool) Endpoints() []Endpoint { return p.endpoints }
+
+// Endpoint is one endpoint of a pool.
+type Endpoint struct{ f fileEndpoint }
+
+// Name returns the endpoint's name.
+func (e *Endpoint) Name() string { return e.f.Name }
+
+// Address returns the endpoint's IP address and port.
+func (e *Endpoint) Address() string { return e.f.Address }
+
+// Domain returns the endpoint's failure domain.
+func (e *Endpoint) Domain() string { return e.f.Domain }
+
+// Slots returns how many calls the endpoint runs at once.
+func (e *Endpoint) Slots() int { return e.f.Slots }
+
+// Cost returns the price of one second of processing.
+func (e *Endpoint) Cost() float64 { return e.f.Cost }
+
+// ChecksOrders reports whether the endpoint checks who gives it an order.
+func (e *Endpoint) ChecksOrders() bool { return e.f.ChecksOrders }
+
+// Versions returns the model versions that it holds; empty means any.
+func (e *Endpoint) Versions() []string { return e.f.Versions }
+
+// Objectives of pipelines.
+const (
+	ObjectiveAttainment = "attainment"
+	ObjectiveCost       = "cost"
+)
+
+// Pipeline is one pipeline of stages.
+type Pipeline struct {
+	f          filePipeline
+	stages     []Stage
+	experiment *Experiment
+}
+
+// Name returns the pipeline's name.
+func (p *Pipeline) Name() string { return p.f.Name }
+
+// Deadline returns the time that a request has unless it brings less.
+func (p *Pipeline) Deadline() time.Duration { return p.f.Deadline }
+
+// Objective returns ObjectiveAttainment or ObjectiveCost.
+func (p *Pipeline) Objective() string { return p.f.Objective }
+
+// Stages returns the stages in their order.
+func (p *Pipeline) Stages() []Stage { return p.stages }
+
+// Experiment returns the experiment on this pipeline, or nil.
+func (p *Pipeline) Experiment() *Experiment { return p.experiment }
+
+// Stage is one stage of a pipeline.
+type Stage struct {
+	f    fileStage
+	pool int
+	kind string
+}
+
+// Name returns the stage's name.
+func (s *Stage) Name() string { return s.f.Name }
+
+// Pool returns the index of the stage's pool among Config.Pools.
+func (s *Stage) Pool() int { return s.pool }
+
+// PoolName returns the name of the stage's pool.
+func (s *Stage) PoolName() string { return s.f.Pool }
+
+// Streams reports whether the stage's pool answers token by token.
+func (s *Stage) Streams() bool { return s.kind == KindEngine && s.f.MaxTokens > 0 }
+
+// MaxTokens returns the bound on generated tokens; 0 for stages that generate
+// none.
+func (s *Stage) MaxTokens() int { return s.f.MaxTokens }
+
+// Repeatable reports whether a call of this stage may be repeated.
+func (s *Stage) Repeatable() bool { return s.f.Repeatable == nil || *s.f.Repeatable }
+
+// Optional reports whether the stage may be skipped when its time is spent.
+func (s *Stage) Optional() bool { return s.f.Optional }
+
+// Version picks a model version for a request by its hash and the versions'
+// weights; "" when the stage names none.
+func (s *Stage) Version(hash uint64) string {
+	total := 0
+	for _, v := range s.f.Versions {
+		total += v.Weight
+	}
+	if total == 0 {
+		return ""
+	}
+	point := int(hash % uint64(total))
+	for _, v := range s.f.Versions {
+		if point < v.Weight {
+			return v.Name
+		}
+		point -= v.Weight
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/budget/estimator.go
@@ -0,0 +1,78 @@
+package budget
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	numBuckets  = 72
+	firstBound  = 100 * time.Microsecond
+	growth      = 1.2
+	halfLife    = 5 * time.Second
+	decayStep   = time.Second
+	minimalMass = 0.5
+)
+
+var logGrowth = math.Log(growth)
+
+// Estimator holds the decaying distribution of one stage's times.
+type Estimator struct {
+	counts  [numBuckets]float64
+	total   float64
+	decayed time.Time
+}
+
+// NewEstimator returns an estimator without observations.
+func NewEstimator(now time.Time) *Estimator { return &Estimator{decayed: now} }
+
+// Observe adds one measured time.
+func (e *Estimator) Observe(now time.Time, d time.Duration) {
+	e.decay(now)
+	e.counts[bucket(d)]++
+	e.total++
+}
+
+// Quantile returns the time that the share q (0 to 1) of recent calls stayed
+// under, or 0 when nothing recent is known.
+func (e *Estimator) Quantile(now time.Time, q float64) time.Duration {
+	e.decay(now)
+	if e.total < minimalMass {
+		return 0
+	}
+	rank := q * e.total
+	var sum float64
+	for i, c := range e.counts {
+		sum += c
+		if sum >= rank && c > 0 {
+			return bound(i)
+		}
+	}
+	return bound(numBuckets - 1)
+}
+
+func (e *Estimator) decay(now time.Time) {
+	age := now.Sub(e.decayed)
+	if age < decayStep {
+		return
+	}
+	keep := math.Exp2(-age.Seconds() / halfLife.Seconds())
+	e.total = 0
+	for i := range e.counts {
+		e.counts[i] *= keep
+		e.total += e.counts[i]
+	}
+	e.decayed = now
+}
+
+func bucket(d time.Duration) int {
+	if d <= firstBound {
+		return 0
+	}
+	i := int(math.Ceil(math.Log(float64(d)/float64(firstBound)) / logGrowth))
+	return min(i, numBuckets-1)
+}
+
+func bound(i int) time.Duration {
+	return time.Duration(float64(firstBound) * math.Pow(growth, float64(i)))
+}
--- /dev/null
+++ b/internal/core/ledger/book.go
@@ -0,0 +1,269 @@
+package ledger
+
+import "time"
+
+const (
+	// maxBatch bounds the records of one transaction.
+	maxBatch = 64
+	// maxSends bounds how often a start is sent before its caller is told
+	// that the store is away.
+	maxSends = 3
+	// maxRepairs bounds the abandoned marks that wait for the store; further
+	// ones are dropped, which costs their callers a repeat, never safety.
+	maxRepairs = 4096
+	// maxKnown bounds the index of records seen.
+	maxKnown = 8192
+)
+
+// item is one record on its way.
+type item struct {
+	id      uint64
+	put     Put
+	sends   int
+	repair  bool // marks a record abandoned; nobody waits for it
+	ready   bool // the row was read and the repair may be written
+	inDoubt bool // a send may take effect yet
+}
+
+// Book gathers records. It is not safe for concurrent use.
+type Book struct {
+	pending []*item
+	repairs []*item
+	busy    []*item
+	known   map[string]string
+}
+
+// New returns an empty book.
+func New() *Book { return &Book{known: make(map[string]string)} }
+
+// Waiting returns the number of starts that wait for an answer.
+func (b *Book) Waiting() int { return len(b.pending) + len(b.busy) }
+
+// Repairs returns the number of abandoned marks that wait for the store.
+func (b *Book) Repairs() int { return len(b.repairs) }
+
+// Start asks to store a record. A key that is known to be taken is answered
+// from memory.
+func (b *Book) Start(now time.Time, id uint64, key, token string) []Action {
+	if holder, ok := b.known[key]; ok && holder != token {
+		return []Action{Answer{ID: id, Result: Taken}}
+	}
+	b.pending = append(b.pending, &item{id: id, put: Put{Key: key, Record: Record{Token: token, Expires: now.Add(Life)}}})
+	return b.pump()
+}
+
+// Abandon marks a record as not run.
+func (b *Book) Abandon(now time.Time, key, token string) []Action {
+	delete(b.known, key)
+	b.repair(now, key, token)
+	return b.pump()
+}
+
+// Tick tries repairs again; the shell calls it about once a second.
+func (b *Book) Tick() []Action {
+	if b.busy != nil || len(b.pending) > 0 || len(b.repairs) == 0 {
+		return nil
+	}
+	n := min(len(b.repairs), maxBatch)
+	b.busy = b.repairs[:n:n]
+	b.repairs = b.repairs[n:]
+	return []Action{readOf(b.busy)}
+}
+
+func (b *Book) repair(now time.Time, key, token string) {
+	if len(b.repairs) >= maxRepairs {
+		return
+	}
+	b.repairs = append(b.repairs, &item{
+		repair: true,
+		put:    Put{Key: key, Record: Record{Token: token, Abandoned: true, Expires: now.Add(Life)}},
+	})
+}
+
+// pump sends the next batch when none is under way: at once when the table is
+// idle, gathered otherwise.
+func (b *Book) pump() []Action {
+	if b.busy != nil || len(b.pending) == 0 {
+		return nil
+	}
+	keys := make(map[string]bool)
+	var rest []*item
+	for _, it := range b.pending {
+		if len(b.busy) == maxBatch || keys[it.put.Key] {
+			rest = append(rest, it)
+			continue
+		}
+		keys[it.put.Key] = true
+		b.busy = append(b.busy, it)
+	}
+	b.pending = rest
+	return []Action{writeOf(b.busy)}
+}
+
+func writeOf(items []*item) Write {
+	w := Write{Puts: make([]Put, len(items))}
+	for i, it := range items {
+		it.sends++
+		w.Puts[i] = it.put
+	}
+	return w
+}
+
+func readOf(items []*item) Read {
+	r := Read{Keys: make([]string, len(items))}
+	for i, it := range items {
+		r.Keys[i] = it.put.Key
+	}
+	return r
+}
+
+// Wrote tells the end of the Write under way.
+func (b *Book) Wrote(now time.Time, res WriteResult) []Action {
+	items := b.busy
+	var out []Action
+	switch res.Kind {
+	case WriteOK:
+		b.busy = nil
+		for _, it := range items {
+			out = b.stored(out, it)
+		}
+	case WriteConflict:
+		b.busy = nil
+		out = b.judgeConflicts(now, items, res.Rows)
+	case WriteRefused:
+		b.busy = nil
+		for _, it := range items {
+			out = b.giveUp(now, out, it)
+		}
+	case WriteLost:
+		for _, it := range items {
+			it.inDoubt = true
+		}
+		return []Action{readOf(items)}
+	}
+	return append(out, b.pump()...)
+}
+
+// ReadBack tells the rows of the Read under way; ok is false when the table
+// did not answer.
+func (b *Book) ReadBack(now time.Time, rows []Row, ok bool) []Action {
+	items := b.busy
+	b.busy = nil
+	var out []Action
+	for i, it := range items {
+		if !ok {
+			out = b.giveUp(now, out, it)
+			continue
+		}
+		out = b.judge(now, out, it, rows[i])
+	}
+	if repairs := b.readyRepairs(items); len(repairs) > 0 && b.busy == nil {
+		b.busy = repairs
+		return append(out, writeOf(repairs))
+	}
+	return append(out, b.pump()...)
+}
+
+// readyRepairs takes the repairs out of items whose row is known by now.
+func (b *Book) readyRepairs(items []*item) []*item {
+	var ready []*item
+	for _, it := range items {
+		if it.repair && it.ready {
+			it.ready = false
+			ready = append(ready, it)
+		}
+	}
+	return ready
+}
+
+func (b *Book) judgeConflicts(now time.Time, items []*item, rows []Row) []Action {
+	byKey := make(map[string]Row, len(rows))
+	for _, r := range rows {
+		byKey[r.Key] = r
+	}
+	var out []Action
+	for _, it := range items {
+		row, conflicted := byKey[it.put.Key]
+		switch {
+		case conflicted && it.repair:
+			b.repairs = append(b.repairs, it)
+		case conflicted:
+			out = b.judge(now, out, it, row)
+		case it.repair:
+			b.repairs = append(b.repairs, it)
+		default:
+			it.sends--
+			b.pending = append(b.pending, it)
+		}
+	}
+	return out
+}
+
+// judge decides by the row what became of an item.
+func (b *Book) judge(now time.Time, out []Action, it *item, row Row) []Action {
+	if it.repair {
+		b.judgeRepair(it, row)
+		return out
+	}
+	switch {
+	case row.Version == 0:
+		if it.sends >= maxSends {
+			return b.giveUp(now, out, it)
+		}
+		it.put.IfVersion = 0
+		b.pending = append(b.pending, it)
+		return out
+	case row.Record.Token == it.put.Record.Token && !row.Record.Abandoned:
+		return b.stored(out, it)
+	case row.Record.Abandoned || now.After(row.Record.Expires):
+		it.put.IfVersion = row.Version
+		b.pending = append(b.pending, it)
+		return out
+	}
+	b.remember(it.put.Key, row.Record.Token)
+	return append(out, Answer{ID: it.id, Result: Taken})
+}
+
+// judgeRepair keeps a repair only while the row is absent or still holds the
+// token: an absent row may be written yet by a send whose answer was lost, and
+// an abandoned row in its place stops that.
+func (b *Book) judgeRepair(it *item, row Row) {
+	if row.Version > 0 && (row.Record.Token != it.put.Record.Token || row.Record.Abandoned) {
+		return
+	}
+	it.put.IfVersion = row.Version
+	it.ready = true
+}
+
+func (b *Book) stored(out []Action, it *item) []Action {
+	if it.repair {
+		return out
+	}
+	b.remember(it.put.Key, it.put.Record.Token)
+	return append(out, Answer{ID: it.id, Result: Stored})
+}
+
+// giveUp tells the caller that the store is away. A start that was sent may
+// take effect yet, so a repair follows it.
+func (b *Book) giveUp(now time.Time, out []Action, it *item) []Action {
+	if it.repair {
+		b.repairs = append(b.repairs, it)
+		return out
+	}
+	if it.inDoubt {
+		b.repair(now, it.put.Key, it.put.Record.Token)
+	}
+	return append(out, Answer{ID: it.id, Result: Away})
+}
+
+// remember keeps the index bounded by dropping any entry; the index only
+// saves writes.
+func (b *Book) remember(key, token string) {
+	if len(b.known) >= maxKnown {
+		for k := range b.known {
+			delete(b.known, k)
+			break
+		}
+	}
+	b.known[key] = token
+}
--- /dev/null
+++ b/internal/core/locate/locate.go
@@ -0,0 +1,173 @@
+// Package locate decides which entries a client account is told to use.
+//
+// Every node computes the same assignment from the same entries and accounts,
+// without messages: each account ranks the entries by a hash of both names
+// (rendezvous hashing) and takes the first ones that still have room. The
+// room bounds how far the fullest entry exceeds the mean, and a change of one
+// entry moves few accounts.
+//
+// # Usage
+//
+//	t := locate.NewTable(entries, accounts, 3)
+//	addresses := t.Entries("barbers", "region-1", "kgn-1")
+package locate
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// Entry is an entry process that may be named in an answer.
+type Entry struct {
+	Node    string
+	Address string
+	Domain  string
+	Region  string
+}
+
+// headroom is how far an entry may exceed the mean number of accounts.
+const headroom = 1.15
+
+// Table is the assignment of accounts to entries. It never changes.
+type Table struct {
+	all     *assignment
+	regions map[string]*assignment
+}
+
+type assignment struct {
+	entries []Entry
+	chosen  map[string][]int
+	want    int
+}
+
+// NewTable assigns every account to at least want entries of every region, or
+// to all entries of a smaller region.
+func NewTable(entries []Entry, accounts []string, want int) *Table {
+	entries = slices.Clone(entries)
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Node, b.Node) })
+	accounts = slices.Sorted(slices.Values(accounts))
+	byRegion := make(map[string][]Entry)
+	for _, e := range entries {
+		byRegion[e.Region] = append(byRegion[e.Region], e)
+	}
+	t := &Table{regions: make(map[string]*assignment)}
+	for region, list := range byRegion {
+		t.regions[region] = assign(list, accounts, want)
+	}
+	if len(byRegion) == 1 {
+		for _, only := range t.regions {
+			t.all = only
+		}
+		return t
+	}
+	t.all = assign(entries, accounts, want)
+	return t
+}
+
+// Entries returns the entries for an account, those in the caller's failure
+// domain first. An unknown region is served from all entries, an unknown
+// account by its hash alone.
+func (t *Table) Entries(account, region, domain string) []Entry {
+	a, ok := t.regions[region]
+	if !ok {
+		a = t.all
+	}
+	chosen, ok := a.chosen[account]
+	if !ok {
+		chosen = a.rank(account)[:a.want]
+	}
+	out := make([]Entry, len(chosen))
+	for i, c := range chosen {
+		out[i] = a.entries[c]
+	}
+	slices.SortStableFunc(out, func(x, y Entry) int { return cmp.Compare(near(x, domain), near(y, domain)) })
+	return out
+}
+
+func near(e Entry, domain string) int {
+	if domain != "" && e.Domain == domain {
+		return 0
+	}
+	return 1
+}
+
+func assign(entries []Entry, accounts []string, want int) *assignment {
+	a := &assignment{entries: entries, chosen: make(map[string][]int, len(accounts))}
+	n := len(entries)
+	if n == 0 {
+		return a
+	}
+	if len(accounts) > 0 {
+		// With few accounts, more entries for each keep every entry in use.
+		want = max(want, (want*n+len(accounts)-1)/len(accounts))
+	}
+	a.want = min(want, n)
+	total := a.want * max(len(accounts), 1)
+	room := make([]int, n)
+	for i := range room {
+		room[i] = max(1, int(headroom*float64(total)/float64(n)+0.999))
+	}
+	for _, account := range accounts {
+		a.chosen[account] = a.choose(a.rank(account), room)
+	}
+	return a
+}
+
+// choose takes the best-ranked entries with room, first from failure domains
+// that the account does not use yet, then from any, then without regard to
+// room.
+func (a *assignment) choose(rank, room []int) []int {
+	chosen := make([]int, 0, a.want)
+	used := make(map[string]bool)
+	taken := make(map[int]bool)
+	take := func(allowed func(i int) bool) {
+		for _, i := range rank {
+			if len(chosen) == a.want {
+				return
+			}
+			if !taken[i] && allowed(i) {
+				taken[i] = true
+				used[a.entries[i].Domain] = true
+				room[i]--
+				chosen = append(chosen, i)
+			}
+		}
+	}
+	take(func(i int) bool { return room[i] > 0 && !used[a.entries[i].Domain] })
+	take(func(i int) bool { return room[i] > 0 })
+	take(func(int) bool { return true })
+	return chosen
+}
+
+func (a *assignment) rank(account string) []int {
+	type scored struct {
+		weight uint64
+		index  int
+	}
+	list := make([]scored, len(a.entries))
+	for i, e := range a.entries {
+		list[i] = scored{weight(account, e.Node), i}
+	}
+	slices.SortFunc(list, func(x, y scored) int { return cmp.Compare(y.weight, x.weight) })
+	rank := make([]int, len(list))
+	for i, s := range list {
+		rank[i] = s.index
+	}
+	return rank
+}
+
+func weight(account, node string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(account))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(node))
+	// FNV's high bits follow the last bytes too weakly; this finalizer of
+	// MurmurHash3 spreads them.
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/internal/core/member/node.go
@@ -0,0 +1,318 @@
+package member
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gradetiller.example/internal/wire"
+)
+
+// The times of the protocol. Silence, suspicion and one interval together
+// stay under 5 s.
+const (
+	FlushInterval  = 100 * time.Millisecond
+	BeatInterval   = time.Second
+	silence        = 2200 * time.Millisecond
+	suspicion      = 1500 * time.Millisecond
+	courtesyPeriod = 3 * time.Second
+	probeInterval  = time.Second
+	listingGap     = 5 * time.Second
+	mismatchBeats  = 3
+	forgetAfter    = 2 * time.Hour
+)
+
+const (
+	// maxRecords bounds the member records of one message, and recordsPerBeat
+	// those that a node sends in one beat to all links, which bounds a storm.
+	maxRecords     = 32
+	recordsPerBeat = 256
+)
+
+// Send asks the shell to send a message to a node.
+type Send struct {
+	Node    string
+	Address string
+	Gossip  wire.Gossip
+}
+
+// Seed is an instance of the platform's list.
+type Seed struct {
+	Node    string
+	Address string
+}
+
+// Node is one member's view. It is not safe for concurrent use.
+type Node struct {
+	self      wire.Member
+	config    uint64
+	records   map[string]*record
+	endpoints map[endpointKey]wire.Endpoint
+	links     map[string]*link
+	seeds     []Seed
+	rand      *rand.Rand
+
+	ring      []string // names of the live members in ring order
+	ringStale bool
+	hash      uint64
+	nextBeat  time.Time
+	nextProbe time.Time
+	allowance int
+	higher    map[string]uint64
+	changed   bool
+}
+
+type record struct {
+	m       wire.Member
+	since   time.Time // when the state was taken
+	watched time.Time // when this node last heard from it, or began to watch
+}
+
+type endpointKey struct{ pool, name string }
+
+// link is what this node owes a peer.
+type link struct {
+	address    string
+	neighbor   bool
+	lastIn     time.Time
+	members    []string
+	endpoints  []endpointKey
+	mismatches int
+	listed     time.Time
+	wantBeat   bool
+}
+
+// New returns a view that holds only the node itself.
+func New(self wire.Member, seed uint64) *Node {
+	self.Seq = 1
+	n := &Node{
+		self:      self,
+		records:   make(map[string]*record),
+		endpoints: make(map[endpointKey]wire.Endpoint),
+		links:     make(map[string]*link),
+		rand:      rand.New(rand.NewPCG(seed, self.Incarnation)),
+		higher:    make(map[string]uint64),
+		ringStale: true,
+		allowance: recordsPerBeat,
+	}
+	n.hash = recordHash(self)
+	return n
+}
+
+// Self returns the node's own record.
+func (n *Node) Self() wire.Member { return n.self }
+
+// SetSeeds gives the platform's list of instances.
+func (n *Node) SetSeeds(list []Seed) { n.seeds = list }
+
+// SetConfigVersion tells the version of the configuration in force here.
+func (n *Node) SetConfigVersion(v uint64) {
+	if v == n.config {
+		return
+	}
+	n.config = v
+	for _, l := range n.links {
+		l.wantBeat = true
+	}
+}
+
+// HigherConfig returns a node that is known to have a configuration above
+// this one's, and its version.
+func (n *Node) HigherConfig() (node string, version uint64) {
+	for name, v := range n.higher {
+		if v > version || v == version && name < node {
+			node, version = name, v
+		}
+	}
+	if version <= n.config {
+		return "", 0
+	}
+	return node, version
+}
+
+// SetEntries replaces the entries linked to this node.
+func (n *Node) SetEntries(entries []wire.Entry) {
+	if slices.Equal(n.self.Entries, entries) {
+		return
+	}
+	n.self.Entries = slices.Clone(entries)
+	n.renewSelf()
+}
+
+// Leave marks this node as left; the shell sends what Tick returns and stops.
+func (n *Node) Leave() {
+	n.self.State = wire.Left
+	n.renewSelf()
+}
+
+// renewSelf raises the sequence number and spreads the own record.
+func (n *Node) renewSelf() {
+	n.hash ^= recordHash(n.self)
+	n.self.Seq++
+	n.hash ^= recordHash(n.self)
+	n.changed = true
+	n.spread(n.self.Node, "")
+}
+
+// SetEndpoint tells what this node found out about an endpoint.
+func (n *Node) SetEndpoint(e wire.Endpoint) {
+	key := endpointKey{e.Pool, e.Name}
+	known, ok := n.endpoints[key]
+	if ok && known.Leaving == e.Leaving || !ok && !e.Leaving {
+		return
+	}
+	e.Seq = known.Seq + 1
+	n.takeEndpoint(e, "")
+}
+
+func (n *Node) takeEndpoint(e wire.Endpoint, from string) {
+	key := endpointKey{e.Pool, e.Name}
+	n.hash ^= endpointHash(n.endpoints[key]) ^ endpointHash(e)
+	n.endpoints[key] = e
+	n.changed = true
+	for name, l := range n.links {
+		if name != from && !slices.Contains(l.endpoints, key) {
+			l.endpoints = append(l.endpoints, key)
+		}
+	}
+}
+
+// Changed reports whether members, entries or endpoints changed since the
+// last call.
+func (n *Node) Changed() bool {
+	c := n.changed
+	n.changed = false
+	return c
+}
+
+// Members returns all records, the node's own among them, by name.
+func (n *Node) Members() []wire.Member {
+	list := []wire.Member{n.self}
+	for _, r := range n.records {
+		list = append(list, r.m)
+	}
+	slices.SortFunc(list, func(a, b wire.Member) int { return cmp.Compare(a.Node, b.Node) })
+	return list
+}
+
+// Live returns the number of members that are alive or suspect, itself
+// included.
+func (n *Node) Live() int {
+	n.rebuildRing()
+	return len(n.ring)
+}
+
+// Entries returns the entries of all live members. An entry that two members
+// claim counts with its latest incarnation, and as leaving if either says so.
+func (n *Node) Entries() []wire.Entry {
+	best := make(map[string]wire.Entry)
+	for _, m := range n.Members() {
+		if m.State == wire.Dead || m.State == wire.Left {
+			continue
+		}
+		for _, e := range m.Entries {
+			known, ok := best[e.Node]
+			if ok && (known.Incarnation > e.Incarnation || known.Incarnation == e.Incarnation && known.Leaving) {
+				continue
+			}
+			best[e.Node] = e
+		}
+	}
+	list := make([]wire.Entry, 0, len(best))
+	for _, e := range best {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b wire.Entry) int { return cmp.Compare(a.Node, b.Node) })
+	return list
+}
+
+// Endpoints returns all findings about endpoints.
+func (n *Node) Endpoints() []wire.Endpoint {
+	list := make([]wire.Endpoint, 0, len(n.endpoints))
+	for _, e := range n.endpoints {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b wire.Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+// recordHash is a record's part of the view's hash; ended members have none,
+// because nodes forget them at different times.
+func recordHash(m wire.Member) uint64 {
+	if m.State == wire.Dead || m.State == wire.Left {
+		return 0
+	}
+	h := nameHash(m.Node) ^ m.Incarnation*0x9e3779b97f4a7c15 ^ m.Seq*0xbf58476d1ce4e5b9 ^ uint64(m.State)<<61
+	h ^= h >> 31
+	return h * 0x94d049bb133111eb
+}
+
+func endpointHash(e wire.Endpoint) uint64 {
+	if e.Seq == 0 {
+		return 0
+	}
+	h := nameHash(e.Pool+"/"+e.Name) ^ e.Seq*0x9e3779b97f4a7c15
+	if e.Leaving {
+		h ^= 1 << 63
+	}
+	h ^= h >> 29
+	return h * 0xbf58476d1ce4e5b9
+}
+
+func nameHash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+func ended(s wire.State) bool { return s == wire.Dead || s == wire.Left }
+
+// rebuildRing orders the live members by the hash of their names.
+func (n *Node) rebuildRing() {
+	if !n.ringStale {
+		return
+	}
+	n.ringStale = false
+	n.ring = n.ring[:0]
+	if !ended(n.self.State) {
+		n.ring = append(n.ring, n.self.Node)
+	}
+	for name, r := range n.records {
+		if !ended(r.m.State) {
+			n.ring = append(n.ring, name)
+		}
+	}
+	slices.SortFunc(n.ring, func(a, b string) int {
+		return cmp.Or(cmp.Compare(nameHash(a), nameHash(b)), cmp.Compare(a, b))
+	})
+}
+
+// neighbors returns the members at distances 1, 2, √n and n^¾ on both sides.
+func (n *Node) neighbors() []string {
+	n.rebuildRing()
+	size := len(n.ring)
+	at := slices.Index(n.ring, n.self.Node)
+	if at < 0 || size < 2 {
+		return nil
+	}
+	root := math.Sqrt(float64(size))
+	distances := []int{1, 2, int(root), int(root * math.Sqrt(root))}
+	var names []string
+	for _, d := range distances {
+		for _, i := range []int{at + d, at - d} {
+			name := n.ring[((i%size)+size)%size]
+			if name != n.self.Node && !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/core/member/receive.go
@@ -0,0 +1,201 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"gradetiller.example/internal/wire"
+)
+
+// Receive takes a message in and returns direct answers to its sender.
+func (n *Node) Receive(now time.Time, g wire.Gossip) []Send {
+	if g.Node == n.self.Node {
+		return nil
+	}
+	for _, m := range g.Members {
+		n.merge(now, m, g.Node)
+	}
+	for _, e := range g.Endpoints {
+		known := n.endpoints[endpointKey{e.Pool, e.Name}]
+		if newerEndpoint(e, known) {
+			n.takeEndpoint(e, g.Node)
+		}
+	}
+	r, ok := n.records[g.Node]
+	if !ok {
+		return nil
+	}
+	if ended(r.m.State) && g.Incarnation == r.m.Incarnation {
+		// The sender does not know that it was given up; told so, it comes
+		// back with a higher incarnation.
+		out := n.header()
+		out.Courtesy = true
+		out.Members = []wire.Member{r.m, n.self}
+		return []Send{{Node: g.Node, Address: r.m.Address, Gossip: out}}
+	}
+	n.heard(now, r, g)
+	if g.ConfigVersion > n.config {
+		n.higher[g.Node] = g.ConfigVersion
+	} else {
+		delete(n.higher, g.Node)
+	}
+	if len(g.Listing) == 0 {
+		return nil
+	}
+	return n.answerListing(now, r, g)
+}
+
+// heard counts the message as a sign of life of the incarnation that sent it.
+func (n *Node) heard(now time.Time, r *record, g wire.Gossip) {
+	if g.Incarnation != r.m.Incarnation {
+		return
+	}
+	r.watched = now
+	l, ok := n.links[g.Node]
+	if !ok {
+		if g.Courtesy || ended(r.m.State) {
+			return
+		}
+		l = n.addLink(g.Node)
+	}
+	if !g.Courtesy {
+		l.lastIn = now
+	}
+	if g.ViewHash == n.hash || len(l.members) > 0 || len(g.Members) > 0 {
+		l.mismatches = 0
+		return
+	}
+	l.mismatches++
+}
+
+// newerEndpoint reports whether finding a takes precedence over b; of two
+// watchers' findings with one number, "leaving" wins.
+func newerEndpoint(a, b wire.Endpoint) bool {
+	if a.Seq != b.Seq {
+		return a.Seq > b.Seq
+	}
+	return a.Leaving && !b.Leaving
+}
+
+// merge takes one record in if it is newer than the known one.
+func (n *Node) merge(now time.Time, m wire.Member, from string) {
+	if m.Node == n.self.Node {
+		n.refute(m)
+		return
+	}
+	r, ok := n.records[m.Node]
+	if ok && !newer(m, r.m) {
+		return
+	}
+	n.store(now, m, from)
+}
+
+// newer reports whether a takes precedence over b. Only the owner raises
+// incarnation and sequence; among equals the worse state wins.
+func newer(a, b wire.Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	if a.Seq != b.Seq {
+		return a.Seq > b.Seq
+	}
+	return a.State > b.State
+}
+
+// refute answers a record about this node that is not its own latest.
+func (n *Node) refute(m wire.Member) {
+	if ended(n.self.State) || !newer(m, n.self) {
+		return
+	}
+	n.hash ^= recordHash(n.self)
+	if m.Incarnation > n.self.Incarnation || ended(m.State) {
+		// Another life of this name, or this life was given up for dead.
+		n.self.Incarnation = m.Incarnation + 1
+	}
+	n.self.Seq = max(n.self.Seq, m.Seq)
+	n.hash ^= recordHash(n.self)
+	n.renewSelf()
+}
+
+func (n *Node) store(now time.Time, m wire.Member, from string) {
+	r, ok := n.records[m.Node]
+	if !ok {
+		r = &record{watched: now}
+		n.records[m.Node] = r
+		n.ringStale = true
+	} else {
+		n.hash ^= recordHash(r.m)
+	}
+	if r.m.State != m.State || r.m.Incarnation != m.Incarnation {
+		r.since = now
+		n.ringStale = true
+	}
+	if r.m.Incarnation != m.Incarnation {
+		r.watched = now
+	}
+	r.m = m
+	n.hash ^= recordHash(m)
+	n.changed = true
+	if l, ok := n.links[m.Node]; ok {
+		l.address = m.Address
+	}
+	n.spread(m.Node, from)
+}
+
+// spread queues a record for all links but the one it came from. A member is
+// sent its own record too, since it must hear of a suspicion to refute it.
+func (n *Node) spread(name, from string) {
+	for to, l := range n.links {
+		if to != from && !slices.Contains(l.members, name) {
+			l.members = append(l.members, name)
+		}
+	}
+}
+
+// answerListing sends what the listing lacks, and this node's own listing if
+// it holds something newer.
+func (n *Node) answerListing(now time.Time, r *record, g wire.Gossip) []Send {
+	theirs := make(map[string]wire.RecordVersion, len(g.Listing))
+	behind := false
+	for _, v := range g.Listing {
+		if v.Node == n.self.Node {
+			n.refute(memberOf(v))
+		}
+		theirs[v.Node] = v
+		known, ok := n.lookup(v.Node)
+		if !ok || newer(memberOf(v), known) {
+			behind = true
+		}
+	}
+	var missing []string
+	for _, m := range n.Members() {
+		v, ok := theirs[m.Node]
+		if !ok && ended(m.State) || ok && !newer(m, memberOf(v)) {
+			continue
+		}
+		missing = append(missing, m.Node)
+	}
+	out := n.header()
+	out.Courtesy = true
+	out.Endpoints = n.Endpoints()
+	for _, name := range missing[:min(len(missing), recordsPerBeat)] {
+		m, _ := n.lookup(name)
+		out.Members = append(out.Members, m)
+	}
+	if !slices.Contains(missing, n.self.Node) {
+		out.Members = append(out.Members, n.self)
+	}
+	if behind {
+		if l, ok := n.links[g.Node]; !ok || now.Sub(l.listed) > listingGap {
+			out.Listing = n.listing()
+			if ok {
+				l.listed = now
+			}
+		}
+	}
+	return []Send{{Node: g.Node, Address: r.m.Address, Gossip: out}}
+}
+
+func memberOf(v wire.RecordVersion) wire.Member {
+	return wire.Member{Node: v.Node, Incarnation: v.Incarnation, Seq: v.Seq, State: v.State}
+}
--- /dev/null
+++ b/internal/core/member/tick.go
@@ -0,0 +1,192 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"gradetiller.example/internal/wire"
+)
+
+// Tick watches neighbors, ends suspicions and returns the messages that are
+// due. The shell calls it every FlushInterval.
+func (n *Node) Tick(now time.Time) []Send {
+	n.updateLinks(now)
+	n.watch(now)
+	beat := !now.Before(n.nextBeat)
+	if beat {
+		n.nextBeat = now.Add(BeatInterval)
+		n.allowance = recordsPerBeat
+	}
+	var sends []Send
+	for _, name := range n.linkNames() {
+		l := n.links[name]
+		if beat || l.wantBeat || len(l.members) > 0 || len(l.endpoints) > 0 {
+			sends = append(sends, n.message(now, name, l, beat))
+		}
+	}
+	if !now.Before(n.nextProbe) {
+		n.nextProbe = now.Add(probeInterval)
+		sends = n.probe(sends)
+	}
+	return sends
+}
+
+func (n *Node) linkNames() []string {
+	names := make([]string, 0, len(n.links))
+	for name := range n.links {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// updateLinks opens links to the ring's neighbors and to those who lately
+// sent something as neighbors, and drops the others.
+func (n *Node) updateLinks(now time.Time) {
+	wanted := n.neighbors()
+	for _, name := range wanted {
+		l, ok := n.links[name]
+		if !ok {
+			l = n.addLink(name)
+		}
+		if !l.neighbor {
+			l.neighbor = true
+			n.records[name].watched = now
+		}
+	}
+	for name, l := range n.links {
+		if slices.Contains(wanted, name) {
+			continue
+		}
+		l.neighbor = false
+		r, ok := n.records[name]
+		if !ok || ended(r.m.State) || now.Sub(l.lastIn) > courtesyPeriod {
+			delete(n.links, name)
+		}
+	}
+}
+
+func (n *Node) addLink(name string) *link {
+	l := &link{address: n.records[name].m.Address, members: []string{n.self.Node}}
+	n.links[name] = l
+	return l
+}
+
+// watch suspects neighbors that are silent, and ends suspicions that were not
+// refuted.
+func (n *Node) watch(now time.Time) {
+	for name, l := range n.links {
+		r := n.records[name]
+		if l.neighbor && r.m.State == wire.Alive && now.Sub(r.watched) > silence {
+			n.setState(now, r, wire.Suspect, "")
+		}
+	}
+	for name, r := range n.records {
+		switch {
+		case r.m.State == wire.Suspect && now.Sub(r.since) > suspicion:
+			n.setState(now, r, wire.Dead, "")
+		case ended(r.m.State) && now.Sub(r.since) > forgetAfter:
+			delete(n.records, name)
+			delete(n.higher, name)
+		}
+	}
+}
+
+// setState changes a record's state without its owner; from is the node that
+// told, which need not be told again.
+func (n *Node) setState(now time.Time, r *record, s wire.State, from string) {
+	m := r.m
+	m.State = s
+	n.store(now, m, from)
+}
+
+// message builds the next message for a link.
+func (n *Node) message(now time.Time, name string, l *link, beat bool) Send {
+	l.wantBeat = false
+	g := n.header()
+	g.Courtesy = !l.neighbor
+	count := min(len(l.members), maxRecords, n.allowance)
+	for _, member := range l.members[:count] {
+		if m, ok := n.lookup(member); ok {
+			g.Members = append(g.Members, m)
+		}
+	}
+	l.members = slices.Delete(l.members, 0, count)
+	n.allowance -= count
+	for _, key := range l.endpoints {
+		g.Endpoints = append(g.Endpoints, n.endpoints[key])
+	}
+	l.endpoints = nil
+	if beat && l.mismatches >= mismatchBeats && now.Sub(l.listed) > listingGap {
+		l.listed = now
+		l.mismatches = 0
+		g.Listing = n.listing()
+	}
+	return Send{Node: name, Address: l.address, Gossip: g}
+}
+
+func (n *Node) header() wire.Gossip {
+	return wire.Gossip{Node: n.self.Node, Incarnation: n.self.Incarnation, ViewHash: n.hash, ConfigVersion: n.config}
+}
+
+func (n *Node) lookup(name string) (wire.Member, bool) {
+	if name == n.self.Node {
+		return n.self, true
+	}
+	r, ok := n.records[name]
+	if !ok {
+		return wire.Member{}, false
+	}
+	return r.m, true
+}
+
+// probe greets one instance of the platform's list that is unknown or ended,
+// or one ended member, so that new and cut-off nodes are found.
+func (n *Node) probe(sends []Send) []Send {
+	if ended(n.self.State) {
+		return sends
+	}
+	var candidates []Seed
+	for _, s := range n.seeds {
+		r, ok := n.records[s.Node]
+		if s.Node != n.self.Node && (!ok || ended(r.m.State)) {
+			candidates = append(candidates, s)
+		}
+	}
+	if len(n.seeds) == 0 {
+		for name, r := range n.records {
+			if r.m.State == wire.Dead {
+				candidates = append(candidates, Seed{Node: name, Address: r.m.Address})
+			}
+		}
+		slices.SortFunc(candidates, func(a, b Seed) int { return cmpNames(a, b) })
+	}
+	if len(candidates) == 0 {
+		return sends
+	}
+	s := candidates[n.rand.IntN(len(candidates))]
+	g := n.header()
+	g.Courtesy = true
+	g.Members = []wire.Member{n.self}
+	g.Listing = n.listing()
+	return append(sends, Send{Node: s.Node, Address: s.Address, Gossip: g})
+}
+
+func cmpNames(a, b Seed) int {
+	if a.Node < b.Node {
+		return -1
+	}
+	return 1
+}
+
+func (n *Node) listing() []wire.RecordVersion {
+	list := []wire.RecordVersion{versionOf(n.self)}
+	for _, r := range n.records {
+		list = append(list, versionOf(r.m))
+	}
+	return list
+}
+
+func versionOf(m wire.Member) wire.RecordVersion {
+	return wire.RecordVersion{Node: m.Node, Incarnation: m.Incarnation, Seq: m.Seq, State: m.State}
+}
--- /dev/null
+++ b/internal/core/order/policy.go
@@ -0,0 +1,59 @@
+package order
+
+import (
+	"time"
+
+	"gradetiller.example/internal/policy"
+)
+
+// Item tells a policy what it needs to know of one waiting stage call.
+type Item struct {
+	// Deadline is the time at which the whole request must be finished.
+	Deadline time.Time
+	// Remaining is the expected time of this stage and all later ones.
+	Remaining time.Duration
+	// Account is the index of the client account.
+	Account int
+	// Weight is the account's weight for fair shares; at least 1.
+	Weight int
+}
+
+// Key orders the queue: smaller First goes first, Second breaks ties, and the
+// order of arrival breaks the rest.
+type Key struct {
+	First, Second int64
+}
+
+// Policy computes an item's key. fair holds the virtual time of each account.
+type Policy func(it Item, fair *Fair) Key
+
+var policies = policy.NewRegistry[Policy]()
+
+func init() {
+	policies.Register("fifo", fifo)
+	policies.Register("earliest_deadline", earliestDeadline)
+	policies.Register("least_slack", leastSlack)
+	policies.Register("weighted_fair", weightedFair)
+}
+
+// Names lists the registered policies.
+func Names() []string { return policies.Names() }
+
+func fifo(Item, *Fair) Key { return Key{} }
+
+func earliestDeadline(it Item, _ *Fair) Key {
+	return Key{First: it.Deadline.UnixNano()}
+}
+
+func leastSlack(it Item, _ *Fair) Key {
+	return Key{First: it.Deadline.Add(-it.Remaining).UnixNano()}
+}
+
+// weightedFair orders accounts by their virtual time, and the calls that
+// share a step of virtual time by slack.
+func weightedFair(it Item, fair *Fair) Key {
+	return Key{
+		First:  fair.tag(it.Account, it.Weight),
+		Second: it.Deadline.Add(-it.Remaining).UnixNano(),
+	}
+}
--- /dev/null
+++ b/internal/core/place/endpoint.go
@@ -0,0 +1,62 @@
+package place
+
+import "time"
+
+// Spec is the configured part of an endpoint.
+type Spec struct {
+	Name    string
+	Address string
+	Domain  string
+	// Slots is how many calls this node may have outstanding there.
+	Slots int
+	// Cost is the price of one second of processing.
+	Cost float64
+	// Versions lists the models or versions it holds; empty means any.
+	Versions []string
+}
+
+// Load is an endpoint's own report, carried on its answers.
+type Load struct {
+	// Busy is the number of calls it runs or holds in its queue.
+	Busy float64
+	// At is when this node received the report.
+	At time.Time
+}
+
+// Endpoint is the state of one endpoint on this node.
+type Endpoint struct {
+	spec        Spec
+	outstanding int
+	load        Load
+	took        time.Duration
+	health      health
+	// removed endpoints are no longer in the configuration.
+	removed bool
+}
+
+// Spec returns the configured part.
+func (e *Endpoint) Spec() Spec { return e.spec }
+
+// Outstanding returns the number of this node's calls in flight there.
+func (e *Endpoint) Outstanding() int { return e.outstanding }
+
+// Took returns the moving average of its call times.
+func (e *Endpoint) Took() time.Duration { return e.took }
+
+// Health returns the state of its health in one word.
+func (e *Endpoint) Health(now time.Time) string { return e.health.state(now).String() }
+
+func (e *Endpoint) available(now time.Time, version string) bool {
+	if e.removed || e.outstanding >= e.health.limit(now, e.spec.Slots) {
+		return false
+	}
+	if version == "" || len(e.spec.Versions) == 0 {
+		return true
+	}
+	for _, v := range e.spec.Versions {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/place/policy.go
@@ -0,0 +1,92 @@
+package place
+
+import (
+	"time"
+
+	"gradetiller.example/internal/policy"
+)
+
+// Policy picks an endpoint of the pool, or None.
+type Policy func(p *Pool, now time.Time, req Request) int
+
+var policies = policy.NewRegistry[Policy]()
+
+func init() {
+	policies.Register("round_robin", roundRobin)
+	policies.Register("least_outstanding", leastOutstanding)
+	policies.Register("power_of_two", powerOfTwo)
+	policies.Register("predicted_finish", predictedFinish)
+}
+
+// Names lists the registered policies.
+func Names() []string { return policies.Names() }
+
+// Lookup finds a policy by name.
+func Lookup(name string) (Policy, bool) { return policies.Lookup(name) }
+
+// sampleSize is how many endpoints a sampling policy looks at. Pools up to
+// this size are looked at whole.
+const sampleSize = 12
+
+func (p *Pool) usable(now time.Time, i int, req Request) bool {
+	return i != req.Exclude && p.endpoints[i].available(now, req.Version)
+}
+
+// next returns the first usable endpoint from start on, going round once.
+func (p *Pool) next(now time.Time, start int, req Request) int {
+	n := len(p.endpoints)
+	for k := range n {
+		i := (start + k) % n
+		if p.usable(now, i, req) {
+			return i
+		}
+	}
+	return None
+}
+
+func roundRobin(p *Pool, now time.Time, req Request) int {
+	i := p.next(now, p.cursor%len(p.endpoints), req)
+	if i != None {
+		p.cursor = i + 1
+	}
+	return i
+}
+
+// best returns the usable endpoint of lowest score in a sample of the given
+// size that starts anywhere. A sample without a usable endpoint falls back to
+// the first usable one behind it.
+func (p *Pool) best(now time.Time, size int, req Request, score func(*Pool, time.Time, int, Request) float64) int {
+	n := len(p.endpoints)
+	start := p.rand.IntN(n)
+	stride := 1
+	if n > size {
+		stride = 1 + p.rand.IntN(n/size)
+	}
+	chosen, lowest := None, 0.0
+	for k := range min(size, n) {
+		i := (start + k*stride) % n
+		if !p.usable(now, i, req) {
+			continue
+		}
+		if s := score(p, now, i, req); chosen == None || s < lowest {
+			chosen, lowest = i, s
+		}
+	}
+	if chosen == None {
+		return p.next(now, start, req)
+	}
+	return chosen
+}
+
+func leastOutstanding(p *Pool, now time.Time, req Request) int {
+	return p.best(now, len(p.endpoints), req, outstandingScore)
+}
+
+func powerOfTwo(p *Pool, now time.Time, req Request) int {
+	return p.best(now, 2, req, outstandingScore)
+}
+
+func outstandingScore(p *Pool, _ time.Time, i int, _ Request) float64 {
+	e := &p.endpoints[i]
+	return float64(e.outstanding) / float64(max(e.spec.Slots, 1))
+}
--- /dev/null
+++ b/internal/core/place/predict.go
@@ -0,0 +1,54 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// loadHalfLife is the age at which a reported load counts half.
+	loadHalfLife = 2 * time.Second
+	// prefixSaving is the share of a call's time that a cached prefix saves.
+	// The default is cautious; the engines' own figures are not known yet.
+	prefixSaving = 0.3
+	// unknownTook stands for an endpoint that has not answered yet.
+	unknownTook = 5 * time.Millisecond
+)
+
+// predictedFinish picks the endpoint that should finish the call first, with
+// a price on its cost and a bonus for the endpoint that likely holds the
+// prompt's prefix.
+func predictedFinish(p *Pool, now time.Time, req Request) int {
+	chosen := p.best(now, sampleSize, req, finishScore)
+	holder := p.prefixes.get(req.Prefix)
+	if holder == None || holder == chosen || chosen == None || !p.usable(now, holder, req) {
+		return chosen
+	}
+	cached := finishScore(p, now, holder, req)
+	cached -= prefixSaving * p.endpoints[holder].expected().Seconds()
+	if cached <= finishScore(p, now, chosen, req) {
+		return holder
+	}
+	return chosen
+}
+
+func (e *Endpoint) expected() time.Duration {
+	if e.took == 0 {
+		return unknownTook
+	}
+	return e.took
+}
+
+// finishScore is the expected time to finish in seconds. An endpoint is
+// taken to slow down in proportion to what runs there beyond this call.
+func finishScore(p *Pool, now time.Time, i int, req Request) float64 {
+	e := &p.endpoints[i]
+	took := e.expected().Seconds()
+	slots := float64(max(e.spec.Slots, 1))
+	busy := float64(e.outstanding)
+	if !e.load.At.IsZero() {
+		trust := math.Exp2(-now.Sub(e.load.At).Seconds() / loadHalfLife.Seconds())
+		busy = math.Max(busy, trust*e.load.Busy+(1-trust)*busy)
+	}
+	return took*(1+busy/slots) + req.CostWeight*e.spec.Cost*took
+}
--- /dev/null
+++ b/internal/core/run/outcome.go
@@ -0,0 +1,205 @@
+package run
+
+import (
+	"fmt"
+	"time"
+
+	"gradetiller.example/failure"
+	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/place"
+)
+
+// Ended tells that a call came to its end.
+func (e *Engine) Ended(now time.Time, id AttemptID, end Ending) []Action {
+	c, ok := e.calls[id]
+	if !ok {
+		e.counters.LateAnswers++
+		return e.take()
+	}
+	delete(e.calls, id)
+	e.release(now, c, end)
+	if c.dropped {
+		e.late(c, end)
+	} else {
+		e.settle(now, c, end)
+	}
+	e.pump(now, c.pool)
+	return e.take()
+}
+
+// release gives the call's place at its endpoint back and accounts for it.
+func (e *Engine) release(now time.Time, c *call, end Ending) {
+	took := now.Sub(c.started)
+	spec := c.pool.place.At(c.endpoint).Spec()
+	result := place.Result{
+		Took:    took,
+		OK:      end.Event == attempt.Complete || end.Event == attempt.RefuseByEndpoint,
+		Neutral: c.dropped || end.Event == attempt.RefuseByEndpoint,
+		Load:    end.Load,
+	}
+	if c.pool.place.Finish(now, c.endpoint, result) {
+		e.counters.SetAside++
+		e.emit(Decision{Name: DecideSetAside, Endpoint: spec.Name, Stage: c.run.pipeline.Stages()[c.stage].Name(), Reason: end.Reason})
+	}
+	if end.Leaving {
+		e.leave(c.pool, c.endpoint)
+	}
+	if end.Event == attempt.RefuseUnsent {
+		return
+	}
+	e.emit(Spend{
+		Pipeline: c.run.pipeline.Name(),
+		Stage:    c.run.pipeline.Stages()[c.stage].Name(),
+		Arm:      c.run.arm,
+		Account:  c.run.req.Account,
+		Cost:     spec.Cost * took.Seconds(),
+		Took:     took,
+	})
+}
+
+func (e *Engine) late(c *call, end Ending) {
+	if end.Event != attempt.Complete {
+		return
+	}
+	e.counters.LateAnswers++
+	e.emit(Decision{Name: DecideDropLate, RequestID: c.run.req.RequestID, Run: c.run.id, Stage: c.run.pipeline.Stages()[c.stage].Name(), Reason: "the run went on without this call"})
+}
+
+func (e *Engine) settle(now time.Time, c *call, end Ending) {
+	r := c.run
+	r.remove(c)
+	if err := c.machine.On(end.Event); err != nil {
+		end.Event = attempt.Lose
+		end.Reason = err.Error()
+		_ = c.machine.On(end.Event)
+	}
+	if c.machine.State().MayHaveRun() {
+		r.mayHaveRun = true
+	}
+	if c.machine.State() == attempt.Done {
+		e.complete(now, c, end)
+		return
+	}
+	if end.Tokens > r.tokens {
+		r.tokens = end.Tokens
+	}
+	if len(r.calls) > 0 {
+		// The other call of a hedged stage goes on.
+		return
+	}
+	e.again(now, c, end)
+}
+
+func (e *Engine) complete(now time.Time, c *call, end Ending) {
+	r := c.run
+	took := now.Sub(c.started)
+	e.estimate(now, r.pipeline.Name(), r.current().Name()).took.Observe(now, took)
+	c.pool.took.Observe(now, took)
+	e.dropCalls(r)
+	r.input = end.Output
+	e.next(now, r)
+}
+
+// again sends a failed call once more, or ends the run.
+func (e *Engine) again(now time.Time, c *call, end Ending) {
+	r := c.run
+	state := c.machine.State()
+	if state != attempt.NotRun && !r.repeatable() {
+		e.endFailed(now, r, state, end.Reason)
+		return
+	}
+	if r.tries >= maxTries || !c.pool.retries.Take() {
+		e.endFailed(now, r, state, end.Reason)
+		return
+	}
+	r.exclude = c.endpoint
+	if c.pool.place.Len() == 1 {
+		r.exclude = place.None
+	}
+	name := DecideRetry
+	e.counters.Retries++
+	if r.tokens > 0 {
+		name = DecideResume
+		e.counters.Resumes++
+	}
+	e.emit(Decision{Name: name, RequestID: r.req.RequestID, Run: r.id, Stage: r.current().Name(), Reason: end.Reason})
+	e.enqueue(now, r)
+}
+
+func (e *Engine) endFailed(now time.Time, r *activeRun, state attempt.State, reason string) {
+	if r.current().Optional() && r.tokens == 0 {
+		e.skip(now, r, reason)
+		return
+	}
+	kind := failure.StageUnknown
+	if state == attempt.Failed {
+		kind = failure.StageFailed
+	}
+	if !r.mayHaveRun {
+		kind = failure.StageNotRun
+	}
+	if r.mayHaveRun && state == attempt.NotRun {
+		kind = failure.StageUnknown
+	}
+	e.finish(now, r, nil, failure.New(kind, reason, failure.WithStage(r.current().Name()), failure.WithRetryAfter(fullQueueRetry)))
+}
+
+// fail ends a run that could not go on by a decision of this node. The given
+// kind says "not run"; a run that may have run gets the answer for that.
+func (e *Engine) fail(now time.Time, r *activeRun, kind failure.Kind, message string) {
+	if r.mayHaveRun {
+		message = fmt.Sprintf("%s: %s", kind, message)
+		kind = failure.StageUnknown
+		if !now.Before(r.deadline) {
+			kind = failure.DeadlineExceeded
+		}
+	}
+	e.finish(now, r, nil, failure.New(kind, message, failure.WithStage(r.current().Name()), failure.WithRetryAfter(fullQueueRetry)))
+}
+
+// Cancel ends a run because its caller went away.
+func (e *Engine) Cancel(now time.Time, id ID) []Action {
+	r, ok := e.runs[id]
+	if !ok {
+		return e.take()
+	}
+	e.giveUp(now, r, failure.CanceledNotRun, failure.Canceled, "the caller canceled")
+	return e.take()
+}
+
+func (e *Engine) giveUp(now time.Time, r *activeRun, notRun, unknown failure.Kind, message string) {
+	e.leaveQueue(r)
+	e.dropCalls(r)
+	kind := notRun
+	if r.mayHaveRun {
+		kind = unknown
+	}
+	e.finish(now, r, nil, failure.New(kind, message, failure.WithStage(r.current().Name())))
+}
+
+// finish ends a run; it is the only place that does.
+func (e *Engine) finish(now time.Time, r *activeRun, output []byte, err *failure.Error) {
+	e.leaveQueue(r)
+	e.dropCalls(r)
+	delete(e.runs, r.id)
+	r.account.Release()
+	e.counters.Finished++
+	if err != nil && r.recorded && !r.mayHaveRun {
+		e.emit(Abandon{Run: r.id, Account: r.req.Account, RequestID: r.req.RequestID})
+	}
+	reason := "whole"
+	if err != nil {
+		reason = err.Error()
+	}
+	e.emit(Decision{Name: DecideFinish, RequestID: r.req.RequestID, Run: r.id, Reason: reason})
+	e.emit(Finish{Run: r.id, Output: output, Err: err, Summary: Summary{
+		RequestID: r.req.RequestID,
+		Account:   r.req.Account,
+		Pipeline:  r.pipeline.Name(),
+		Class:     r.req.Class,
+		Arm:       r.arm,
+		Took:      now.Sub(r.started),
+		OnTime:    err == nil && !now.After(r.deadline),
+		Stages:    r.stages,
+	}})
+}
--- /dev/null
+++ b/internal/core/run/run.go
@@ -0,0 +1,101 @@
+package run
+
+import (
+	"hash/fnv"
+	"time"
+
+	"gradetiller.example/config"
+	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/limit"
+	"gradetiller.example/internal/core/order"
+	"gradetiller.example/internal/core/place"
+)
+
+// activeRun is one request under way.
+type activeRun struct {
+	id       ID
+	req      Request
+	pipeline *config.Pipeline
+	account  *limit.Account
+	// index is the account's place in the configuration at the start; it is
+	// only a key for fair shares.
+	index    int
+	weight   int
+	arm      string
+	policy   place.Policy
+	hash     uint64
+	started  time.Time
+	deadline time.Time
+
+	stage      int
+	stageStart time.Time
+	stageDue   time.Time
+	input      []byte
+	tokens     int
+	calls      []*call
+	tries      int
+	exclude    int
+	waiting    *order.Handle[*activeRun]
+	waitPool   *pool
+	item       order.Item
+
+	recorded   bool
+	mayHaveRun bool
+	stages     []StageSummary
+}
+
+func (r *activeRun) current() *config.Stage { return &r.pipeline.Stages()[r.stage] }
+
+// repeatable reports whether a call of the present stage may be sent again
+// after it may have run.
+func (r *activeRun) repeatable() bool { return r.req.Repeatable && r.current().Repeatable() }
+
+// recordKey names a started record that is being stored.
+type recordKey struct{ account, requestID string }
+
+// call is one stage call in flight.
+type call struct {
+	id       AttemptID
+	run      *activeRun
+	pool     *pool
+	endpoint int
+	stage    int
+	started  time.Time
+	machine  attempt.Machine
+	hedge    bool
+	// dropped calls belong to a stage or run that went on without them.
+	dropped bool
+}
+
+func hashOf(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return h.Sum64()
+}
+
+// assignArm gives the run its arm of the pipeline's experiment.
+func (r *activeRun) assignArm(accountName string) {
+	exp := r.pipeline.Experiment()
+	if exp == nil {
+		return
+	}
+	key := exp.Name() + "/" + r.req.RequestID
+	if exp.ByAccount() {
+		key = exp.Name() + "/" + accountName
+	}
+	arm := exp.Arm(mix(hashOf(key)))
+	r.arm = exp.Name() + "/" + arm.Name()
+	if p, ok := place.Lookup(arm.Place()); ok {
+		r.policy = p
+	}
+}
+
+// mix spreads the bits of an FNV hash, whose low bits follow the last byte of
+// the key.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- /dev/null
+++ b/internal/endpoints/http.go
@@ -0,0 +1,235 @@
+package endpoints
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/run"
+)
+
+const (
+	dialTimeout  = time.Second
+	maxAnswer    = 8 << 20
+	maxLine      = 64 << 10
+	idlePerHost  = 64
+	idleTimeout  = 30 * time.Second
+	headerRun    = "X-Not-Run"
+	headerLoad   = "X-Load"
+	headerLeave  = "X-Leaving"
+	contentJSON  = "application/json"
+	pathCall     = "/v1/call"
+	reasonMaxLen = 200
+)
+
+// HTTP calls endpoints over HTTP/1.1.
+type HTTP struct {
+	reuse *http.Transport
+	fresh *http.Transport
+}
+
+// NewHTTP returns an adapter with connections of its own.
+func NewHTTP() *HTTP {
+	return &HTTP{reuse: newTransport(false), fresh: newTransport(true)}
+}
+
+func newTransport(fresh bool) *http.Transport {
+	return &http.Transport{
+		Proxy:               nil,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// Close closes idle connections.
+func (h *HTTP) Close() {
+	h.reuse.CloseIdleConnections()
+	h.fresh.CloseIdleConnections()
+}
+
+// callBody is the JSON body of a call.
+type callBody struct {
+	RequestID  string `json:"request_id"`
+	Run        uint64 `json:"run"`
+	Attempt    uint64 `json:"attempt"`
+	Stage      string `json:"stage"`
+	Version    string `json:"version,omitempty"`
+	Input      string `json:"input"`
+	MaxTokens  int    `json:"max_tokens,omitempty"`
+	Priority   int    `json:"priority"`
+	DeadlineMS int64  `json:"deadline_ms"`
+	ResumeFrom int    `json:"resume_from,omitempty"`
+	Repeatable bool   `json:"repeatable"`
+}
+
+type callAnswer struct {
+	RequestID string `json:"request_id"`
+	Output    string `json:"output"`
+	Error     string `json:"error"`
+}
+
+type streamLine struct {
+	Index     int    `json:"i"`
+	Text      string `json:"t"`
+	Done      bool   `json:"done"`
+	Count     int    `json:"n"`
+	RequestID string `json:"request_id"`
+}
+
+// Call implements Caller.
+func (h *HTTP) Call(ctx context.Context, call run.Call, sink Sink) run.Ending {
+	body, err := json.Marshal(callBody{
+		RequestID:  call.RequestID,
+		Run:        uint64(call.Run),
+		Attempt:    uint64(call.Attempt),
+		Stage:      call.Stage,
+		Version:    call.Version,
+		Input:      string(call.Input),
+		MaxTokens:  call.MaxTokens,
+		Priority:   call.Priority,
+		DeadlineMS: time.Until(call.Deadline).Milliseconds(),
+		ResumeFrom: call.ResumeFrom,
+		Repeatable: call.Repeatable,
+	})
+	if err != nil {
+		return ending(attempt.RefuseUnsent, "encode call: "+err.Error())
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+call.Address+pathCall, unrepeatable(body))
+	if err != nil {
+		return ending(attempt.RefuseUnsent, "build call: "+err.Error())
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", contentJSON)
+	resp, err := h.transport(call).RoundTrip(req)
+	if err != nil {
+		if !connected.Load() {
+			return ending(attempt.RefuseUnsent, err.Error())
+		}
+		return ending(attempt.Lose, err.Error())
+	}
+	defer resp.Body.Close()
+	end := read(resp, call, sink, cancel)
+	end.Load = loadOf(resp)
+	end.Leaving = resp.Header.Get(headerLeave) != ""
+	return end
+}
+
+func (h *HTTP) transport(call run.Call) *http.Transport {
+	if call.Repeatable {
+		return h.reuse
+	}
+	return h.fresh
+}
+
+// unrepeatable hides the reader's type, so that the request gets no GetBody.
+func unrepeatable(body []byte) io.Reader { return struct{ io.Reader }{bytes.NewReader(body)} }
+
+func ending(e attempt.Event, reason string) run.Ending {
+	if len(reason) > reasonMaxLen {
+		reason = reason[:reasonMaxLen]
+	}
+	return run.Ending{Event: e, Reason: reason}
+}
+
+func loadOf(resp *http.Response) place.Load {
+	busy, err := strconv.ParseFloat(resp.Header.Get(headerLoad), 64)
+	if err != nil || busy < 0 {
+		return place.Load{}
+	}
+	return place.Load{Busy: busy, At: time.Now()}
+}
+
+func read(resp *http.Response, call run.Call, sink Sink, cancel context.CancelFunc) run.Ending {
+	switch {
+	case resp.Header.Get(headerRun) != "":
+		return ending(attempt.RefuseByEndpoint, fmt.Sprintf("endpoint %s did not run the call", call.Endpoint))
+	case resp.StatusCode != http.StatusOK:
+		return ending(attempt.Fail, fmt.Sprintf("endpoint %s answered status %d", call.Endpoint, resp.StatusCode))
+	case call.Streams:
+		return readStream(resp.Body, call, sink, cancel)
+	}
+	return readWhole(resp.Body, call)
+}
+
+func readWhole(r io.Reader, call run.Call) run.Ending {
+	data, err := io.ReadAll(io.LimitReader(r, maxAnswer))
+	if err != nil {
+		return ending(attempt.Lose, "answer broke off: "+err.Error())
+	}
+	var answer callAnswer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return ending(attempt.Lose, "answer is not JSON: "+err.Error())
+	}
+	if answer.RequestID != call.RequestID {
+		return ending(attempt.Lose, fmt.Sprintf("answer is for request %q", answer.RequestID))
+	}
+	return run.Ending{Event: attempt.Complete, Output: []byte(answer.Output)}
+}
+
+// readStream passes tokens on and accepts the end only when it names this
+// request and the right number of tokens.
+func readStream(r io.Reader, call run.Call, sink Sink, cancel context.CancelFunc) run.Ending {
+	var idle *time.Timer
+	if call.Idle > 0 {
+		idle = time.AfterFunc(call.Idle, cancel)
+		defer idle.Stop()
+		idle.Stop()
+	}
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 4<<10), maxLine)
+	for lines.Scan() {
+		if idle != nil {
+			idle.Reset(call.Idle)
+		}
+		var line streamLine
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return broken(sink, "stream line is not JSON: "+err.Error())
+		}
+		if line.Done {
+			return streamEnd(line, call, sink)
+		}
+		if !sink.Token(line.Index, line.Text) {
+			return broken(sink, "tokens are not wanted any more, or out of order")
+		}
+	}
+	err := lines.Err()
+	if err == nil {
+		err = errors.New("no end line")
+	}
+	return broken(sink, "stream broke off: "+err.Error())
+}
+
+func streamEnd(line streamLine, call run.Call, sink Sink) run.Ending {
+	if line.RequestID != call.RequestID {
+		return broken(sink, fmt.Sprintf("stream is for request %q", line.RequestID))
+	}
+	if line.Count != sink.Have() {
+		return broken(sink, fmt.Sprintf("stream ended with %d tokens, %d came", line.Count, sink.Have()))
+	}
+	return run.Ending{Event: attempt.Complete, Output: sink.Output(), Tokens: line.Count}
+}
+
+func broken(sink Sink, reason string) run.Ending {
+	end := ending(attempt.Lose, reason)
+	end.Tokens = sink.Have()
+	return end
+}
--- /dev/null
+++ b/internal/entry/apply.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/config"
+	"gradetiller.example/internal/core/locate"
+	"gradetiller.example/internal/core/run"
+	"gradetiller.example/internal/wire"
+)
+
+// Apply puts a control process's snapshot in force. A configuration of a
+// version that is not above the present one is ignored, so that nothing
+// reverts.
+func (n *Node) Apply(s wire.Snapshot) error {
+	cfg := n.cfg.Load()
+	version := n.Version()
+	if len(s.Config.Data) > 0 && s.Config.Version > version {
+		parsed, err := config.Parse(fmt.Sprintf("version-%d", s.Config.Version), s.Config.Data)
+		if err != nil {
+			return fmt.Errorf("configuration version %d: %w", s.Config.Version, err)
+		}
+		cfg, version = parsed, s.Config.Version
+	}
+	if cfg == nil {
+		return nil
+	}
+	n.storeAway.Store(s.StoreAway)
+	if cfg != n.cfg.Load() || !sameEntries(n.Entries(), s.Entries) {
+		if err := n.configure(cfg, version, s.Entries); err != nil {
+			return err
+		}
+	}
+	n.step(func(time.Time) []run.Action {
+		var actions []run.Action
+		for _, e := range s.Endpoints {
+			actions = append(actions, n.engine.SetLeaving(e.Pool, e.Name, e.Leaving)...)
+		}
+		return actions
+	})
+	return nil
+}
+
+func (n *Node) configure(cfg *config.Config, version uint64, entries []wire.Entry) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.engine.Configure(time.Now(), cfg, serving(entries)); err != nil {
+		return err
+	}
+	n.entries = entries
+	if version != n.version {
+		n.log.Info("configuration in force", zap.Uint64("version", version), zap.String("digest", cfg.Digest()))
+	}
+	n.version = version
+	n.cfg.Store(cfg)
+	n.rebuildTable()
+	return nil
+}
+
+func serving(entries []wire.Entry) int {
+	count := 0
+	for _, e := range entries {
+		if !e.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+func sameEntries(a, b []wire.Entry) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Version returns the version of the configuration in force; 0 means none.
+func (n *Node) Version() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.version
+}
+
+// Entries returns the entries of the whole system as last heard.
+func (n *Node) Entries() []wire.Entry {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.entries
+}
+
+// rebuildTable computes the locate answers anew. The node itself is always
+// among the entries unless it is leaving, also when its control process is
+// gone.
+func (n *Node) rebuildTable() {
+	cfg := n.cfg.Load()
+	if cfg == nil {
+		return
+	}
+	var list []locate.Entry
+	for _, e := range n.entries {
+		if !e.Leaving && e.Node != n.id.Node {
+			list = append(list, locate.Entry{Node: e.Node, Address: e.Address, Domain: e.Domain, Region: e.Region})
+		}
+	}
+	if !n.leaving.Load() {
+		list = append(list, locate.Entry{Node: n.id.Node, Address: n.id.Address, Domain: n.id.Domain, Region: n.id.Region})
+	}
+	accounts := make([]string, len(cfg.Accounts()))
+	for i := range cfg.Accounts() {
+		accounts[i] = cfg.Accounts()[i].Name()
+	}
+	n.table.Store(locate.NewTable(list, accounts, cfg.LocateAddresses()))
+}
+
+// Leave takes this node out of its own locate answers at once, and tells its
+// control process with the next status.
+func (n *Node) Leave() {
+	n.leaving.Store(true)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rebuildTable()
+}
+
+// Leaving reports whether Leave was called.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Close refuses new requests as draining.
+func (n *Node) Close() { n.closed.Store(true) }
+
+// Self returns this node's record for the other nodes.
+func (n *Node) Self() wire.Entry {
+	return wire.Entry{
+		Node: n.id.Node, Incarnation: n.id.Incarnation, Address: n.id.Address, PeerAddress: n.id.PeerAddress,
+		Domain: n.id.Domain, Region: n.id.Region, Leaving: n.leaving.Load(),
+	}
+}
--- /dev/null
+++ b/internal/entry/codec.go
@@ -0,0 +1,303 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gradetiller.example/failure"
+	"gradetiller.example/internal/core/run"
+)
+
+const (
+	maxRequest    = 1 << 20
+	maxIDLength   = 128
+	prefixLength  = 64
+	leastRetry    = 50 * time.Millisecond
+	headerRequest = "X-Request-Id"
+	contentJSON   = "application/json"
+	contentLines  = "application/x-ndjson"
+)
+
+type runBody struct {
+	Input      string `json:"input"`
+	DeadlineMS int64  `json:"deadline_ms"`
+	Repeatable *bool  `json:"repeatable"`
+	Class      string `json:"class"`
+	Stream     bool   `json:"stream"`
+}
+
+func badRequest(format string, args ...any) error {
+	return failure.New(failure.BadRequest, fmt.Sprintf(format, args...))
+}
+
+func decodeRun(_ context.Context, r *http.Request) (any, error) {
+	id := r.Header.Get(headerRequest)
+	if id == "" || len(id) > maxIDLength {
+		return nil, badRequest("expected the header %s with 1 to %d bytes", headerRequest, maxIDLength)
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxRequest+1))
+	if err != nil {
+		return nil, badRequest("read body: %v", err)
+	}
+	if len(data) > maxRequest {
+		return nil, failure.New(failure.TooLarge, fmt.Sprintf("the body exceeds %d bytes", maxRequest))
+	}
+	var body runBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, badRequest("body is not the JSON expected: %v", err)
+	}
+	if body.DeadlineMS < 0 {
+		return nil, badRequest("deadline_ms is negative; expected the milliseconds left")
+	}
+	return &runRequest{
+		credentials: bearer(r),
+		stream:      body.Stream,
+		request: run.Request{
+			Pipeline:   r.PathValue("pipeline"),
+			RequestID:  id,
+			Left:       time.Duration(body.DeadlineMS) * time.Millisecond,
+			Repeatable: body.Repeatable == nil || *body.Repeatable,
+			Class:      class(body.Class),
+			Input:      []byte(body.Input),
+			Prefix:     prefixHash(body.Input),
+		},
+	}, nil
+}
+
+// classes is the closed list of request classes, which bounds the metrics.
+var classes = map[string]bool{"interactive": true, "batch": true, "booking": true}
+
+func class(name string) string {
+	if classes[name] {
+		return name
+	}
+	return "default"
+}
+
+// prefixHash names the start of a long prompt, which engines cache.
+func prefixHash(input string) uint64 {
+	if len(input) < prefixLength {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, input[:prefixLength])
+	return h.Sum64()
+}
+
+type errorBody struct {
+	Code         string `json:"code"`
+	Ran          string `json:"ran"`
+	Message      string `json:"message"`
+	Stage        string `json:"stage,omitempty"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+func errorBodyOf(err error) (errorBody, failure.Answer, time.Duration) {
+	var f *failure.Error
+	if !errors.As(err, &f) {
+		f = failure.New(failure.Internal, err.Error())
+	}
+	answer := f.Kind().Answer()
+	after := f.RetryAfter()
+	if !answer.Again() {
+		after = 0
+	}
+	return errorBody{
+		Code: answer.Code(), Ran: string(answer.Ran()), Message: f.Message(), Stage: f.Stage(),
+		RetryAfterMS: after.Milliseconds(),
+	}, answer, after
+}
+
+func encodeError(_ context.Context, err error, w http.ResponseWriter) {
+	body, answer, after := errorBodyOf(err)
+	if after > 0 {
+		seconds := int((after + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	writeJSON(w, answer.Status(), struct {
+		Error errorBody `json:"error"`
+	}{body})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", contentJSON)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+type stageBody struct {
+	Name     string  `json:"name"`
+	Endpoint string  `json:"endpoint,omitempty"`
+	TookMS   float64 `json:"took_ms"`
+	Calls    int     `json:"calls"`
+	Skipped  bool    `json:"skipped,omitempty"`
+}
+
+type wholeBody struct {
+	RequestID string      `json:"request_id"`
+	Ran       string      `json:"ran"`
+	OnTime    bool        `json:"on_time"`
+	TookMS    float64     `json:"took_ms"`
+	Output    string      `json:"output"`
+	Stages    []stageBody `json:"stages"`
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func wholeBodyOf(f *run.Finish) wholeBody {
+	body := wholeBody{
+		RequestID: f.Summary.RequestID, Ran: string(failure.RanYes), OnTime: f.Summary.OnTime,
+		TookMS: milliseconds(f.Summary.Took), Output: string(f.Output),
+	}
+	for _, s := range f.Summary.Stages {
+		body.Stages = append(body.Stages, stageBody{Name: s.Name, Endpoint: s.Endpoint, TookMS: milliseconds(s.Took), Calls: s.Calls, Skipped: s.Skipped})
+	}
+	return body
+}
+
+// encodeRun waits for the run and writes its answer, whole or streamed. A
+// caller that goes away cancels the run.
+func (n *Node) encodeRun(ctx context.Context, w http.ResponseWriter, response any) error {
+	resp := response.(runResponse)
+	if resp.streamed {
+		return n.encodeStream(ctx, w, resp)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			n.Cancel(resp.stream.run)
+			return nil
+		case <-resp.stream.wake:
+		}
+		_, end := resp.stream.take()
+		switch {
+		case end == nil:
+		case end.Err != nil:
+			encodeError(ctx, end.Err, w)
+			return nil
+		default:
+			writeJSON(w, http.StatusOK, wholeBodyOf(end))
+			return nil
+		}
+	}
+}
+
+// streamEvent is one line of a streamed answer. The last line has End or
+// Error; a stream without one was cut.
+type streamEvent struct {
+	Text   string     `json:"text,omitempty"`
+	End    bool       `json:"end,omitempty"`
+	Length int        `json:"length,omitempty"`
+	SHA256 string     `json:"sha256,omitempty"`
+	OnTime *bool      `json:"on_time,omitempty"`
+	Error  *errorBody `json:"error,omitempty"`
+}
+
+// streamWriter writes events and keeps the length and digest of the text.
+type streamWriter struct {
+	w       http.ResponseWriter
+	flush   *http.ResponseController
+	started bool
+	length  int
+	digest  hash.Hash
+}
+
+func (s *streamWriter) event(e streamEvent) error {
+	if !s.started {
+		s.started = true
+		s.w.Header().Set("Content-Type", contentLines)
+		s.w.WriteHeader(http.StatusOK)
+	}
+	line, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	if _, err := s.w.Write(append(line, '\n')); err != nil {
+		return err
+	}
+	return s.flush.Flush()
+}
+
+func (s *streamWriter) text(fresh []byte) error {
+	s.length += len(fresh)
+	_, _ = s.digest.Write(fresh)
+	return s.event(streamEvent{Text: string(fresh)})
+}
+
+func (n *Node) encodeStream(ctx context.Context, w http.ResponseWriter, resp runResponse) error {
+	out := &streamWriter{w: w, flush: http.NewResponseController(w), digest: sha256.New()}
+	for {
+		select {
+		case <-ctx.Done():
+			n.Cancel(resp.stream.run)
+			return nil
+		case <-resp.stream.wake:
+		}
+		fresh, end := resp.stream.take()
+		if end != nil && end.Err != nil {
+			return out.fail(ctx, end.Err)
+		}
+		if len(fresh) > 0 {
+			if err := out.text(fresh); err != nil {
+				n.Cancel(resp.stream.run)
+				return nil
+			}
+		}
+		if end != nil {
+			return out.end(end)
+		}
+	}
+}
+
+// fail ends the stream with an error: as the answer itself while nothing was
+// written, else as the last event.
+func (s *streamWriter) fail(ctx context.Context, err error) error {
+	if !s.started {
+		encodeError(ctx, err, s.w)
+		return nil
+	}
+	body, _, _ := errorBodyOf(err)
+	_ = s.event(streamEvent{Error: &body})
+	return nil
+}
+
+// end writes the last event. A pipeline whose last stage does not stream has
+// its whole output still to write.
+func (s *streamWriter) end(f *run.Finish) error {
+	if rest := f.Output[min(s.length, len(f.Output)):]; len(rest) > 0 {
+		if err := s.text(rest); err != nil {
+			return nil
+		}
+	}
+	onTime := f.Summary.OnTime
+	_ = s.event(streamEvent{End: true, Length: s.length, SHA256: hex.EncodeToString(s.digest.Sum(nil)), OnTime: &onTime})
+	return nil
+}
+
+func decodeLocate(_ context.Context, r *http.Request) (any, error) {
+	return &locateRequest{credentials: bearer(r), region: r.URL.Query().Get("region"), domain: r.URL.Query().Get("failure_domain")}, nil
+}
+
+func encodeLocate(_ context.Context, w http.ResponseWriter, response any) error {
+	writeJSON(w, http.StatusOK, response)
+	return nil
+}
+
+func decodeCancel(_ context.Context, r *http.Request) (any, error) {
+	return &cancelRequest{credentials: bearer(r), requestID: r.PathValue("request")}, nil
+}
+
+func encodeCancel(_ context.Context, w http.ResponseWriter, response any) error {
+	writeJSON(w, http.StatusOK, response)
+	return nil
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,170 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gradetiller.example/failure"
+	"gradetiller.example/internal/standin"
+)
+
+const (
+	longest   = int64(time.Minute / time.Microsecond)
+	precision = 3
+)
+
+// Report is what came of a load.
+type Report struct {
+	requests, answered, onTime, notRun, failed int
+	lost, doubled, crossed                     int
+	byKind                                     map[failure.Kind]int
+	accounts                                   []accountReport
+	took                                       *hdrhistogram.Histogram
+	cost                                       map[string]float64
+	duration                                   time.Duration
+	outcomes                                   []outcome
+}
+
+type accountReport struct {
+	name             string
+	requests, onTime int
+}
+
+func newReport(o Options, outcomes []outcome, d time.Duration) *Report {
+	r := &Report{
+		byKind: make(map[failure.Kind]int), duration: d, outcomes: outcomes,
+		took: hdrhistogram.New(1, longest, precision),
+	}
+	for _, a := range o.Accounts {
+		r.accounts = append(r.accounts, accountReport{name: a.Name})
+	}
+	for i := range outcomes {
+		r.add(o, &outcomes[i])
+	}
+	return r
+}
+
+func (r *Report) add(o Options, out *outcome) {
+	r.requests++
+	account := &r.accounts[out.planned.account]
+	account.requests++
+	if out.crossed {
+		r.crossed++
+	}
+	if out.lost() {
+		r.lost++
+	}
+	if out.err != nil {
+		kind := failure.KindOf(out.err)
+		r.byKind[kind]++
+		if kind.Answer().Ran() == failure.RanNo {
+			r.notRun++
+		} else {
+			r.failed++
+		}
+		return
+	}
+	r.answered++
+	_ = r.took.RecordValue(min(int64(out.took/time.Microsecond), longest))
+	if out.took <= o.Deadline {
+		r.onTime++
+		account.onTime++
+	}
+}
+
+// addOutside adds what the stand-ins counted. A request that was told "not
+// run" and that may run at most once must not have run at all.
+func (r *Report) addOutside(ctx context.Context, address string) error {
+	var counts []standin.Count
+	if err := get(ctx, address, "/admin/counts", &counts); err != nil {
+		return err
+	}
+	if err := get(ctx, address, "/admin/cost", &r.cost); err != nil {
+		return err
+	}
+	refused := make(map[string]bool)
+	for i := range r.outcomes {
+		out := &r.outcomes[i]
+		if out.err != nil && out.planned.request.Once && failure.KindOf(out.err).Answer().Ran() == failure.RanNo {
+			refused[out.planned.marker] = true
+		}
+	}
+	for _, c := range counts {
+		if !c.Repeatable && (c.Runs > 1 || refused[c.RequestID]) {
+			r.doubled++
+		}
+	}
+	return nil
+}
+
+func get(ctx context.Context, address, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := (&http.Transport{}).RoundTrip(req)
+	if err != nil {
+		return fmt.Errorf("ask the stand-in: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, out)
+}
+
+// Harm returns the number of lost, doubled and crossed results.
+func (r *Report) Harm() int { return r.lost + r.doubled + r.crossed }
+
+// Attainment returns the share of requests that finished within their
+// deadline.
+func (r *Report) Attainment() float64 { return float64(r.onTime) / float64(max(r.requests, 1)) }
+
+// Line returns the counts as one line.
+func (r *Report) Line() string {
+	return fmt.Sprintf("requests=%d answered=%d on_time=%d not_run=%d failed=%d lost=%d doubled=%d crossed=%d",
+		r.requests, r.answered, r.onTime, r.notRun, r.failed, r.lost, r.doubled, r.crossed)
+}
+
+// Row returns the measures as one line of a table.
+func (r *Report) Row() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "attainment=%.4f p50_ms=%.1f p99_ms=%.1f", r.Attainment(),
+		float64(r.took.ValueAtQuantile(50))/1000, float64(r.took.ValueAtQuantile(99))/1000)
+	for _, stage := range []string{"encoding", "retrieval", "reranking", "generation"} {
+		fmt.Fprintf(&b, " cost_%s=%.2f", stage, r.cost[stage])
+	}
+	fmt.Fprintf(&b, " lost=%d doubled=%d crossed=%d", r.lost, r.doubled, r.crossed)
+	return b.String()
+}
+
+// Details returns attainment by account and errors by kind, one a line.
+func (r *Report) Details() []string {
+	var lines []string
+	for _, a := range r.accounts {
+		lines = append(lines, fmt.Sprintf("account=%s requests=%d attainment=%.4f", a.name, a.requests, float64(a.onTime)/float64(max(a.requests, 1))))
+	}
+	for _, k := range failure.Kinds() {
+		if n := r.byKind[k]; n > 0 {
+			lines = append(lines, fmt.Sprintf("error=%s count=%d", k, n))
+		}
+	}
+	var stages []string
+	for s := range r.cost {
+		stages = append(stages, s)
+	}
+	slices.Sort(stages)
+	for _, s := range stages {
+		lines = append(lines, fmt.Sprintf("stage=%s cost=%.3f", s, r.cost[s]))
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"gradetiller.example/internal/platform"
+)
+
+// The platform's limits, from the brief.
+const (
+	writesPerSecond = 100
+	readsPerSecond  = 2000
+	slowStore       = 500 * time.Millisecond
+)
+
+// Platform stands in for the table, the objects and the instance list.
+type Platform struct {
+	faults    faults
+	mu        sync.Mutex
+	rows      map[string]platform.Row
+	objects   map[string][]byte
+	instances []platform.Instance
+	writes    meter
+	reads     meter
+}
+
+// meter counts calls by second and refuses above a limit.
+type meter struct {
+	second int64
+	inSec  int
+	total  int
+	peak   int
+}
+
+func (m *meter) take(limit int) bool {
+	if s := time.Now().Unix(); s != m.second {
+		m.second, m.inSec = s, 0
+	}
+	if m.inSec >= limit {
+		return false
+	}
+	m.inSec++
+	m.total++
+	m.peak = max(m.peak, m.inSec)
+	return true
+}
+
+// NewPlatform returns an empty platform with an instance list.
+func NewPlatform(instances []platform.Instance) *Platform {
+	return &Platform{
+		rows:      make(map[string]platform.Row),
+		objects:   make(map[string][]byte),
+		instances: instances,
+	}
+}
+
+// Fault puts an order in force.
+func (p *Platform) Fault(o Order) { p.faults.set(o) }
+
+// SetInstances replaces the instance list.
+func (p *Platform) SetInstances(list []platform.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = list
+}
+
+// Usage is the number of writes and reads so far and in the worst second.
+type Usage struct {
+	Writes     int `json:"writes"`
+	PeakWrites int `json:"peak_writes"`
+	Reads      int `json:"reads"`
+	PeakReads  int `json:"peak_reads"`
+}
+
+// Usage returns the counts.
+func (p *Platform) Usage() Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Usage{Writes: p.writes.total, PeakWrites: p.writes.peak, Reads: p.reads.total, PeakReads: p.reads.peak}
+}
+
+// Handler serves the three services over HTTP.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /table/read", p.readTable)
+	mux.HandleFunc("POST /table/write", p.writeTable)
+	mux.HandleFunc("GET /objects/{name}", p.getObject)
+	mux.HandleFunc("PUT /objects/{name}", p.putObject)
+	mux.HandleFunc("GET /instances", p.listInstances)
+	return mux
+}
+
+// enter applies the fault in force and reports whether to go on, and whether
+// the answer is to be lost after the effect.
+func (p *Platform) enter(w http.ResponseWriter, r *http.Request) (loseAnswer, ok bool) {
+	switch p.faults.now().Fault {
+	case FaultOutage:
+		cut(w)
+		return false, false
+	case FaultHang:
+		<-r.Context().Done()
+		return false, false
+	case FaultSlow:
+		time.Sleep(slowStore)
+	case FaultLoseAnswer:
+		return true, true
+	}
+	return false, true
+}
+
+func (p *Platform) readTable(w http.ResponseWriter, r *http.Request) {
+	if _, ok := p.enter(w, r); !ok {
+		return
+	}
+	var req struct{ Keys []string }
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	allowed := p.reads.take(readsPerSecond)
+	rows := make([]platform.Row, len(req.Keys))
+	for i, k := range req.Keys {
+		rows[i] = p.row(k)
+	}
+	p.mu.Unlock()
+	if !allowed {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	reply(w, http.StatusOK, map[string][]platform.Row{"rows": rows})
+}
+
+func (p *Platform) row(key string) platform.Row {
+	if row, ok := p.rows[key]; ok {
+		return row
+	}
+	return platform.Row{Key: key}
+}
+
+func (p *Platform) writeTable(w http.ResponseWriter, r *http.Request) {
+	lose, ok := p.enter(w, r)
+	if !ok {
+		return
+	}
+	var req struct{ Puts []platform.Put }
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	allowed := p.writes.take(writesPerSecond)
+	var conflicts []platform.Row
+	if allowed {
+		conflicts = p.apply(req.Puts)
+	}
+	p.mu.Unlock()
+	switch {
+	case lose:
+		cut(w)
+	case !allowed:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case len(conflicts) > 0:
+		reply(w, http.StatusConflict, map[string][]platform.Row{"rows": conflicts})
+	default:
+		reply(w, http.StatusOK, struct{}{})
+	}
+}
+
+func (p *Platform) apply(puts []platform.Put) []platform.Row {
+	var conflicts []platform.Row
+	for _, put := range puts {
+		if row := p.row(put.Key); row.Version != put.IfVersion {
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return conflicts
+	}
+	for _, put := range puts {
+		p.rows[put.Key] = platform.Row{Key: put.Key, Version: put.IfVersion + 1, Value: put.Value}
+	}
+	return nil
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	if _, ok := p.enter(w, r); !ok {
+		return
+	}
+	p.mu.Lock()
+	data, ok := p.objects[r.PathValue("name")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	lose, ok := p.enter(w, r)
+	if !ok {
+		return
+	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	p.objects[r.PathValue("name")] = data
+	p.mu.Unlock()
+	if lose {
+		cut(w)
+	}
+}
+
+func (p *Platform) listInstances(w http.ResponseWriter, r *http.Request) {
+	if _, ok := p.enter(w, r); !ok {
+		return
+	}
+	p.mu.Lock()
+	list := p.instances
+	p.mu.Unlock()
+	reply(w, http.StatusOK, list)
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// cut closes the connection without an answer.
+func cut(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// ParseInstances reads "n1=127.0.0.1:7201@kgn-1,..." into a list.
+func ParseInstances(s string) []platform.Instance {
+	var list []platform.Instance
+	for part := range strings.SplitSeq(s, ",") {
+		node, rest, ok := strings.Cut(part, "=")
+		if !ok {
+			continue
+		}
+		address, domain, _ := strings.Cut(rest, "@")
+		list = append(list, platform.Instance{Node: node, Address: address, Domain: domain})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"gradetiller.example/config"
+	"gradetiller.example/internal/platform"
+)
+
+// World is a platform and all endpoints of a configuration.
+type World struct {
+	platform  *Platform
+	counts    *Counts
+	endpoints map[string]*Endpoint
+}
+
+// DefaultWork is how long calls take in a pool of the given kind and name.
+func DefaultWork(conf *config.Pool) Work {
+	switch {
+	case conf.Kind() == config.KindEngine:
+		return Work{Base: 30 * time.Millisecond, Token: 2 * time.Millisecond, Batch: 0.05, Cache: 64}
+	default:
+		return Work{Base: 8 * time.Millisecond}
+	}
+}
+
+// NewWorld returns stand-ins for everything that the configuration names.
+func NewWorld(seed uint64, cfg *config.Config, instances []platform.Instance, work func(*config.Pool) Work) *World {
+	w := &World{platform: NewPlatform(instances), counts: NewCounts(), endpoints: make(map[string]*Endpoint)}
+	for i := range cfg.Pools() {
+		pool := &cfg.Pools()[i]
+		for j := range pool.Endpoints() {
+			ep := &pool.Endpoints()[j]
+			w.endpoints[ep.Address()] = NewEndpoint(pool.Name(), ep.Name(), ep.Slots(), ep.Cost(), work(pool), seed+uint64(len(w.endpoints)), w.counts)
+		}
+	}
+	return w
+}
+
+// Platform returns the platform's stand-in.
+func (w *World) Platform() *Platform { return w.platform }
+
+// Counts returns what the endpoints counted.
+func (w *World) Counts() *Counts { return w.counts }
+
+// Endpoints returns the endpoints by address.
+func (w *World) Endpoints() map[string]*Endpoint { return w.endpoints }
+
+// Fault puts an order in force on the platform, an endpoint by name, or all
+// endpoints of a pool.
+func (w *World) Fault(o Order) error {
+	if err := o.check(); err != nil {
+		return err
+	}
+	if o.Target == "platform" {
+		w.platform.Fault(o)
+		return nil
+	}
+	found := false
+	for _, e := range w.endpoints {
+		if e.name == o.Target || e.pool == o.Target {
+			e.Fault(o)
+			found = true
+		}
+	}
+	if !found {
+		return fmt.Errorf("unknown target %q, expected platform, an endpoint or a pool", o.Target)
+	}
+	return nil
+}
+
+// Admin serves the platform, the fault switches and the counts.
+func (w *World) Admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", w.platform.Handler())
+	mux.HandleFunc("POST /admin/fault", func(rw http.ResponseWriter, r *http.Request) {
+		var o Order
+		err := json.NewDecoder(r.Body).Decode(&o)
+		if err == nil {
+			err = w.Fault(o)
+		}
+		if err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+		}
+	})
+	mux.HandleFunc("GET /admin/counts", func(rw http.ResponseWriter, _ *http.Request) {
+		reply(rw, http.StatusOK, w.counts.All())
+	})
+	mux.HandleFunc("GET /admin/cost", func(rw http.ResponseWriter, _ *http.Request) {
+		reply(rw, http.StatusOK, w.counts.Cost())
+	})
+	mux.HandleFunc("GET /admin/usage", func(rw http.ResponseWriter, _ *http.Request) {
+		reply(rw, http.StatusOK, w.platform.Usage())
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,96 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxFrame bounds a frame's type and body in bytes. A whole configuration
+// must fit.
+const MaxFrame = 8 << 20
+
+const (
+	lengthSize = 4
+	headerSize = lengthSize + 1
+)
+
+// ErrFrame is wrapped by every error about a frame's content.
+var ErrFrame = errors.New("bad frame")
+
+// Append appends the message's frame to buf.
+func Append(buf []byte, m Message) ([]byte, error) {
+	body := bytes.NewBuffer(buf)
+	body.Write([]byte{0, 0, 0, 0, byte(m.kind())})
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(body)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(m); err != nil {
+		return buf, fmt.Errorf("encode message: %w", err)
+	}
+	frame := body.Bytes()
+	size := len(frame) - len(buf) - lengthSize
+	if size > MaxFrame {
+		return buf, fmt.Errorf("%w: %d bytes, the bound is %d", ErrFrame, size, MaxFrame)
+	}
+	binary.BigEndian.PutUint32(frame[len(buf):], uint32(size))
+	return frame, nil
+}
+
+// Write writes one frame in one call.
+func Write(w io.Writer, m Message) error {
+	buf, err := Append(nil, m)
+	if err != nil {
+		return err
+	}
+	if _, err := w.Write(buf); err != nil {
+		return fmt.Errorf("write frame: %w", err)
+	}
+	return nil
+}
+
+// Read reads one frame and returns a pointer to its message.
+func Read(r io.Reader) (Message, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, fmt.Errorf("read frame header: %w", err)
+	}
+	size := binary.BigEndian.Uint32(header[:lengthSize])
+	if size < 1 || size > MaxFrame {
+		return nil, fmt.Errorf("%w: length %d, expected 1 to %d", ErrFrame, size, MaxFrame)
+	}
+	m := newMessage(kind(header[4]))
+	if m == nil {
+		return nil, fmt.Errorf("%w: unknown type %d", ErrFrame, header[4])
+	}
+	body, err := readBody(r, int(size)-1)
+	if err != nil {
+		return nil, err
+	}
+	if err := msgpack.Unmarshal(body, m); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrFrame, err)
+	}
+	return m, nil
+}
+
+// readBody grows its buffer as bytes arrive, so that a false length costs no
+// memory.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	const step = 64 << 10
+	body := make([]byte, 0, min(size, step))
+	for len(body) < size {
+		n := min(size-len(body), step)
+		start := len(body)
+		body = append(body, make([]byte, n)...)
+		if _, err := io.ReadFull(r, body[start:]); err != nil {
+			return nil, fmt.Errorf("read frame body: %w", err)
+		}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/wire/message.go
@@ -0,0 +1,210 @@
+package wire
+
+// Version is the protocol version; a Hello of another version is refused.
+const Version = 1
+
+// Message is one of the types in this file.
+type Message interface{ kind() kind }
+
+type kind byte
+
+const (
+	kindHello kind = iota + 1
+	kindGossip
+	kindConfigRequest
+	kindConfigFile
+	kindEntryStatus
+	kindSnapshot
+	kindStart
+	kindStarted
+	kindStory
+	kindStoryAnswer
+)
+
+// Role says what a process is; the receiver allows messages by role.
+type Role string
+
+// The roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleControl Role = "control"
+)
+
+// Hello opens every connection.
+type Hello struct {
+	Version     int
+	System      string
+	Role        Role
+	Node        string
+	Incarnation uint64
+}
+
+// State of a member.
+type State uint8
+
+// The states of members, in the order of precedence.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	Left
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	if s > Left {
+		return "invalid"
+	}
+	return [...]string{"alive", "suspect", "dead", "left"}[s]
+}
+
+// Entry is an entry process that is linked to a control process.
+type Entry struct {
+	Node        string
+	Incarnation uint64
+	Address     string
+	PeerAddress string
+	Domain      string
+	Region      string
+	Leaving     bool
+}
+
+// Member is the record of one control process and its entries. Only its
+// owner raises Incarnation and Seq.
+type Member struct {
+	Node        string
+	Incarnation uint64
+	Seq         uint64
+	State       State
+	Address     string
+	Domain      string
+	Region      string
+	Entries     []Entry
+}
+
+// Endpoint is what a watcher found out about an endpoint. Seq orders the
+// findings about one endpoint.
+type Endpoint struct {
+	Pool    string
+	Name    string
+	Leaving bool
+	Seq     uint64
+}
+
+// RecordVersion is the version of one member's record in a listing.
+type RecordVersion struct {
+	Node        string
+	Incarnation uint64
+	Seq         uint64
+	State       State
+}
+
+// Gossip is the heartbeat between neighbors, with what is new.
+type Gossip struct {
+	Node          string
+	Incarnation   uint64
+	ViewHash      uint64
+	ConfigVersion uint64
+	Members       []Member
+	Endpoints     []Endpoint
+	// Listing is sent when view hashes differ; the receiver answers with the
+	// records that the sender lacks.
+	Listing []RecordVersion
+	// Courtesy marks an answer to a node that is no neighbor on the sender's
+	// ring; it does not keep the link.
+	Courtesy bool
+}
+
+// ConfigRequest asks a neighbor for a configuration above a version.
+type ConfigRequest struct {
+	Above uint64
+}
+
+// ConfigFile is a whole accepted configuration.
+type ConfigFile struct {
+	Version uint64
+	Digest  string
+	Data    []byte
+}
+
+// EntryStatus tells a control process about its entry, at least once a
+// second.
+type EntryStatus struct {
+	Entry         Entry
+	ConfigVersion uint64
+	InFlight      int
+	Impaired      []string
+}
+
+// Snapshot is all that an entry needs from its control process. Config is
+// empty when the entry's version is in force already.
+type Snapshot struct {
+	Config    ConfigFile
+	Entries   []Entry
+	Endpoints []Endpoint
+	// StoreAway reports that the platform's store does not answer.
+	StoreAway bool
+}
+
+// Start asks the writer of a shard to store a started record.
+type Start struct {
+	ID        uint64
+	Account   string
+	RequestID string
+	Token     string
+}
+
+// Started answers a Start.
+type Started struct {
+	ID     uint64
+	Result uint8
+}
+
+// Story asks an entry for its decisions about a subject.
+type Story struct {
+	ID      uint64
+	Subject string
+}
+
+// StoryAnswer holds the decisions, oldest first, one line each.
+type StoryAnswer struct {
+	ID    uint64
+	Lines []string
+}
+
+func (Hello) kind() kind         { return kindHello }
+func (Gossip) kind() kind        { return kindGossip }
+func (ConfigRequest) kind() kind { return kindConfigRequest }
+func (ConfigFile) kind() kind    { return kindConfigFile }
+func (EntryStatus) kind() kind   { return kindEntryStatus }
+func (Snapshot) kind() kind      { return kindSnapshot }
+func (Start) kind() kind         { return kindStart }
+func (Started) kind() kind       { return kindStarted }
+func (Story) kind() kind         { return kindStory }
+func (StoryAnswer) kind() kind   { return kindStoryAnswer }
+
+func newMessage(k kind) Message {
+	switch k {
+	case kindHello:
+		return &Hello{}
+	case kindGossip:
+		return &Gossip{}
+	case kindConfigRequest:
+		return &ConfigRequest{}
+	case kindConfigFile:
+		return &ConfigFile{}
+	case kindEntryStatus:
+		return &EntryStatus{}
+	case kindSnapshot:
+		return &Snapshot{}
+	case kindStart:
+		return &Start{}
+	case kindStarted:
+		return &Started{}
+	case kindStory:
+		return &Story{}
+	case kindStoryAnswer:
+		return &StoryAnswer{}
+	}
+	return nil
+}
