--- a/config/parse.go
+++ b/config/parse.go
@@ -39,13 +39,14 @@
 	}
 	c := &checker{file: name, body: body}
 	c.fields(body, reflect.TypeFor[fileConfig](), "$")
-	if len(c.problems) > 0 {
-		c.problems.sort()
-		return nil, nil, c.problems
-	}
 	var f fileConfig
 	if err := yaml.NodeToValue(body, &f); err != nil {
-		return nil, nil, Problems{syntaxProblem(name, err)}
+		// Values of a wrong type are among the problems already.
+		if len(c.problems) == 0 {
+			c.problems = Problems{syntaxProblem(name, err)}
+		}
+		c.problems.sort()
+		return nil, nil, c.problems
 	}
 	fillDefaults(&f)
 	c.check(&f)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -48,6 +48,7 @@
 	cfg       *config.Config
 	entries   map[string]*entryLink
 	storeAway bool
+	started   time.Time
 	asked     time.Time // when a peer was last asked for a configuration
 	wake      chan struct{}
 }
@@ -70,6 +71,7 @@
 func New(id Identity, opts ...Option) *Control {
 	c := &Control{
 		id:      id,
+		started: time.Now(),
 		log:     zap.NewNop(),
 		story:   story.NewRing(storySize),
 		entries: make(map[string]*entryLink),
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -14,6 +14,9 @@
 
 const (
 	snapshotInterval = time.Second
+	// settleTime is how long a new control process may need to meet its peers.
+	// A fleet of 380 that starts at once takes 40 s (BenchmarkStorm).
+	settleTime = 45 * time.Second
 	// silentEntry is how long an entry may be silent before it no longer
 	// counts as linked.
 	silentEntry = 2 * time.Second
@@ -102,7 +105,7 @@
 func (c *Control) snapshot(link *entryLink) wire.Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := wire.Snapshot{Entries: c.member.Entries(), Endpoints: c.member.Endpoints(), StoreAway: c.storeAway}
+	s := wire.Snapshot{Entries: c.member.Entries(), Endpoints: c.member.Endpoints(), StoreAway: c.storeAway, Settled: time.Since(c.started) > settleTime}
 	if link.status.ConfigVersion < c.inForce.Version {
 		s.Config = c.inForce
 	}
--- a/internal/core/locate/locate.go
+++ b/internal/core/locate/locate.go
@@ -26,6 +26,14 @@
 	Region  string
 }
 
+const (
+	// topRanked is how many entries are looked at first for an account.
+	topRanked = 24
+	// evenBelow is the number of accounts for each entry below which chance
+	// alone would leave entries idle.
+	evenBelow = 4
+)
+
 // headroom is how far an entry may exceed the mean number of accounts.
 const headroom = 1.15
 
@@ -108,15 +116,60 @@
 	for i := range room {
 		room[i] = max(1, int(headroom*float64(total)/float64(n)+0.999))
 	}
+	hashes := make([]uint64, n)
+	for i, e := range entries {
+		hashes[i] = nameHash(e.Node)
+	}
+	even := len(accounts) < evenBelow*n
 	for _, account := range accounts {
-		a.chosen[account] = a.choose(a.rank(account), room)
+		rank := a.rankTop(account, hashes)
+		if even {
+			// Too few accounts to even out by chance: the emptiest go first.
+			rank = a.rank(account)
+			slices.SortStableFunc(rank, func(x, y int) int { return cmp.Compare(room[y], room[x]) })
+		}
+		chosen := a.choose(rank, room)
+		if len(chosen) < a.want {
+			chosen = a.choose(a.rank(account), room)
+		}
+		for _, i := range chosen {
+			room[i]--
+		}
+		a.chosen[account] = chosen
 	}
 	return a
 }
 
+// rankTop returns the best-ranked entries only; nearly always some of them
+// have room, and a whole ranking costs far more.
+func (a *assignment) rankTop(account string, hashes []uint64) []int {
+	if len(hashes) <= topRanked {
+		return a.rank(account)
+	}
+	var best [topRanked]uint64
+	var index [topRanked]int
+	count := 0
+	base := nameHash(account)
+	for i, h := range hashes {
+		w := mix(base ^ h)
+		if count == topRanked && w <= best[count-1] {
+			continue
+		}
+		if count < topRanked {
+			count++
+		}
+		k := count - 1
+		for ; k > 0 && best[k-1] < w; k-- {
+			best[k], index[k] = best[k-1], index[k-1]
+		}
+		best[k], index[k] = w, i
+	}
+	return index[:count]
+}
+
 // choose takes the best-ranked entries with room, first from failure domains
-// that the account does not use yet, then from any, then without regard to
-// room.
+// that the account does not use yet, then from any, then, in a whole ranking,
+// without regard to room.
 func (a *assignment) choose(rank, room []int) []int {
 	chosen := make([]int, 0, a.want)
 	used := make(map[string]bool)
@@ -129,14 +182,15 @@
 			if !taken[i] && allowed(i) {
 				taken[i] = true
 				used[a.entries[i].Domain] = true
-				room[i]--
 				chosen = append(chosen, i)
 			}
 		}
 	}
 	take(func(i int) bool { return room[i] > 0 && !used[a.entries[i].Domain] })
 	take(func(i int) bool { return room[i] > 0 })
-	take(func(int) bool { return true })
+	if len(rank) == len(a.entries) {
+		take(func(int) bool { return true })
+	}
 	return chosen
 }
 
@@ -147,9 +201,11 @@
 	}
 	list := make([]scored, len(a.entries))
 	for i, e := range a.entries {
-		list[i] = scored{weight(account, e.Node), i}
+		list[i] = scored{mix(nameHash(account) ^ nameHash(e.Node)), i}
 	}
-	slices.SortFunc(list, func(x, y scored) int { return cmp.Compare(y.weight, x.weight) })
+	slices.SortFunc(list, func(x, y scored) int {
+		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.index, y.index))
+	})
 	rank := make([]int, len(list))
 	for i, s := range list {
 		rank[i] = s.index
@@ -157,14 +213,15 @@
 	return rank
 }
 
-func weight(account, node string) uint64 {
+func nameHash(name string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(account))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(node))
-	// FNV's high bits follow the last bytes too weakly; this finalizer of
-	// MurmurHash3 spreads them.
-	x := h.Sum64()
+	_, _ = h.Write([]byte(name))
+	return mix(h.Sum64())
+}
+
+// mix is the finalizer of MurmurHash3; it spreads the bits of FNV, whose high
+// bits follow the last bytes too weakly.
+func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- /dev/null
+++ b/internal/core/locate/locate_test.go
@@ -0,0 +1,124 @@
+package locate
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func entries(n int) []Entry {
+	list := make([]Entry, n)
+	for i := range list {
+		list[i] = Entry{Node: fmt.Sprintf("instance-%03d", i), Address: fmt.Sprint("a", i), Domain: fmt.Sprint("d", i%6), Region: fmt.Sprint("r", i%2)}
+	}
+	return list
+}
+
+func accounts(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprint("account-", i)
+	}
+	return list
+}
+
+func spread(t *Table, names []string, region string) (counts map[string]int, sum int) {
+	counts = make(map[string]int)
+	for _, a := range names {
+		for _, e := range t.Entries(a, region, "") {
+			counts[e.Node]++
+			sum++
+		}
+	}
+	return counts, sum
+}
+
+// TestEvenSpread checks at several sizes that the fullest entry has at most
+// 1.25 times the mean, and that every entry is used.
+func TestEvenSpread(t *testing.T) {
+	for _, size := range []struct{ entries, accounts int }{{7, 5}, {6, 5}, {40, 400}, {380, 3900}} {
+		table := NewTable(entries(size.entries), accounts(size.accounts), 3)
+		for _, region := range []string{"", "r0", "r1"} {
+			counts, sum := spread(table, accounts(size.accounts), region)
+			used := size.entries
+			if region != "" {
+				used = len(counts)
+			}
+			most := 0
+			for _, n := range counts {
+				most = max(most, n)
+			}
+			mean := float64(sum) / float64(used)
+			if len(counts) != used || float64(most) > 1.25*mean+1 {
+				t.Errorf("%d entries, %d accounts, region %q: fullest %d, mean %.1f, used %d", size.entries, size.accounts, region, most, mean, len(counts))
+			}
+			if size.entries == 380 && float64(most) > 1.25*mean {
+				t.Errorf("380 entries, region %q: fullest %d, mean %.1f", region, most, mean)
+			}
+			t.Logf("%d entries, %d accounts, region %q: fullest %.2f of the mean", size.entries, size.accounts, region, float64(most)/mean)
+		}
+	}
+}
+
+// TestFewMove checks that the answers of few accounts change when one entry
+// goes: no more than twice the answers that named it.
+func TestFewMove(t *testing.T) {
+	names := accounts(3900)
+	all := entries(380)
+	before := NewTable(all, names, 3)
+	after := NewTable(slices.Delete(slices.Clone(all), 100, 101), names, 3)
+	gone, moved := 0, 0
+	for _, a := range names {
+		kept := make(map[string]bool)
+		for _, e := range after.Entries(a, "", "") {
+			kept[e.Node] = true
+		}
+		for _, e := range before.Entries(a, "", "") {
+			switch {
+			case e.Node == all[100].Node:
+				gone++
+			case !kept[e.Node]:
+				moved++
+			}
+		}
+	}
+	t.Logf("%d answers named the entry that went, %d others moved", gone, moved)
+	if moved > 2*gone {
+		t.Errorf("%d answers moved although only %d named the entry", moved, gone)
+	}
+}
+
+// TestAnswers checks the order by failure domain, that an account's entries
+// lie in different domains, and unknown accounts and regions.
+func TestAnswers(t *testing.T) {
+	table := NewTable(entries(12), accounts(20), 3)
+	for _, a := range append(accounts(20), "unknown") {
+		got := table.Entries(a, "nowhere", "")
+		domains := make(map[string]bool)
+		for _, e := range got {
+			domains[e.Domain] = true
+		}
+		if len(got) < 3 || a != "unknown" && len(domains) < 3 {
+			t.Errorf("%s: %v", a, got)
+		}
+		near := table.Entries(a, "", got[2].Domain)
+		if near[0].Domain != got[2].Domain {
+			t.Errorf("%s: %v is not led by the caller's domain", a, near)
+		}
+	}
+	if got := NewTable(nil, accounts(2), 3).Entries("account-0", "", ""); len(got) != 0 {
+		t.Errorf("answers without entries: %v", got)
+	}
+}
+
+// BenchmarkNewTable is the cost of a change of membership.
+func BenchmarkNewTable(b *testing.B) {
+	for _, size := range []struct{ entries, accounts int }{{7, 5}, {40, 400}, {380, 3900}} {
+		b.Run(fmt.Sprintf("%dx%d", size.entries, size.accounts), func(b *testing.B) {
+			e, a := entries(size.entries), accounts(size.accounts)
+			for b.Loop() {
+				NewTable(e, a, 3)
+			}
+		})
+	}
+}
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -52,6 +52,11 @@
 	return i
 }
 
+// indifference: endpoints whose scores differ less are taken as equal, and the
+// random start decides. Without it, light load stayed on the one endpoint that
+// was a little faster, and the others were never measured again.
+const indifference = 0.9
+
 // best returns the usable endpoint of lowest score in a sample of the given
 // size that starts anywhere. A sample without a usable endpoint falls back to
 // the first usable one behind it.
@@ -68,7 +73,7 @@
 		if !p.usable(now, i, req) {
 			continue
 		}
-		if s := score(p, now, i, req); chosen == None || s < lowest {
+		if s := score(p, now, i, req); chosen == None || s < indifference*lowest {
 			chosen, lowest = i, s
 		}
 	}
--- a/internal/entry/apply.go
+++ b/internal/entry/apply.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,7 +31,10 @@
 		return nil
 	}
 	n.storeAway.Store(s.StoreAway)
-	if cfg != n.cfg.Load() || !sameEntries(n.Entries(), s.Entries) {
+	if !s.Settled && len(n.Entries()) > 0 {
+		s.Entries = mergeEntries(n.Entries(), s.Entries)
+	}
+	if cfg != n.cfg.Load() || !slices.Equal(n.Entries(), s.Entries) {
 		if err := n.configure(cfg, version, s.Entries); err != nil {
 			return err
 		}
@@ -45,6 +50,14 @@
 }
 
 func (n *Node) configure(cfg *config.Config, version uint64, entries []wire.Entry) error {
+	if err := n.configureEngine(cfg, version, entries); err != nil {
+		return err
+	}
+	n.rebuildTable()
+	return nil
+}
+
+func (n *Node) configureEngine(cfg *config.Config, version uint64, entries []wire.Entry) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err := n.engine.Configure(time.Now(), cfg, serving(entries)); err != nil {
@@ -56,10 +69,21 @@
 	}
 	n.version = version
 	n.cfg.Store(cfg)
-	n.rebuildTable()
 	return nil
 }
 
+// mergeEntries adds what is new to what is known and takes nothing away.
+func mergeEntries(known, fresh []wire.Entry) []wire.Entry {
+	merged := slices.Clone(fresh)
+	for _, k := range known {
+		if !slices.ContainsFunc(fresh, func(f wire.Entry) bool { return f.Node == k.Node }) {
+			merged = append(merged, k)
+		}
+	}
+	slices.SortFunc(merged, func(a, b wire.Entry) int { return cmp.Compare(a.Node, b.Node) })
+	return merged
+}
+
 func serving(entries []wire.Entry) int {
 	count := 0
 	for _, e := range entries {
@@ -70,18 +94,6 @@
 	return count
 }
 
-func sameEntries(a, b []wire.Entry) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // Version returns the version of the configuration in force; 0 means none.
 func (n *Node) Version() uint64 {
 	n.mu.Lock()
@@ -98,14 +110,17 @@
 
 // rebuildTable computes the locate answers anew. The node itself is always
 // among the entries unless it is leaving, also when its control process is
-// gone.
+// gone. It takes tens of milliseconds at thousands of accounts, so it must not
+// hold the lock.
 func (n *Node) rebuildTable() {
+	n.tableMu.Lock()
+	defer n.tableMu.Unlock()
 	cfg := n.cfg.Load()
 	if cfg == nil {
 		return
 	}
 	var list []locate.Entry
-	for _, e := range n.entries {
+	for _, e := range n.Entries() {
 		if !e.Leaving && e.Node != n.id.Node {
 			list = append(list, locate.Entry{Node: e.Node, Address: e.Address, Domain: e.Domain, Region: e.Region})
 		}
@@ -124,8 +139,6 @@
 // control process with the next status.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.rebuildTable()
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -47,6 +47,7 @@
 	entries   []wire.Entry
 	version   uint64
 
+	tableMu   sync.Mutex // orders rebuilds of table
 	cfg       atomic.Pointer[config.Config]
 	table     atomic.Pointer[locate.Table]
 	leaving   atomic.Bool
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -103,6 +103,8 @@
 		cut(w)
 		return false, false
 	case FaultHang:
+		// The server notices that the caller went away only behind the body.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return false, false
 	case FaultSlow:
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -73,6 +73,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkBody(body); err != nil {
+		return nil, err
+	}
 	if err := msgpack.Unmarshal(body, m); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrFrame, err)
 	}
--- /dev/null
+++ b/internal/wire/frame_test.go
@@ -0,0 +1,78 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+)
+
+var samples = []Message{
+	Hello{Version: 1, System: "s", Role: RoleEntry, Node: "n1", Incarnation: 7},
+	Gossip{Node: "n1", ViewHash: 9, Members: []Member{{Node: "n2", State: Suspect, Entries: []Entry{{Node: "n2", Leaving: true}}}}, Listing: []RecordVersion{{Node: "n3", Seq: 4}}},
+	ConfigRequest{Above: 3},
+	ConfigFile{Version: 4, Digest: "d", Data: []byte("x")},
+	EntryStatus{Entry: Entry{Node: "n1"}, Impaired: []string{"i"}},
+	Snapshot{Entries: []Entry{{Node: "n1"}}, Endpoints: []Endpoint{{Pool: "p", Name: "e", Leaving: true, Seq: 1}}},
+	Start{ID: 1, Account: "a", RequestID: "r", Token: "t"},
+	Started{ID: 1, Result: 2},
+	Story{ID: 1, Subject: "s"},
+	StoryAnswer{ID: 1, Lines: []string{"l"}},
+}
+
+// TestRoundTrip checks that every message comes back as it was sent.
+func TestRoundTrip(t *testing.T) {
+	var buf bytes.Buffer
+	for _, m := range samples {
+		if err := Write(&buf, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, want := range samples {
+		got, err := Read(&buf)
+		if err != nil {
+			t.Fatalf("%T: %v", want, err)
+		}
+		if !reflect.DeepEqual(reflect.ValueOf(got).Elem().Interface(), want) {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+}
+
+// TestBadFrames checks that false lengths, types and bodies are errors.
+func TestBadFrames(t *testing.T) {
+	for name, frame := range map[string][]byte{
+		"empty":     {0, 0, 0, 0, 1},
+		"oversized": {0xff, 0xff, 0xff, 0xff, 1},
+		"unknown":   {0, 0, 0, 2, 99, 0},
+		"body":      {0, 0, 0, 2, byte(kindGossip), 0xc1},
+	} {
+		if _, err := Read(bytes.NewReader(frame)); !errors.Is(err, ErrFrame) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := Read(bytes.NewReader([]byte{0, 0, 0, 9, 1, 0})); err == nil {
+		t.Error("a cut frame was read")
+	}
+}
+
+// FuzzRead checks that no bytes from a peer make Read panic or allocate
+// without bound, and that what it reads can be written again.
+func FuzzRead(f *testing.F) {
+	for _, m := range samples {
+		frame, err := Append(nil, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Read(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		if _, err := Append(nil, m); err != nil {
+			t.Fatalf("%T cannot be written again: %v", m, err)
+		}
+	})
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -147,6 +147,9 @@
 	Endpoints []Endpoint
 	// StoreAway reports that the platform's store does not answer.
 	StoreAway bool
+	// Settled is false while the control process has not met all its peers
+	// yet; Entries may then lack many, and the receiver keeps what it knows.
+	Settled bool
 }
 
 // Start asks the writer of a shard to store a started record.
