--- a/internal/core/member/network_test.go
+++ b/internal/core/member/network_test.go
@@ -24,8 +24,6 @@
 	seconds map[string]int
 }
 
-const latency = FlushInterval
-
 func newNetwork(t testing.TB, n int) *network {
 	w := &network{
 		t: t, now: time.Unix(1000, 0), nodes: make(map[string]*Node), paused: make(map[string]bool),
