--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,7 @@
 
 test:
 	scripts/test.sh
+
+# every case of docs/MEASUREMENTS.md, naive policies against the defaults
+measure: build
+	scripts/measure.sh
--- a/cmd/gradetiller-load/cmd/main.go
+++ b/cmd/gradetiller-load/cmd/main.go
@@ -12,6 +12,7 @@
 
 	"gradetiller.example/internal/load"
 	"gradetiller.example/internal/settings"
+	"gradetiller.example/internal/standin"
 )
 
 const (
@@ -35,6 +36,8 @@
 	Prefixes    int                `help:"Number of prompt prefixes that requests share." default:"0"`
 	Retries     int                `help:"How often a request may be sent again." default:"8"`
 	Seed        uint64             `help:"Seed of all chance." default:"1"`
+	Fault       []string           `help:"Faults to order at the stand-in as AT:TARGET:FAULT[:SECONDS[:FACTOR]]." sep:","`
+	Measured    []string           `help:"Accounts whose attainment is reported; all if left out." sep:","`
 	Standin     settings.Address   `help:"Admin address of the stand-in, for counts from outside." placeholder:"IP:PORT"`
 	Row         string             `help:"Print one row of a table under this name in place of the counts."`
 }
@@ -69,7 +72,14 @@
 		Entries: settings.Strings(c.Entries), Requests: c.Requests, Rate: c.Rate, Concurrency: c.Concurrency,
 		BurstAt: c.BurstAt, BurstFor: c.BurstFor, BurstFactor: c.BurstFactor, Deadline: c.Deadline,
 		OnceShare: c.OnceShare, StreamShare: c.StreamShare, Prefixes: c.Prefixes, Retries: c.Retries,
-		Seed: c.Seed, Standin: c.Standin.String(),
+		Seed: c.Seed, Standin: c.Standin.String(), Measured: c.Measured,
+	}
+	for _, s := range c.Fault {
+		f, err := parseFault(s)
+		if err != nil {
+			return o, err
+		}
+		o.Faults = append(o.Faults, f)
 	}
 	for _, s := range c.Account {
 		a, err := parseAccount(s)
@@ -103,6 +113,28 @@
 	return load.Pipeline{Name: name, Weight: weight, Once: once}, err
 }
 
+// parseFault reads AT:TARGET:FAULT[:SECONDS[:FACTOR]].
+func parseFault(s string) (load.Fault, error) {
+	parts := strings.Split(s, ":")
+	if len(parts) < 3 || len(parts) > 5 {
+		return load.Fault{}, fmt.Errorf("fault %q: expected AT:TARGET:FAULT[:SECONDS[:FACTOR]]", s)
+	}
+	at, err := time.ParseDuration(parts[0])
+	if err != nil {
+		return load.Fault{}, fmt.Errorf("fault %q: %w", s, err)
+	}
+	f := load.Fault{At: at, Order: standin.Order{Target: parts[1], Fault: standin.Fault(parts[2])}}
+	for i, field := range []*float64{&f.Order.Seconds, &f.Order.Factor} {
+		if len(parts) <= 3+i {
+			break
+		}
+		if *field, err = strconv.ParseFloat(parts[3+i], 64); err != nil {
+			return load.Fault{}, fmt.Errorf("fault %q: %w", s, err)
+		}
+	}
+	return f, nil
+}
+
 var errWeight = errors.New("expected a weight of 1 or more behind the colon")
 
 func cutWeight(s string) (string, int, error) {
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	work := func(p *config.Pool) standin.Work {
+	work := func(p *config.Pool, _ *config.Endpoint) standin.Work {
 		if p.Kind() == config.KindEngine {
 			return standin.Work{Base: 2 * time.Millisecond, Token: time.Millisecond, Cache: 8}
 		}
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gradetiller.example/client"
+	"gradetiller.example/internal/standin"
 )
 
 // Account is one client account and its part of the load.
@@ -24,6 +25,12 @@
 	Once bool
 }
 
+// Fault is an order to the stand-in at a time of the load.
+type Fault struct {
+	At    time.Duration
+	Order standin.Order
+}
+
 // Options describe the load.
 type Options struct {
 	Entries   []string
@@ -47,6 +54,11 @@
 	Prefixes int
 	Retries  int
 	Seed     uint64
+	// Faults are ordered at the stand-in while the load runs.
+	Faults []Fault
+	// Measured names the accounts whose attainment is reported; empty means
+	// all.
+	Measured []string
 	// Standin is the stand-in's admin address; "" skips the outside counts.
 	Standin string
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -36,6 +37,7 @@
 type accountReport struct {
 	name             string
 	requests, onTime int
+	measured         bool
 }
 
 func newReport(o Options, outcomes []outcome, d time.Duration) *Report {
@@ -44,7 +46,7 @@
 		took: hdrhistogram.New(1, longest, precision),
 	}
 	for _, a := range o.Accounts {
-		r.accounts = append(r.accounts, accountReport{name: a.Name})
+		r.accounts = append(r.accounts, accountReport{name: a.Name, measured: len(o.Measured) == 0 || slices.Contains(o.Measured, a.Name)})
 	}
 	for i := range outcomes {
 		r.add(o, &outcomes[i])
@@ -105,6 +107,28 @@
 	return nil
 }
 
+// orderFault waits for the fault's time and orders it.
+func orderFault(ctx context.Context, address string, f Fault) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(f.At):
+	}
+	body, err := json.Marshal(f.Order)
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/admin/fault", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	resp, err := (&http.Transport{}).RoundTrip(req)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+}
+
 func get(ctx context.Context, address, path string, out any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
@@ -125,9 +149,18 @@
 // Harm returns the number of lost, doubled and crossed results.
 func (r *Report) Harm() int { return r.lost + r.doubled + r.crossed }
 
-// Attainment returns the share of requests that finished within their
-// deadline.
-func (r *Report) Attainment() float64 { return float64(r.onTime) / float64(max(r.requests, 1)) }
+// Attainment returns the share of the measured accounts' requests that
+// finished within their deadline.
+func (r *Report) Attainment() float64 {
+	requests, onTime := 0, 0
+	for _, a := range r.accounts {
+		if a.measured {
+			requests += a.requests
+			onTime += a.onTime
+		}
+	}
+	return float64(onTime) / float64(max(requests, 1))
+}
 
 // Line returns the counts as one line.
 func (r *Report) Line() string {
@@ -138,8 +171,9 @@
 // Row returns the measures as one line of a table.
 func (r *Report) Row() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "attainment=%.4f p50_ms=%.1f p99_ms=%.1f", r.Attainment(),
-		float64(r.took.ValueAtQuantile(50))/1000, float64(r.took.ValueAtQuantile(99))/1000)
+	fmt.Fprintf(&b, "attainment=%.4f p50_ms=%.1f p99_ms=%.1f goodput=%.1f", r.Attainment(),
+		float64(r.took.ValueAtQuantile(50))/1000, float64(r.took.ValueAtQuantile(99))/1000,
+		float64(r.onTime)/r.duration.Seconds())
 	for _, stage := range []string{"encoding", "retrieval", "reranking", "generation"} {
 		fmt.Fprintf(&b, " cost_%s=%.2f", stage, r.cost[stage])
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -39,6 +39,11 @@
 	}
 	list := plan(o)
 	outcomes := make([]outcome, len(list))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, f := range o.Faults {
+		go orderFault(ctx, o.Standin, f)
+	}
 	started := time.Now()
 	if o.Rate > 0 {
 		openLoop(ctx, o, list, outcomes, clients)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -17,24 +18,32 @@
 	endpoints map[string]*Endpoint
 }
 
-// DefaultWork is how long calls take in a pool of the given kind and name.
-func DefaultWork(conf *config.Pool) Work {
-	switch {
-	case conf.Kind() == config.KindEngine:
-		return Work{Base: 30 * time.Millisecond, Token: 2 * time.Millisecond, Batch: 0.05, Cache: 64}
-	default:
+// fullPrice is the cost of an engine of full speed.
+const fullPrice = 4
+
+// DefaultWork is how long calls take at an endpoint. Cheaper engines are
+// slower, by less than they are cheaper.
+func DefaultWork(pool *config.Pool, e *config.Endpoint) Work {
+	if pool.Kind() != config.KindEngine {
 		return Work{Base: 8 * time.Millisecond}
 	}
+	slower := max(1, math.Sqrt(fullPrice/e.Cost()))
+	return Work{
+		Base:  time.Duration(slower * float64(30*time.Millisecond)),
+		Token: time.Duration(slower * float64(2*time.Millisecond)),
+		Batch: 0.05,
+		Cache: 8,
+	}
 }
 
 // NewWorld returns stand-ins for everything that the configuration names.
-func NewWorld(seed uint64, cfg *config.Config, instances []platform.Instance, work func(*config.Pool) Work) *World {
+func NewWorld(seed uint64, cfg *config.Config, instances []platform.Instance, work func(*config.Pool, *config.Endpoint) Work) *World {
 	w := &World{platform: NewPlatform(instances), counts: NewCounts(), endpoints: make(map[string]*Endpoint)}
 	for i := range cfg.Pools() {
 		pool := &cfg.Pools()[i]
 		for j := range pool.Endpoints() {
 			ep := &pool.Endpoints()[j]
-			w.endpoints[ep.Address()] = NewEndpoint(pool.Name(), ep.Name(), ep.Slots(), ep.Cost(), work(pool), seed+uint64(len(w.endpoints)), w.counts)
+			w.endpoints[ep.Address()] = NewEndpoint(pool.Name(), ep.Name(), ep.Slots(), ep.Cost(), work(pool, ep), seed+uint64(len(w.endpoints)), w.counts)
 		}
 	}
 	return w
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -7,13 +7,14 @@
 
 BIN=${BIN:-bin}
 RUN_DIR=${RUN_DIR:-.run/$$}
-PLATFORM=127.0.0.1:9000
+HOST=${HOST:-127.0.0.1}
+PLATFORM=$HOST:9000
 declare -A PID
 
-entry_address() { echo "127.0.0.1:$((7100 + $1))"; }
-entry_peer_address() { echo "127.0.0.1:$((7400 + $1))"; }
-control_peer_address() { echo "127.0.0.1:$((7200 + $1))"; }
-control_address() { echo "127.0.0.1:$((7300 + $1))"; }
+entry_address() { echo "$HOST:$((7100 + $1))"; }
+entry_peer_address() { echo "$HOST:$((7400 + $1))"; }
+control_peer_address() { echo "$HOST:$((7200 + $1))"; }
+control_address() { echo "$HOST:$((7300 + $1))"; }
 
 # list FUNCTION FIRST N prints the function's values joined by commas.
 list() {
