internal/core/order, internal/core/run: fair_slack, and admission that counts only who goes before

Cause: under weighted_fair the slack decided nothing while accounts kept to their shares, and admission counted the whole queue, so that urgent requests and those of modest accounts were refused because of others' queues. Change: fair_slack orders by slack within the shares; the expected wait counts the calls ahead; the pool's mean in place of its median.

--- a/config/config.go
+++ b/config/config.go
@@ -11,7 +11,7 @@
 const (
 	DefaultKeep        = 5 * time.Second
 	DefaultAddresses   = 3
-	DefaultOrder       = "weighted_fair"
+	DefaultOrder       = "fair_slack"
 	DefaultPlace       = "predicted_finish"
 	DefaultRetryShare  = 0.1
 	DefaultQueue       = 256
--- a/internal/core/budget/estimator.go
+++ b/internal/core/budget/estimator.go
@@ -14,7 +14,18 @@
 	minimalMass = 0.5
 )
 
-var logGrowth = math.Log(growth)
+var (
+	logGrowth = math.Log(growth)
+	bounds    = bucketBounds()
+)
+
+// bucketBounds returns the upper bound of each bucket.
+func bucketBounds() (list [numBuckets]time.Duration) {
+	for i := range list {
+		list[i] = time.Duration(float64(firstBound) * math.Pow(growth, float64(i)))
+	}
+	return list
+}
 
 // Estimator holds the decaying distribution of one stage's times.
 type Estimator struct {
@@ -45,10 +56,24 @@
 	for i, c := range e.counts {
 		sum += c
 		if sum >= rank && c > 0 {
-			return bound(i)
+			return bounds[i]
 		}
 	}
-	return bound(numBuckets - 1)
+	return bounds[numBuckets-1]
+}
+
+// Mean returns the mean of recent times, or 0 when nothing recent is known. It
+// is too high by up to one bucket's width.
+func (e *Estimator) Mean(now time.Time) time.Duration {
+	e.decay(now)
+	if e.total < minimalMass {
+		return 0
+	}
+	var sum float64
+	for i, c := range e.counts {
+		sum += c * float64(bounds[i])
+	}
+	return time.Duration(sum / e.total)
 }
 
 func (e *Estimator) decay(now time.Time) {
@@ -72,7 +97,3 @@
 	i := int(math.Ceil(math.Log(float64(d)/float64(firstBound)) / logGrowth))
 	return min(i, numBuckets-1)
 }
-
-func bound(i int) time.Duration {
-	return time.Duration(float64(firstBound) * math.Pow(growth, float64(i)))
-}
--- a/internal/core/order/fair.go
+++ b/internal/core/order/fair.go
@@ -9,13 +9,17 @@
 type Fair struct {
 	now     int64
 	account map[int]int64
+	// peek is true while a key is computed for an item that is not queued.
+	peek bool
 }
 
 func newFair() *Fair { return &Fair{account: make(map[int]int64)} }
 
 func (f *Fair) tag(account, weight int) int64 {
 	start := max(f.now, f.account[account])
-	f.account[account] = start + fairUnit/int64(max(weight, 1))
+	if !f.peek {
+		f.account[account] = start + fairUnit/int64(max(weight, 1))
+	}
 	return start
 }
 
--- a/internal/core/order/policy.go
+++ b/internal/core/order/policy.go
@@ -22,6 +22,8 @@
 // order of arrival breaks the rest.
 type Key struct {
 	First, Second int64
+	// tag is the item's place in virtual time under a fair policy.
+	tag int64
 }
 
 // Policy computes an item's key. fair holds the virtual time of each account.
@@ -34,6 +36,7 @@
 	policies.Register("earliest_deadline", earliestDeadline)
 	policies.Register("least_slack", leastSlack)
 	policies.Register("weighted_fair", weightedFair)
+	policies.Register("fair_slack", fairSlack)
 }
 
 // Names lists the registered policies.
@@ -46,14 +49,30 @@
 }
 
 func leastSlack(it Item, _ *Fair) Key {
-	return Key{First: it.Deadline.Add(-it.Remaining).UnixNano()}
+	return Key{First: slackKey(it)}
 }
 
 // weightedFair orders accounts by their virtual time, and the calls that
 // share a step of virtual time by slack.
 func weightedFair(it Item, fair *Fair) Key {
-	return Key{
-		First:  fair.tag(it.Account, it.Weight),
-		Second: it.Deadline.Add(-it.Remaining).UnixNano(),
+	tag := fair.tag(it.Account, it.Weight)
+	return Key{First: tag, Second: slackKey(it), tag: tag}
+}
+
+// fairCredit is how many calls an account of weight 1 may be ahead of the
+// queue's virtual time and still count as within its share.
+const fairCredit = 16
+
+// fairSlack orders by slack alone while accounts keep to their shares; calls
+// of an account that is ahead of its share go behind all others, in fair
+// order.
+func fairSlack(it Item, fair *Fair) Key {
+	tag := fair.tag(it.Account, it.Weight)
+	key := Key{Second: slackKey(it), tag: tag}
+	if tag-fair.now > fairCredit*fairUnit {
+		key.First = tag
 	}
+	return key
 }
+
+func slackKey(it Item) int64 { return it.Deadline.Add(-it.Remaining).UnixNano() }
--- a/internal/core/order/queue.go
+++ b/internal/core/order/queue.go
@@ -42,6 +42,21 @@
 	return h
 }
 
+// Ahead returns how many waiting items would go before the given one if it
+// were queued now.
+func (q *Queue[T]) Ahead(it Item) int {
+	q.fair.peek = true
+	probe := &Handle[T]{key: q.policy(it, q.fair), seq: q.seq + 1}
+	q.fair.peek = false
+	ahead := 0
+	for _, h := range q.items {
+		if h.before(probe) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // Pop takes the first value, and reports false on an empty queue.
 func (q *Queue[T]) Pop() (T, bool) {
 	if len(q.items) == 0 {
@@ -49,7 +64,7 @@
 		return zero, false
 	}
 	h := heap.Pop(&q.items).(*Handle[T])
-	q.fair.served(h.key.First)
+	q.fair.served(h.key.tag)
 	q.rest()
 	return h.value, true
 }
@@ -84,15 +99,16 @@
 
 func (s handles[T]) Len() int { return len(s) }
 
-func (s handles[T]) Less(i, j int) bool {
-	a, b := s[i], s[j]
-	if a.key.First != b.key.First {
-		return a.key.First < b.key.First
+func (s handles[T]) Less(i, j int) bool { return s[i].before(s[j]) }
+
+func (h *Handle[T]) before(other *Handle[T]) bool {
+	if h.key.First != other.key.First {
+		return h.key.First < other.key.First
 	}
-	if a.key.Second != b.key.Second {
-		return a.key.Second < b.key.Second
+	if h.key.Second != other.key.Second {
+		return h.key.Second < other.key.Second
 	}
-	return a.seq < b.seq
+	return h.seq < other.seq
 }
 
 func (s handles[T]) Swap(i, j int) {
--- a/internal/core/order/queue_test.go
+++ b/internal/core/order/queue_test.go
@@ -24,7 +24,7 @@
 				}
 				ref := naive.Queue{Policy: policy}
 				handles := make(map[int]*Handle[int])
-				for id := range rapid.IntRange(1, 60).Draw(t, "steps") {
+				for id := range rapid.IntRange(1, 200).Draw(t, "steps") {
 					switch rapid.IntRange(0, 3).Draw(t, "step") {
 					case 0, 1:
 						account := rapid.IntRange(0, 3).Draw(t, "account")
--- a/internal/core/run/admit.go
+++ b/internal/core/run/admit.go
@@ -6,6 +6,7 @@
 
 	"gradetiller.example/config"
 	"gradetiller.example/failure"
+	"gradetiller.example/internal/core/order"
 )
 
 const (
@@ -14,8 +15,12 @@
 	probeGap = 250 * time.Millisecond
 	// hopelessQuantile of the stage times is what a request is held to: it is
 	// refused only when even quick calls would be too slow.
-	hopelessQuantile = 0.3
-	leastRetryAfter  = 10 * time.Millisecond
+	hopelessQuantile = 0.6
+	// startQuantile is what a waiting call is held to before it is sent: a call
+	// that likely ends late would take the place of one that can still be on
+	// time.
+	startQuantile   = 0.85
+	leastRetryAfter = 10 * time.Millisecond
 )
 
 // Submit admits a request or refuses it at once. A refused request has no ID;
@@ -33,15 +38,15 @@
 	if req.Left <= 0 || req.Left > pipeline.Deadline() {
 		req.Left = pipeline.Deadline()
 	}
-	if err := e.reachable(now, pipeline, req.Left); err != nil {
-		e.refuse(req, err)
-		return 0, e.take()
-	}
 	index, ok := e.accountIndex[req.Account]
 	if !ok {
 		e.refuse(req, failure.New(failure.Unauthorized, "the account is not in the configuration in force"))
 		return 0, e.take()
 	}
+	if err := e.reachable(now, pipeline, req.Left, index); err != nil {
+		e.refuse(req, err)
+		return 0, e.take()
+	}
 	account := e.accounts[index]
 	if wait, ok := account.Admit(now); !ok {
 		e.refuse(req, failure.New(failure.RateLimited, "the account is over its limit on this node", failure.WithRetryAfter(wait)))
@@ -76,11 +81,11 @@
 
 // reachable refuses a request whose deadline is out of reach: the sum of
 // quick stage times and of the present queues exceeds what is left.
-func (e *Engine) reachable(now time.Time, p *config.Pipeline, left time.Duration) *failure.Error {
+func (e *Engine) reachable(now time.Time, p *config.Pipeline, left time.Duration, account int) *failure.Error {
 	if !e.cfg.Policies().EarlyRefusal() {
 		return nil
 	}
-	need := e.needed(now, p, 0, true)
+	need := e.needed(now, p, 0) + e.queued(now, p, account, left)
 	if need <= left {
 		return nil
 	}
@@ -95,28 +100,45 @@
 }
 
 // needed is the least time that the stages from the given one on will take.
-func (e *Engine) needed(now time.Time, p *config.Pipeline, from int, withQueues bool) time.Duration {
+func (e *Engine) needed(now time.Time, p *config.Pipeline, from int) time.Duration {
+	return e.neededAt(now, p, from, hopelessQuantile)
+}
+
+func (e *Engine) neededAt(now time.Time, p *config.Pipeline, from int, quantile float64) time.Duration {
 	var sum time.Duration
 	for i := from; i < len(p.Stages()); i++ {
 		s := &p.Stages()[i]
 		if s.Optional() {
 			continue
 		}
-		sum += e.estimate(now, p.Name(), s.Name()).took.Quantile(now, hopelessQuantile)
-		if pool, ok := e.pools[s.PoolName()]; ok && withQueues {
-			sum += pool.wait(now)
-		}
+		sum += e.estimate(now, p.Name(), s.Name()).took.Quantile(now, quantile)
 	}
 	return sum
 }
 
-// wait is the expected time in the pool's queue.
-func (p *pool) wait(now time.Time) time.Duration {
-	n := p.queue.Len()
-	if n == 0 {
-		return 0
+// queued is the expected time in the queues of a new request's stages, behind
+// those that go before it under the order in force.
+func (e *Engine) queued(now time.Time, p *config.Pipeline, account int, left time.Duration) time.Duration {
+	var sum time.Duration
+	for i := range p.Stages() {
+		pool, ok := e.pools[p.Stages()[i].PoolName()]
+		if !ok || pool.queue.Len() == 0 {
+			continue
+		}
+		ahead := pool.queue.Ahead(order.Item{
+			Deadline:  now.Add(left),
+			Remaining: e.needed(now, p, i),
+			Account:   account,
+			Weight:    e.cfg.Accounts()[account].Share(),
+		})
+		sum += pool.wait(now, ahead)
 	}
+	return sum
+}
+
+// wait is the expected time behind n calls in the pool's queue.
+func (p *pool) wait(now time.Time, n int) time.Duration {
 	capacity := max(p.place.Capacity(now), 1)
-	took := p.took.Quantile(now, 0.5)
+	took := p.took.Mean(now)
 	return took * time.Duration(n) / time.Duration(capacity)
 }
--- a/internal/core/run/call.go
+++ b/internal/core/run/call.go
@@ -70,7 +70,7 @@
 	if left <= 0 {
 		return MaxPriority
 	}
-	need := e.needed(now, r.pipeline, r.stage, false)
+	need := e.needed(now, r.pipeline, r.stage)
 	return min(MaxPriority, int(float64(MaxPriority)*float64(need)/float64(left)))
 }
 
--- a/internal/core/run/stage.go
+++ b/internal/core/run/stage.go
@@ -98,7 +98,7 @@
 	}
 	r.item = order.Item{
 		Deadline:  r.deadline,
-		Remaining: e.needed(now, r.pipeline, r.stage, false),
+		Remaining: e.needed(now, r.pipeline, r.stage),
 		Account:   r.index,
 		Weight:    r.weight,
 	}
@@ -147,7 +147,7 @@
 		return !now.Before(r.deadline)
 	}
 	left := r.deadline.Sub(now)
-	if e.needed(now, r.pipeline, r.stage, false) <= left {
+	if e.neededAt(now, r.pipeline, r.stage, startQuantile) <= left {
 		return false
 	}
 	if now.Sub(e.lastProbe) >= probeGap {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -76,7 +76,7 @@
 	}
 	r.answered++
 	_ = r.took.RecordValue(min(int64(out.took/time.Microsecond), longest))
-	if out.took <= o.Deadline {
+	if out.answer.OnTime() && out.took <= o.Deadline {
 		r.onTime++
 		account.onTime++
 	}
--- a/internal/naive/queue.go
+++ b/internal/naive/queue.go
@@ -11,8 +11,12 @@
 	Weight    int
 
 	start float64
+	ahead bool
 }
 
+// fairCredit is how many calls an account may be ahead under "fair_slack".
+const fairCredit = 16
+
 // Queue is a list that is scanned at every Pop.
 type Queue struct {
 	Policy string
@@ -28,6 +32,7 @@
 		q.finish = make(map[int]float64)
 	}
 	w.start = max(q.clock, q.finish[w.Account])
+	w.ahead = w.start-q.clock > fairCredit
 	q.finish[w.Account] = w.start + 1/float64(w.Weight)
 	q.items = append(q.items, w)
 }
@@ -45,7 +50,7 @@
 	}
 	w := q.items[first]
 	q.Remove(w.ID)
-	if q.Policy == "weighted_fair" && len(q.items) > 0 {
+	if (q.Policy == "weighted_fair" || q.Policy == "fair_slack") && len(q.items) > 0 {
 		q.clock = max(q.clock, w.start)
 	}
 	return w.ID
@@ -73,6 +78,16 @@
 		return a.Deadline.Before(b.Deadline)
 	case "least_slack":
 		return slackA.Before(slackB)
+	case "fair_slack":
+		if a.ahead || b.ahead {
+			if a.ahead != b.ahead {
+				return b.ahead
+			}
+			if a.start != b.start {
+				return a.start < b.start
+			}
+		}
+		return slackA.Before(slackB)
 	case "weighted_fair":
 		if a.start != b.start {
 			return a.start < b.start
