internal/core/hash: one hash where four stood

Cause: run, ledger, locate, member and the watcher each had a copy of the hash by which nodes agree. Change: one package; behavior differs only in which node or arm a name falls to.

--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
 
 	"gradetiller.example/config"
+	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/endpoints"
 	"gradetiller.example/internal/wire"
 )
@@ -95,7 +95,7 @@
 	hashes := make([]uint64, len(nodes))
 	own := -1
 	for i, name := range nodes {
-		hashes[i] = hashOf(name)
+		hashes[i] = hash.Of(name)
 		if name == self {
 			own = i
 		}
@@ -108,7 +108,7 @@
 		p := &cfg.Pools()[i]
 		for j := range p.Endpoints() {
 			e := &p.Endpoints()[j]
-			if watches(hashOf(e.Address()), hashes, own) {
+			if watches(hash.Of(e.Address()), hashes, own) {
 				share = append(share, watched{pool: p.Name(), name: e.Name(), address: e.Address()})
 			}
 		}
@@ -119,27 +119,15 @@
 // watches reports whether fewer than watchersEach nodes rank before the own
 // one for an endpoint.
 func watches(endpoint uint64, nodes []uint64, own int) bool {
-	mine := rank(endpoint, nodes[own])
+	mine := hash.Pair(endpoint, nodes[own])
 	before := 0
 	for i, h := range nodes {
 		if i == own {
 			continue
 		}
-		if r := rank(endpoint, h); r > mine || r == mine && i < own {
+		if r := hash.Pair(endpoint, h); r > mine || r == mine && i < own {
 			before++
 		}
 	}
 	return before < watchersEach
 }
-
-func rank(endpoint, node uint64) uint64 {
-	x := (endpoint ^ node) * 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x * 0xc4ceb9fe1a85ec53
-}
-
-func hashOf(s string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(s))
-	return h.Sum64()
-}
--- a/internal/core/ledger/shard.go
+++ b/internal/core/ledger/shard.go
@@ -1,8 +1,9 @@
 package ledger
 
 import (
-	"hash/fnv"
 	"time"
+
+	"gradetiller.example/internal/core/hash"
 )
 
 const (
@@ -20,10 +21,10 @@
 	if len(nodes) <= Shards {
 		return self
 	}
-	shard := hashOf(key) % Shards
+	shard := hash.Of(key) % Shards
 	writer, best := self, uint64(0)
 	for _, n := range nodes {
-		if w := mix(hashOf(n) ^ mix(shard+1)); w > best || w == best && n < writer {
+		if w := hash.Pair(hash.Of(n), hash.Mix(shard+1)); w > best || w == best && n < writer {
 			writer, best = n, w
 		}
 	}
@@ -35,18 +36,3 @@
 func Gap(nodes int) time.Duration {
 	return time.Duration(min(nodes, Shards)) * time.Second / writesPerSecond
 }
-
-func hashOf(s string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(s))
-	return h.Sum64()
-}
-
-// mix is the finalizer of MurmurHash3.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/internal/core/locate/locate.go
+++ b/internal/core/locate/locate.go
@@ -14,8 +14,9 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
+
+	"gradetiller.example/internal/core/hash"
 )
 
 // Entry is an entry process that may be named in an answer.
@@ -144,7 +145,7 @@
 	}
 	hashes := make([]uint64, n)
 	for i, e := range entries {
-		hashes[i] = nameHash(e.Node)
+		hashes[i] = hash.Of(e.Node)
 	}
 	even := len(accounts) < evenBelow*n
 	for _, account := range accounts {
@@ -175,9 +176,9 @@
 	var best [topRanked]uint64
 	var index [topRanked]int
 	count := 0
-	base := nameHash(account)
+	base := hash.Of(account)
 	for i, h := range hashes {
-		w := mix(base ^ h)
+		w := hash.Pair(base, h)
 		if count == topRanked && w <= best[count-1] {
 			continue
 		}
@@ -227,7 +228,7 @@
 	}
 	list := make([]scored, len(a.entries))
 	for i, e := range a.entries {
-		list[i] = scored{mix(nameHash(account) ^ nameHash(e.Node)), i}
+		list[i] = scored{hash.Pair(hash.Of(account), hash.Of(e.Node)), i}
 	}
 	slices.SortFunc(list, func(x, y scored) int {
 		return cmp.Or(cmp.Compare(y.weight, x.weight), cmp.Compare(x.index, y.index))
@@ -238,19 +239,3 @@
 	}
 	return rank
 }
-
-func nameHash(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	return mix(h.Sum64())
-}
-
-// mix is the finalizer of MurmurHash3; it spreads the bits of FNV, whose high
-// bits follow the last bytes too weakly.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/wire"
 )
 
@@ -252,7 +252,7 @@
 	if m.State == wire.Dead || m.State == wire.Left {
 		return 0
 	}
-	h := nameHash(m.Node) ^ m.Incarnation*0x9e3779b97f4a7c15 ^ m.Seq*0xbf58476d1ce4e5b9 ^ uint64(m.State)<<61
+	h := hash.Of(m.Node) ^ m.Incarnation*0x9e3779b97f4a7c15 ^ m.Seq*0xbf58476d1ce4e5b9 ^ uint64(m.State)<<61
 	h ^= h >> 31
 	return h * 0x94d049bb133111eb
 }
@@ -261,7 +261,7 @@
 	if e.Seq == 0 {
 		return 0
 	}
-	h := nameHash(e.Pool+"/"+e.Name) ^ e.Seq*0x9e3779b97f4a7c15
+	h := hash.Of(e.Pool+"/"+e.Name) ^ e.Seq*0x9e3779b97f4a7c15
 	if e.Leaving {
 		h ^= 1 << 63
 	}
@@ -269,15 +269,6 @@
 	return h * 0xbf58476d1ce4e5b9
 }
 
-func nameHash(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
 func ended(s wire.State) bool { return s == wire.Dead || s == wire.Left }
 
 // rebuildRing orders the live members by the hash of their names.
@@ -296,7 +287,7 @@
 		}
 	}
 	slices.SortFunc(n.ring, func(a, b string) int {
-		return cmp.Or(cmp.Compare(nameHash(a), nameHash(b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(hash.Of(a), hash.Of(b)), cmp.Compare(a, b))
 	})
 }
 
--- a/internal/core/run/admit.go
+++ b/internal/core/run/admit.go
@@ -6,6 +6,7 @@
 
 	"gradetiller.example/config"
 	"gradetiller.example/failure"
+	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/order"
 )
 
@@ -68,7 +69,7 @@
 		account:  e.accounts[account],
 		index:    account,
 		weight:   conf.Share(),
-		hash:     mix(hashOf(req.RequestID)),
+		hash:     hash.Of(req.RequestID),
 		started:  now,
 		deadline: now.Add(req.Left),
 		input:    req.Input,
--- a/internal/core/run/run.go
+++ b/internal/core/run/run.go
@@ -1,11 +1,11 @@
 package run
 
 import (
-	"hash/fnv"
 	"time"
 
 	"gradetiller.example/config"
 	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/limit"
 	"gradetiller.example/internal/core/order"
 	"gradetiller.example/internal/core/place"
@@ -78,12 +78,6 @@
 	dropped bool
 }
 
-func hashOf(s string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(s))
-	return h.Sum64()
-}
-
 // assignArm gives the run its arm of the pipeline's experiment.
 func (r *activeRun) assignArm(accountName string) {
 	exp := r.pipeline.Experiment()
@@ -94,19 +88,9 @@
 	if exp.ByAccount() {
 		key = exp.Name() + "/" + accountName
 	}
-	arm := exp.Arm(mix(hashOf(key)))
+	arm := exp.Arm(hash.Of(key))
 	r.arm = exp.Name() + "/" + arm.Name()
 	if p, ok := place.Lookup(arm.Place()); ok {
 		r.policy = p
 	}
 }
-
-// mix spreads the bits of an FNV hash, whose low bits follow the last byte of
-// the key.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
--- a/internal/entry/codec.go
+++ b/internal/entry/codec.go
@@ -8,13 +8,13 @@
 	"errors"
 	"fmt"
 	"hash"
-	"hash/fnv"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"gradetiller.example/failure"
+	corehash "gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/run"
 )
 
@@ -89,9 +89,7 @@
 	if len(input) < prefixLength {
 		return 0
 	}
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, input[:prefixLength])
-	return h.Sum64()
+	return corehash.Of(input[:prefixLength])
 }
 
 type errorBody struct {
