--- a/cmd/gradetiller-standin/cmd/main.go
+++ b/cmd/gradetiller-standin/cmd/main.go
@@ -26,10 +26,7 @@
 // Main runs the program.
 func Main() {
 	var c cli
-	settings.Parse(&c, name, help)
-	if err := c.run(); err != nil {
-		settings.Fail(name, err)
-	}
+	settings.Run(&c, name, help, func() error { return c.run() })
 }
 
 func (c *cli) run() error {
--- a/internal/core/place/predict.go
+++ b/internal/core/place/predict.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"gradetiller.example/internal/core/hash"
 )
 
 const (
@@ -22,18 +24,29 @@
 // prompt's prefix.
 func predictedFinish(p *Pool, now time.Time, req Request) int {
 	chosen := p.best(now, sampleSize, req, finishScore)
-	holder := p.prefixes.get(req.Prefix)
+	holder := p.holder(req.Prefix)
 	if holder == None || holder == chosen || chosen == None || !p.usable(now, holder, req) {
 		return chosen
 	}
-	cached := finishScore(p, now, holder, req)
-	cached -= prefixSaving * p.expected(now, holder).Seconds()
-	if cached <= finishScore(p, now, chosen, req) {
+	saved := prefixSaving * p.expected(now, holder).Seconds() * (1 + req.CostWeight*p.endpoints[holder].spec.Cost)
+	if finishScore(p, now, holder, req)-saved <= finishScore(p, now, chosen, req) {
 		return holder
 	}
 	return chosen
 }
 
+// holder returns the endpoint that likely holds a prefix: the one that took
+// it last from this node, else the one that all nodes would send it to first.
+func (p *Pool) holder(prefix uint64) int {
+	if prefix == 0 {
+		return None
+	}
+	if i := p.prefixes.get(prefix); i != None {
+		return i
+	}
+	return int(hash.Mix(prefix) % uint64(len(p.endpoints)))
+}
+
 // expected is the time that a lone call at endpoint i will take. What was
 // measured long ago says nothing, so the endpoint counts as an average one
 // then: it is tried again, and one that was slow is found to have recovered.
--- /dev/null
+++ b/internal/settings/common.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"net"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/logging"
+	"gradetiller.example/internal/peer"
+	"gradetiller.example/internal/platform"
+)
+
+// Common are the settings of both long-lived programs.
+type Common struct {
+	System        string  `help:"Name of the system; processes of other systems are refused." required:""`
+	Node          string  `help:"Name of this instance; unique in the system." required:""`
+	FailureDomain string  `help:"Failure domain of this instance." required:""`
+	Region        string  `help:"Region of this instance." default:"default"`
+	PeerListen    Address `help:"IP address and port for the system's other processes." required:"" placeholder:"IP:PORT"`
+	Platform      string  `help:"Base URL of the platform's services, http://IP:PORT." required:""`
+	LogLevel      string  `help:"debug, info, warn or error." default:"info"`
+	Keys
+}
+
+// Resources are what a long-lived program opens at its start.
+type Resources struct {
+	log      *zap.Logger
+	flush    func()
+	security *peer.Security
+	platform *platform.HTTP
+	callers  net.Listener
+	peers    net.Listener
+}
+
+// Log returns the log.
+func (r *Resources) Log() *zap.Logger { return r.log }
+
+// Security returns the keys for connections between processes.
+func (r *Resources) Security() *peer.Security { return r.security }
+
+// Platform returns the adapter to the platform.
+func (r *Resources) Platform() *platform.HTTP { return r.platform }
+
+// Listener returns the listener for callers or operators.
+func (r *Resources) Listener() net.Listener { return r.callers }
+
+// PeerListener returns the listener for other processes.
+func (r *Resources) PeerListener() net.Listener { return r.peers }
+
+// Close writes out what is buffered of the log.
+func (r *Resources) Close() { r.flush() }
+
+// Open checks the settings and opens what the program needs; listen is the
+// address for callers or operators.
+func (c *Common) Open(listen Address) (*Resources, error) {
+	r := &Resources{}
+	var err error
+	if r.security, err = c.Security(c.PeerListen); err != nil {
+		return nil, err
+	}
+	if r.platform, err = platform.NewHTTP(c.Platform); err != nil {
+		return nil, err
+	}
+	if r.callers, err = Listen(listen); err != nil {
+		return nil, err
+	}
+	if r.peers, err = Listen(c.PeerListen); err != nil {
+		return nil, err
+	}
+	r.log, r.flush, err = logging.New(c.LogLevel)
+	return r, err
+}
+
+// Run is the main function of a program without subcommands: it reads the
+// settings, runs f and reports its error.
+func Run(cli any, name, help string, f func() error) {
+	Parse(cli, name, help)
+	if err := f(); err != nil {
+		Fail(name, err)
+	}
+}
