cmd, internal/control: both processes under 64 MB at 3,900 accounts

Cause: with five files of 3,900 accounts applied in turn the control process peaked at 65.5 MB and the entry at 65.9 MB of 64. Ruled out: a limit of 40 MiB on the collector, which cost 23 s of processor time. Change: GOGC 30 and 50, and an applied file is parsed once less.

--- a/cmd/gradetiller-control/cmd/main.go
+++ b/cmd/gradetiller-control/cmd/main.go
@@ -16,9 +16,11 @@
 	name = "gradetiller-control"
 	help = "Keeps the configuration in force and the view of the other nodes for the entry processes, and serves operators."
 
-	// memoryLimit keeps the process under its 64 MB: a file of 3,900 accounts
-	// is 68 MB of garbage when it is parsed, 44 MiB of it at once.
-	memoryLimit = 56 << 20
+	// collectAt has the collector run often enough that the process keeps under
+	// its 64 MB while a file of 3,900 accounts is parsed. A limit on memory
+	// instead cost 23 s of processor time for five such files, since what is
+	// alive meanwhile is over any limit that would help.
+	collectAt = 30
 )
 
 type cli struct {
@@ -42,7 +44,7 @@
 		return err
 	}
 	defer r.Close()
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetGCPercent(collectAt)
 	ctl := control.New(control.Identity{
 		System: c.System, Node: c.Node, Incarnation: settings.Incarnation(), PeerAddress: c.PeerListen.String(),
 		Domain: c.FailureDomain, Region: c.Region,
--- a/cmd/gradetiller-entry/cmd/main.go
+++ b/cmd/gradetiller-entry/cmd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,10 @@
 	"gradetiller.example/internal/settings"
 )
 
+// collectAt keeps the process under 64 MB while a file of 3,900 accounts is
+// parsed; with the default of 100 it peaked at 66 MB.
+const collectAt = 50
+
 const (
 	name = "gradetiller-entry"
 	help = "Serves callers: tells them which addresses to use, and takes their requests through the stages of their pipelines."
@@ -37,6 +42,7 @@
 		return err
 	}
 	defer r.Close()
+	debug.SetGCPercent(collectAt)
 	node := entry.NewNode(entry.Identity{
 		Node: c.Node, Incarnation: settings.Incarnation(), Address: c.Listen.String(), PeerAddress: c.PeerListen.String(),
 		Domain: c.FailureDomain, Region: c.Region,
--- a/internal/control/configs.go
+++ b/internal/control/configs.go
@@ -97,7 +97,7 @@
 	c.record("apply", fmt.Sprintf("version/%d", next.Version), fmt.Sprintf("operator=%q outcome=%s digest=%s", operator, outcome, next.Digest))
 	switch outcome {
 	case settle.Done:
-		c.takeFile(wire.ConfigFile{Version: next.Version, Digest: next.Digest, Data: data}, "operator "+operator)
+		c.putInForce(wire.ConfigFile{Version: next.Version, Digest: next.Digest, Data: data}, cfg, "operator "+operator)
 		return next.Version, warnings, nil
 	case settle.Lost:
 		return 0, warnings, c.lostTo(ctx, seen, next.Version)
@@ -227,6 +227,10 @@
 		c.log.Error("configuration cannot be read", zap.Uint64("version", f.Version), zap.String("source", source), zap.Error(err))
 		return
 	}
+	c.putInForce(f, cfg, source)
+}
+
+func (c *Control) putInForce(f wire.ConfigFile, cfg *config.Config, source string) {
 	c.mu.Lock()
 	taken := f.Version > c.inForce.Version
 	if taken {
