internal/entry: entries that came before the first configuration are kept

It then named only itself in locate answers and took itself for the only node that shares the endpoints.

--- a/internal/entry/apply.go
+++ b/internal/entry/apply.go
@@ -27,13 +27,15 @@
 		}
 		cfg, version = parsed, s.Config.Version
 	}
-	if cfg == nil {
-		return nil
-	}
 	n.storeAway.Store(s.StoreAway)
 	if s.Same {
 		s.Entries = n.Entries()
 	}
+	if cfg == nil {
+		// Later snapshots may leave the entries out as the same.
+		n.setEntries(s.Entries)
+		return nil
+	}
 	if !s.Settled && len(n.Entries()) > 0 {
 		s.Entries = mergeEntries(n.Entries(), s.Entries)
 	}
@@ -105,6 +107,12 @@
 	return n.version
 }
 
+func (n *Node) setEntries(entries []wire.Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.entries = entries
+}
+
 // Entries returns the entries of the whole system as last heard.
 func (n *Node) Entries() []wire.Entry {
 	n.mu.Lock()
--- a/internal/entry/codec.go
+++ b/internal/entry/codec.go
@@ -286,7 +286,7 @@
 	return &locateRequest{credentials: bearer(r), region: r.URL.Query().Get("region"), domain: r.URL.Query().Get("failure_domain")}, nil
 }
 
-func encodeLocate(_ context.Context, w http.ResponseWriter, response any) error {
+func encodeJSON(_ context.Context, w http.ResponseWriter, response any) error {
 	writeJSON(w, http.StatusOK, response)
 	return nil
 }
@@ -294,8 +294,3 @@
 func decodeCancel(_ context.Context, r *http.Request) (any, error) {
 	return &cancelRequest{credentials: bearer(r), requestID: r.PathValue("request")}, nil
 }
-
-func encodeCancel(_ context.Context, w http.ResponseWriter, response any) error {
-	writeJSON(w, http.StatusOK, response)
-	return nil
-}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -23,9 +23,9 @@
 		return transport.NewServer(n.authenticate(e), dec, enc, options...)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /v1/locate", server(n.locateEndpoint, decodeLocate, encodeLocate))
+	mux.Handle("GET /v1/locate", server(n.locateEndpoint, decodeLocate, encodeJSON))
 	mux.Handle("POST /v1/pipelines/{pipeline}/run", server(n.runEndpoint, decodeRun, n.encodeRun))
-	mux.Handle("DELETE /v1/requests/{request}", server(n.cancelEndpoint, decodeCancel, encodeCancel))
+	mux.Handle("DELETE /v1/requests/{request}", server(n.cancelEndpoint, decodeCancel, encodeJSON))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w) })
 	mux.HandleFunc("GET /healthz", n.health)
 	return mux
