--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -85,6 +85,8 @@
 	once := f.Requests * f.OnceShare
 	rows := []Row{
 		{"control", "heartbeats sent", "B/s", beats, 0, "Members", "8 fixed neighbors on a ring, deltas only"},
+		{"control", "messages sent", "/s", frames, 0, "Members", "one frame a neighbor and second; news goes along"},
+		{"control", "endpoints asked", "/s", polls, 0, "input", "each every 2 s by two watchers"},
 		{"control", "endpoint states, both ways", "B/s", watch, 0, "Watch", "2 watchers an endpoint by rendezvous hashing"},
 		{"control", "news of node changes", "B/s", news, 0, "input", "each record passed on once to each neighbor"},
 		{"control", "configuration files", "B/s", files, 0, "ConfigFile", "whole files, gzip, from the store or one peer"},
@@ -108,6 +110,8 @@
 		{"entry", "time of a choice of endpoint", "µs", at("Choose/predicted_finish:ns/op", f.Endpoints) / 1000, 5, "Choose", "a sample of 12"},
 		{"entry", "locate answers after a node change", "ms", at("NewTable:ns/op", f.Nodes) / 1e6, 0, "NewTable", "computed outside the lock"},
 		{"store", "configuration: writes", "/s", changes, 0, "input", "one transaction a change"},
+		{"store", "objects written", "B/s", changes * fileBytes, 0, "ConfigFile", "one object a change"},
+		{"store", "objects read, if no peer were faster", "B/s", changes * fileBytes * f.Nodes, 0, "ConfigFile", "the worst case; most nodes take the file from a peer"},
 		{"store", "configuration and instance list: reads", "/s", 2*f.Nodes*pollsPerSecond + changes*f.Nodes, 0, "input", "poll every 5 s; files mostly from peers"},
 		{"store", "at-most-once records, if each node wrote for itself", "/s", once, 100, "input", "not so built; shown for comparison"},
 		{"store", "at-most-once records: writes", "/s", at("GroupCommit:writes/s", f.Nodes), 100, "GroupCommit", "one writer a shard, a gap between transactions"},
