--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -108,7 +108,7 @@
 func (c *Control) snapshot(link *entryLink) wire.Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := wire.Snapshot{Entries: c.member.Entries(), Endpoints: c.member.Endpoints(), StoreAway: c.storeAway, Settled: time.Since(c.started) > settleTime}
+	s := wire.Snapshot{Entries: c.member.Entries(), Endpoints: c.member.Endpoints(), Settled: time.Since(c.started) > settleTime}
 	if link.status.ConfigVersion < c.inForce.Version {
 		s.Config = c.inForce
 	}
--- a/internal/core/run/call.go
+++ b/internal/core/run/call.go
@@ -136,7 +136,8 @@
 		return false, e.take()
 	}
 	r := c.run
-	if c.started.Equal(r.stageStart) || r.tokens == 0 {
+	if r.tokens == 0 {
+		// A resumed stream says nothing about the time to a first token.
 		e.estimate(now, r.pipeline.Name(), r.current().Name()).first.Observe(now, now.Sub(c.started))
 	}
 	for _, other := range r.calls {
--- a/internal/entry/apply.go
+++ b/internal/entry/apply.go
@@ -27,7 +27,6 @@
 		}
 		cfg, version = parsed, s.Config.Version
 	}
-	n.storeAway.Store(s.StoreAway)
 	if s.Same {
 		s.Entries = n.Entries()
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -47,12 +47,11 @@
 	entries   []wire.Entry
 	version   uint64
 
-	tableMu   sync.Mutex // orders rebuilds of table
-	cfg       atomic.Pointer[config.Config]
-	table     atomic.Pointer[locate.Table]
-	leaving   atomic.Bool
-	closed    atomic.Bool
-	storeAway atomic.Bool
+	tableMu sync.Mutex // orders rebuilds of table
+	cfg     atomic.Pointer[config.Config]
+	table   atomic.Pointer[locate.Table]
+	leaving atomic.Bool
+	closed  atomic.Bool
 }
 
 type requestKey struct{ account, requestID string }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -150,8 +150,6 @@
 	Config    ConfigFile
 	Entries   []Entry
 	Endpoints []Endpoint
-	// StoreAway reports that the platform's store does not answer.
-	StoreAway bool
 	// Settled is false while the control process has not met all its peers
 	// yet; Entries may then lack many, and the receiver keeps what it knows.
 	Settled bool
