internal/peer, internal/wire: links between nodes that answer on the same connection

Cause: nodes on the platform are one process each and talk to each other for membership, views and stage pools; the links so far belonged to the control process only. Dead members are probed beside seeds, since the platform's seeds may be stale. Connections give up a silent peer by TCP_USER_TIMEOUT. Ruled out: reuse of internal/control's links, which know control's messages.

--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -312,3 +312,21 @@
 	}
 	return names
 }
+
+// Address returns the address of a known member, or "".
+func (n *Node) Address(name string) string {
+	if r, ok := n.records[name]; ok {
+		return r.m.Address
+	}
+	return ""
+}
+
+// LiveAt reports whether a member that is alive or suspect has the address.
+func (n *Node) LiveAt(address string) bool {
+	for _, r := range n.records {
+		if r.m.Address == address && !ended(r.m.State) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -157,14 +157,12 @@
 			candidates = append(candidates, s)
 		}
 	}
-	if len(n.seeds) == 0 {
-		for name, r := range n.records {
-			if r.m.State == wire.Dead {
-				candidates = append(candidates, Seed{Node: name, Address: r.m.Address})
-			}
+	for name, r := range n.records {
+		if r.m.State == wire.Dead && !slices.ContainsFunc(candidates, func(s Seed) bool { return s.Node == name }) {
+			candidates = append(candidates, Seed{Node: name, Address: r.m.Address})
 		}
-		slices.SortFunc(candidates, func(a, b Seed) int { return cmpNames(a, b) })
 	}
+	slices.SortFunc(candidates, func(a, b Seed) int { return cmpNames(a, b) })
 	if len(candidates) == 0 {
 		return sends
 	}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,5 +1,5 @@
 // Package logging builds the structured log: one line of key=value pairs for
-// each event, on standard error.
+// each event, on standard error or another stream.
 //
 // # Usage
 //
@@ -22,7 +22,10 @@
 
 // New returns a log at a level (debug, info, warn, error) and the function
 // that writes out what is buffered.
-func New(level string) (*zap.Logger, func(), error) {
+func New(level string) (*zap.Logger, func(), error) { return NewTo(os.Stderr, level) }
+
+// NewTo is New for another stream.
+func NewTo(stream *os.File, level string) (*zap.Logger, func(), error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, nil, fmt.Errorf("log level %q: expected debug, info, warn or error", level)
@@ -30,7 +33,7 @@
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
 	enc.EncodeDuration = zapcore.StringDurationEncoder
-	out := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(os.Stderr), FlushInterval: flushInterval}
+	out := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(stream), FlushInterval: flushInterval}
 	log := zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(enc), out, l))
 	return log, func() { _ = out.Stop() }, nil
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"gradetiller.example/internal/socket"
 	"gradetiller.example/internal/wire"
 )
 
@@ -33,7 +34,7 @@
 func Dial(ctx context.Context, address string, self wire.Hello, s *Security) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := (&net.Dialer{Control: socket.UserTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer: %w", err)
 	}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -19,6 +19,12 @@
 	kindStarted
 	kindStory
 	kindStoryAnswer
+	kindStagesSubmit
+	kindStagesVerdict
+	kindStagesDone
+	kindStagesRelease
+	kindViewRequest
+	kindView
 )
 
 // Role says what a process is; the receiver allows messages by role.
@@ -28,6 +34,8 @@
 const (
 	RoleEntry   Role = "entry"
 	RoleControl Role = "control"
+	// RoleNode is a process that carries both data and control.
+	RoleNode Role = "node"
 )
 
 // Hello opens every connection.
@@ -213,6 +221,18 @@
 		return &Story{}
 	case kindStoryAnswer:
 		return &StoryAnswer{}
+	case kindStagesSubmit:
+		return &StagesSubmit{}
+	case kindStagesVerdict:
+		return &StagesVerdict{}
+	case kindStagesDone:
+		return &StagesDone{}
+	case kindStagesRelease:
+		return &StagesRelease{}
+	case kindViewRequest:
+		return &ViewRequest{}
+	case kindView:
+		return &View{}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/wire/stages.go
@@ -0,0 +1,81 @@
+package wire
+
+// Stage is one stage of a request's work before it can run.
+type Stage struct {
+	Service     string
+	After       []int
+	ResultBytes int64
+	Pieces      int
+}
+
+// StagesSubmit asks the leader of a stage pool to run a request's stages. ID
+// is the sender's; times are milliseconds from sending.
+type StagesSubmit struct {
+	ID        uint64
+	Cell      int
+	RequestID string
+	Key       string
+	Stages    []Stage
+	Aim       int64
+	Deadline  int64
+	Priority  int
+	Domain    string
+}
+
+// StagesVerdict answers a StagesSubmit at once.
+type StagesVerdict struct {
+	ID       uint64
+	Accepted bool
+	// Finish is the predicted time until the results are there, Again the
+	// time after which a refused request may come back; milliseconds.
+	Finish int64
+	Again  int64
+}
+
+// StagesDone tells that the results are there, or, with a reason, that the
+// leader gave the request up.
+type StagesDone struct {
+	ID      uint64
+	Handles []string
+	Domain  string
+	Failed  string
+	Again   int64
+}
+
+// StagesRelease tells that the results are not needed any more.
+type StagesRelease struct {
+	ID uint64
+}
+
+// ViewRequest asks a peer for a configuration above a version and a list of
+// endpoints above a revision.
+type ViewRequest struct {
+	ConfigAbove    uint64
+	EndpointsAbove uint64
+}
+
+// Worker is an endpoint of the platform's list.
+type Worker struct {
+	ID       string
+	Service  string
+	Address  string
+	Domain   string
+	Slots    int
+	Draining bool
+}
+
+// View answers a ViewRequest. Parts that are not newer are left out.
+type View struct {
+	ConfigVersion uint64
+	Config        []byte
+	// Revision orders lists of workers.
+	Revision uint64
+	Workers  []Worker
+}
+
+func (StagesSubmit) kind() kind  { return kindStagesSubmit }
+func (StagesVerdict) kind() kind { return kindStagesVerdict }
+func (StagesDone) kind() kind    { return kindStagesDone }
+func (StagesRelease) kind() kind { return kindStagesRelease }
+func (ViewRequest) kind() kind   { return kindViewRequest }
+func (View) kind() kind          { return kindView }
