--- /dev/null
+++ b/internal/core/catalog/catalog.go
@@ -0,0 +1,181 @@
+package catalog
+
+import (
+	"strings"
+	"time"
+)
+
+// Kind tells what may be done with a request twice.
+type Kind int
+
+// The kinds of route.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = iota
+	// Unsafe requests run at most once.
+	Unsafe
+	// Streaming requests are answered by a series of events. Unless the route
+	// is resumable they run at most once.
+	Streaming
+)
+
+// Stage is work that must be done before a request can run.
+type Stage struct {
+	Service string
+	// After lists the stages whose results this one needs.
+	After []int
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int64
+}
+
+// Backend is a service that gets a part of a route's requests.
+type Backend struct {
+	Service string
+	Weight  int
+}
+
+// Route says where requests of a host and path prefix go.
+type Route struct {
+	Name     string
+	Host     string
+	Prefix   string
+	Kind     Kind
+	Backends []Backend
+	// Timeout is the longest time that a request is held.
+	Timeout time.Duration
+	// Objective is the time within which an answer has its full worth.
+	Objective time.Duration
+	// Gap is the longest pause between events of a stream that is on time.
+	Gap         time.Duration
+	MaxAttempts int
+	// Priority is 0 for the most urgent.
+	Priority  int
+	Public    bool
+	Resumable bool
+	Sticky    bool
+	Stages    []Stage
+}
+
+// Repeatable reports whether a request of the route may run twice.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
+}
+
+// Batching describes the workers of a stage service.
+type Batching struct {
+	Slots    int
+	Batch    int
+	CallTime time.Duration
+	ItemTime time.Duration
+	// Room is the bytes of results that one worker holds.
+	Room int64
+	// ResultLife is how long a result lives after its call.
+	ResultLife time.Duration
+}
+
+// Service is a set of endpoints.
+type Service struct {
+	Name     string
+	MaxConns int
+	// Model is true for a service of language model engines.
+	Model bool
+	// Slots is how many requests a model engine runs at once.
+	Slots int
+	// CacheTokens is the memory of a model engine in tokens.
+	CacheTokens int64
+	// Batching is nil for a service that is no stage.
+	Batching *Batching
+}
+
+// Tenant is a client account.
+type Tenant struct {
+	Name string
+	// Priority takes precedence over the route's when HasPriority is true.
+	Priority    int
+	HasPriority bool
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the configuration. It is never changed after it
+// was built.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Tenants  []Tenant
+	Limits   Limits
+	// Keys finds a tenant's index by its key.
+	Keys   map[string]int
+	byHost map[string][]int
+}
+
+// Index prepares the look-ups; it is called once, before the first use.
+func (c *Config) Index() {
+	c.byHost = make(map[string][]int)
+	for i := range c.Routes {
+		host := c.Routes[i].Host
+		c.byHost[host] = append(c.byHost[host], i)
+	}
+}
+
+// Match finds the route of a host and path: the one with the longest prefix,
+// or nil.
+func (c *Config) Match(host, path string) *Route {
+	var best *Route
+	for _, i := range c.byHost[host] {
+		r := &c.Routes[i]
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Tenant finds the tenant that holds a key, or nil.
+func (c *Config) Tenant(key string) *Tenant {
+	i, ok := c.Keys[key]
+	if !ok || key == "" {
+		return nil
+	}
+	return &c.Tenants[i]
+}
+
+// Choose picks a backend by its weight; draw is any well-spread number.
+func (r *Route) Choose(draw uint64) string {
+	total := 0
+	for _, b := range r.Backends {
+		total += max(b.Weight, 0)
+	}
+	if total == 0 {
+		if len(r.Backends) == 0 {
+			return ""
+		}
+		return r.Backends[0].Service
+	}
+	left := int(draw % uint64(total))
+	for _, b := range r.Backends {
+		left -= max(b.Weight, 0)
+		if left < 0 {
+			return b.Service
+		}
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
+
+// Endpoint is a worker as the platform lists it.
+type Endpoint struct {
+	// ID names one life of the worker.
+	ID       string
+	Service  string
+	Address  string
+	Domain   string
+	Slots    int
+	Draining bool
+}
--- /dev/null
+++ b/internal/core/place/affinity.go
@@ -0,0 +1,65 @@
+package place
+
+import (
+	"time"
+
+	"gradetiller.example/internal/core/hash"
+)
+
+const (
+	// spillFactor and spillSlack tell when the endpoint that a prefix belongs
+	// to is too busy compared with the average, so that the next in the order
+	// of hashes is asked.
+	spillFactor = 1.5
+	spillSlack  = 4.0
+)
+
+func init() { policies.Register("prefix_affinity", prefixAffinity) }
+
+// prefixAffinity sends calls with one prefix to one endpoint, which all nodes
+// find by rendezvous hashing without messages. A busy endpoint passes its
+// calls on to the next in the prefix's own order. Calls without a prefix go
+// to the least busy endpoint.
+func prefixAffinity(p *Pool, now time.Time, req Request) int {
+	if req.Prefix == 0 {
+		return p.best(now, sampleSize, req, busyScore)
+	}
+	sum, count := 0.0, 0
+	for i := range p.endpoints {
+		if p.usable(now, i, req) {
+			sum += p.busy(now, i)
+			count++
+		}
+	}
+	if count == 0 {
+		return None
+	}
+	most := spillFactor*sum/float64(count) + spillSlack
+	chosen, weight := None, uint64(0)
+	for i := range p.endpoints {
+		if !p.usable(now, i, req) || p.busy(now, i) > most {
+			continue
+		}
+		if w := hash.Pair(req.Prefix, hash.Of(p.endpoints[i].spec.Name)); chosen == None || w > weight {
+			chosen, weight = i, w
+		}
+	}
+	if chosen == None {
+		return p.best(now, sampleSize, req, busyScore)
+	}
+	return chosen
+}
+
+// busy is the number of calls at endpoint i as far as this node knows.
+func (p *Pool) busy(now time.Time, i int) float64 {
+	e := &p.endpoints[i]
+	own := float64(e.outstanding)
+	if e.load.At.IsZero() || now.Sub(e.load.At) > loadHalfLife {
+		return own
+	}
+	return max(own, e.load.Busy)
+}
+
+func busyScore(p *Pool, now time.Time, i int, _ Request) float64 {
+	return p.busy(now, i) / float64(max(p.endpoints[i].spec.Slots, 1))
+}
--- /dev/null
+++ b/internal/core/stagepool/admit.go
@@ -0,0 +1,104 @@
+package stagepool
+
+import "time"
+
+const (
+	// deadlineShare is the part of the time left within which a task that
+	// can't reach its aim must still end.
+	deadlineShare = 0.6
+	shortestAgain = 250 * time.Millisecond
+	longestAgain  = 3 * time.Second
+)
+
+// callTime is the expected time of a call for n pieces of a service.
+func (p *Pool) callTime(name string, n int) time.Duration {
+	s, ok := p.services[name]
+	if !ok {
+		return 0
+	}
+	return time.Duration(s.best() * float64(s.expected(min(n, s.conf.Batch))))
+}
+
+// ahead counts the waiting pieces that go before a task of a priority.
+func (s *service) ahead(priority int) int {
+	n := 0
+	for at, pieces := range s.backlog {
+		if at <= priority {
+			n += pieces
+		}
+	}
+	return n
+}
+
+// predict returns the time until a task's last result, and false when a
+// service has no worker.
+func (p *Pool) predict(now time.Time, t Task) (time.Duration, bool) {
+	finish := make([]time.Duration, len(t.Stages))
+	longest := time.Duration(0)
+	for i, st := range t.Stages {
+		ready := time.Duration(0)
+		for _, after := range st.After {
+			ready = max(ready, finish[after])
+		}
+		if st.Pieces == 0 {
+			finish[i] = ready
+			continue
+		}
+		s, ok := p.services[st.Service]
+		if !ok {
+			return 0, false
+		}
+		rate := s.rate(now)
+		if rate == 0 {
+			return 0, false
+		}
+		queue := time.Duration(float64(s.ahead(t.Priority)) / rate * float64(time.Second))
+		wait := max(queue-ready, 0)
+		if ready == 0 {
+			wait = max(wait, s.free(now))
+		} else if queue > 0 {
+			wait = max(wait, s.expected(1)/time.Duration(2*max(len(s.workers), 1)))
+		}
+		calls := (st.Pieces + s.conf.Batch - 1) / s.conf.Batch
+		share := st.Pieces + min(s.ahead(t.Priority)/max(len(s.workers), 1), s.conf.Batch)
+		work := s.expected(min(share, s.conf.Batch))
+		rounds := (calls + len(s.workers) - 1) / max(len(s.workers), 1)
+		finish[i] = ready + wait + time.Duration(rounds)*time.Duration(s.best()*float64(work))
+		longest = max(longest, finish[i])
+	}
+	return longest, true
+}
+
+// shortest is the time that a task would take alone.
+func (p *Pool) shortest(t Task) time.Duration {
+	finish := make([]time.Duration, len(t.Stages))
+	longest := time.Duration(0)
+	for i, st := range t.Stages {
+		ready := time.Duration(0)
+		for _, after := range st.After {
+			ready = max(ready, finish[after])
+		}
+		finish[i] = ready
+		if st.Pieces > 0 {
+			finish[i] += p.callTime(st.Service, st.Pieces)
+		}
+		longest = max(longest, finish[i])
+	}
+	return longest
+}
+
+// admit refuses a task that would be late because others wait. A task that
+// would be late even alone is taken as long as its deadline is safe.
+func (p *Pool) admit(now time.Time, t Task, finish time.Duration) (Verdict, bool) {
+	aim := t.Aim.Sub(now)
+	if finish <= aim {
+		return Verdict{}, false
+	}
+	alone := p.shortest(t)
+	limit := time.Duration(deadlineShare * float64(t.Deadline.Sub(now)))
+	if alone > aim && finish <= limit && finish < 2*alone {
+		return Verdict{}, false
+	}
+	again := finish - max(aim, alone)
+	return Verdict{Finish: finish, Again: min(max(again, shortestAgain), longestAgain)}, true
+}
--- /dev/null
+++ b/internal/core/stagepool/dispatch.go
@@ -0,0 +1,228 @@
+package stagepool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// priorityStep is how much earlier a task is due for each rank of its
+	// priority.
+	priorityStep = 250 * time.Millisecond
+	// workedStep is how much earlier a task is due that has used work.
+	workedStep = 300 * time.Millisecond
+	// bigResult is the size from which on the place of a result counts.
+	bigResult = 200_000
+	// elsewhere is the price of making a big result in another domain.
+	elsewhere = 1.25
+	// lostFactor and lostMargin tell when a call is given up as lost.
+	lostFactor = 6
+	lostMargin = 1500 * time.Millisecond
+)
+
+func (p *Pool) dispatchAll(now time.Time) {
+	names := make([]string, 0, len(p.services))
+	for name := range p.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		p.dispatch(now, p.services[name])
+	}
+}
+
+// dispatch forms calls while there are both waiting pieces and idle workers.
+func (p *Pool) dispatch(now time.Time, s *service) {
+	if len(s.queue) == 0 {
+		return
+	}
+	p.order(now, s)
+	idle := s.idleWorkers(now)
+	for len(idle) > 0 && len(s.queue) > 0 {
+		w := s.fastest(idle, s.queue[0])
+		idle = slices.DeleteFunc(idle, func(x *worker) bool { return x == w })
+		if items := p.pick(s, w, len(idle)+1); len(items) > 0 {
+			p.start(now, w, items)
+		}
+	}
+}
+
+// order sorts the queue: those that can still be in time by their slack, then
+// the others.
+func (p *Pool) order(now time.Time, s *service) {
+	for _, e := range s.queue {
+		latest := e.task.Aim.Add(-p.need(e.task, e.stage))
+		e.late = now.After(latest)
+		e.due = latest.Add(time.Duration(e.task.Priority) * priorityStep)
+		if e.task.worked {
+			e.due = e.due.Add(-workedStep)
+		}
+	}
+	slices.SortStableFunc(s.queue, func(a, b *entry) int {
+		if a.late != b.late {
+			if a.late {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.task.id, b.task.id))
+	})
+}
+
+func (s *service) idleWorkers(now time.Time) []*worker {
+	best := s.best()
+	var idle []*worker
+	for _, w := range s.workers {
+		w.expire(now)
+		if w.idle(now) && w.usable(now, best) {
+			idle = append(idle, w)
+		}
+	}
+	return idle
+}
+
+// fastest picks the worker that suits the first waiting stage best.
+func (s *service) fastest(idle []*worker, first *entry) *worker {
+	big := first.task.stages[first.stage].ResultBytes >= bigResult && first.task.Domain != ""
+	score := func(w *worker) float64 {
+		v := w.speed + float64(w.used)/float64(max(w.limit(), 1))/2
+		if big && w.spec.Domain != first.task.Domain {
+			v *= elsewhere
+		}
+		return v
+	}
+	return slices.MinFunc(idle, func(a, b *worker) int { return cmp.Compare(score(a), score(b)) })
+}
+
+// pick takes pieces from the queue for one call. Waiting pieces are spread
+// over the idle workers; the pieces of one stage of a task stay together
+// where they fit.
+func (p *Pool) pick(s *service, w *worker, idle int) []itemRef {
+	waiting := 0
+	for _, e := range s.queue {
+		waiting += len(e.task.stages[e.stage].waiting)
+	}
+	target := min((waiting+idle-1)/idle, s.conf.Batch)
+	room := w.limit() - w.used
+	var items []itemRef
+	for _, e := range s.queue {
+		st := &e.task.stages[e.stage]
+		n := len(st.waiting)
+		if len(items) > 0 && len(items)+n > s.conf.Batch {
+			continue
+		}
+		fits := n
+		if st.ResultBytes > 0 {
+			fits = int(min(int64(n), room/st.ResultBytes))
+		}
+		n = min(n, s.conf.Batch)
+		if fits < n && (len(items) > 0 || w.used > 0) {
+			// The whole stage waits for room, unless nothing else is held.
+			continue
+		}
+		n = min(n, fits)
+		for _, piece := range st.waiting[:n] {
+			items = append(items, itemRef{task: e.task, stage: e.stage, piece: piece, bytes: st.ResultBytes, live: true})
+		}
+		room -= int64(n) * st.ResultBytes
+		st.waiting = st.waiting[n:]
+		s.backlog[e.task.Priority] -= n
+		if len(items) >= target {
+			break
+		}
+	}
+	s.queue = slices.DeleteFunc(s.queue, func(e *entry) bool { return len(e.task.stages[e.stage].waiting) == 0 })
+	return items
+}
+
+func (p *Pool) start(now time.Time, w *worker, items []itemRef) {
+	p.lastCall++
+	c := &call{id: p.lastCall, worker: w, items: items, sent: now, expected: w.service.expected(len(items))}
+	out := StartCall{Call: c.id, Endpoint: w.spec.ID, Address: w.spec.Address}
+	out.Limit = time.Duration(lostFactor*float64(c.expected)) + lostMargin
+	for _, ref := range items {
+		c.reserved += ref.bytes
+		ref.task.worked = true
+		ref.task.stages[ref.stage].state = running
+		out.Items = append(out.Items, item(now, ref))
+	}
+	w.used += c.reserved
+	w.calls[c.id] = c
+	p.calls[c.id] = c
+	p.counters.Calls++
+	p.counters.Pieces += uint64(len(items))
+	p.emit(out)
+	p.freeInputs(now, items)
+}
+
+func item(now time.Time, ref itemRef) Item {
+	st := &ref.task.stages[ref.stage]
+	it := Item{RequestID: ref.task.RequestID, Stage: ref.stage, Piece: ref.piece, Left: ref.task.Deadline.Sub(now)}
+	if len(st.After) == 0 {
+		it.Key = ref.task.Key
+		return it
+	}
+	for _, after := range st.After {
+		for _, r := range ref.task.stages[after].results {
+			it.Inputs = append(it.Inputs, r.handle)
+		}
+	}
+	return it
+}
+
+// fetchTime is how long after its start a call of an idle worker has surely
+// fetched its inputs.
+const fetchTime = 60 * time.Millisecond
+
+// crowded is the share of a maker's room from which on inputs are given up
+// as soon as they are fetched; below it they are kept until the call's end,
+// so that a call that fails can be sent again.
+const crowded = 0.4
+
+// freeInputs has inputs given up that no further piece needs.
+func (p *Pool) freeInputs(now time.Time, items []itemRef) {
+	for _, ref := range items {
+		for _, of := range ref.task.stages[ref.stage].After {
+			if p.allStarted(ref.task, of) && p.crowded(ref.task, of) {
+				p.frees = append(p.frees, pendingFree{at: now.Add(fetchTime), task: ref.task, of: of})
+			}
+		}
+	}
+}
+
+func (p *Pool) crowded(t *task, of int) bool {
+	for _, r := range t.stages[of].results {
+		if r != nil && float64(r.maker.used) > crowded*float64(r.maker.limit()) {
+			return true
+		}
+	}
+	return false
+}
+
+// allStarted reports whether every piece that needs the results of stage i is
+// in a call or made.
+func (p *Pool) allStarted(t *task, i int) bool {
+	for j := range t.stages {
+		s := &t.stages[j]
+		if s.Pieces == 0 || !contains(s.After, i) {
+			continue
+		}
+		if s.state == blocked || len(s.waiting) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// allMade reports whether every stage that needs the results of stage i is
+// finished.
+func (p *Pool) allMade(t *task, i int) bool {
+	for j := range t.stages {
+		s := &t.stages[j]
+		if s.Pieces > 0 && contains(s.After, i) && s.state != finished {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/stagepool/done.go
@@ -0,0 +1,215 @@
+package stagepool
+
+import "time"
+
+const (
+	// mostTries bounds the calls for one stage, mostRestarts how often a task
+	// begins anew because a result is gone.
+	mostTries    = 6
+	mostRestarts = 2
+	// overdueFactor and overdueMargin tell when pieces are made elsewhere
+	// although their call has not ended.
+	overdueFactor = 1.8
+	overdueMargin = 200 * time.Millisecond
+	// failAgain is told to the owner of a task that was given up.
+	failAgain = 500 * time.Millisecond
+)
+
+// Done takes the end of a call.
+func (p *Pool) Done(now time.Time, id CallID, o Outcome) []Action {
+	c, ok := p.calls[id]
+	if !ok {
+		return p.take()
+	}
+	delete(p.calls, id)
+	w := c.worker
+	delete(w.calls, id)
+	w.used -= c.reserved
+	switch o.Ending {
+	case Answered:
+		w.failures = 0
+		w.took(now, now.Sub(c.sent), c.expected)
+	case NotRun:
+		w.asideTo = now.Add(declinedRest)
+	case WrongEndpoint:
+		w.leaving = true
+	default:
+		w.rest(now)
+	}
+	for k, ref := range c.items {
+		r := ItemResult{Reason: Broken}
+		switch {
+		case o.Ending == Answered && k < len(o.Items):
+			r = o.Items[k]
+		case o.Ending == NotRun:
+			r.Reason = NoRoom
+		}
+		p.itemDone(now, c, ref, r, o.Ending == Answered)
+	}
+	p.settle(now, c)
+	p.dispatchAll(now)
+	return p.take()
+}
+
+func (p *Pool) itemDone(now time.Time, c *call, ref itemRef, r ItemResult, answered bool) {
+	w := c.worker
+	st := &ref.task.stages[ref.stage]
+	if r.Reason == Made {
+		made := &result{maker: w, handle: r.Handle, bytes: ref.bytes, expires: now.Add(w.service.conf.ResultLife)}
+		if !ref.live || st.results[ref.piece] != nil {
+			p.counters.Unused++
+			p.emit(Free{Endpoint: w.spec.ID, Address: w.spec.Address, Handles: []string{r.Handle}})
+			return
+		}
+		w.add(made)
+		st.results[ref.piece] = made
+		st.made++
+		p.unqueue(ref)
+		return
+	}
+	if !ref.live {
+		return
+	}
+	switch r.Reason {
+	case NoRoom:
+		if answered {
+			p.counters.NoRoom++
+			w.asideTo = now.Add(roomRest)
+		}
+	case Gone:
+		p.counters.Gone++
+		p.restart(now, ref.task)
+		return
+	case Late:
+		p.fail(ref.task, "late", failAgain)
+		return
+	}
+	if st.results[ref.piece] == nil {
+		p.requeue(now, ref, r.Reason != NoRoom)
+	}
+}
+
+// unqueue takes a piece that was made meanwhile out of the waiting ones.
+func (p *Pool) unqueue(ref itemRef) {
+	st := &ref.task.stages[ref.stage]
+	for k, piece := range st.waiting {
+		if piece == ref.piece {
+			st.waiting = append(st.waiting[:k:k], st.waiting[k+1:]...)
+			p.services[st.Service].backlog[ref.task.Priority]--
+			return
+		}
+	}
+}
+
+// requeue has a piece made again.
+func (p *Pool) requeue(now time.Time, ref itemRef, counts bool) {
+	if _, ok := p.tasks[ref.task.id]; !ok {
+		return
+	}
+	st := &ref.task.stages[ref.stage]
+	if contains(st.waiting, ref.piece) {
+		return
+	}
+	if counts {
+		st.tries++
+		p.counters.Again++
+		if p.budget != nil && !p.budget.Take(now, st.Service, 1) {
+			p.fail(ref.task, "no budget to make a piece again", failAgain)
+			return
+		}
+	}
+	if st.tries > mostTries {
+		p.fail(ref.task, "a stage failed too often", failAgain)
+		return
+	}
+	st.waiting = append(st.waiting, ref.piece)
+	st.state = queued
+	p.services[st.Service].backlog[ref.task.Priority]++
+	p.enqueue(ref.task, ref.stage)
+}
+
+// restart begins a task anew because one of its results is gone.
+func (p *Pool) restart(now time.Time, t *task) {
+	if _, ok := p.tasks[t.id]; !ok {
+		return
+	}
+	t.restarts++
+	if t.restarts > mostRestarts {
+		p.fail(t, "results were gone too often", failAgain)
+		return
+	}
+	p.counters.Restarts++
+	p.withdraw(t)
+	for i := range t.stages {
+		p.freeStage(t, i)
+	}
+	p.begin(now, t)
+}
+
+// settle moves the tasks of a call on.
+func (p *Pool) settle(now time.Time, c *call) {
+	for _, ref := range c.items {
+		st := &ref.task.stages[ref.stage]
+		if _, ok := p.tasks[ref.task.id]; !ok || !ref.live || st.state == finished || st.made < st.Pieces || st.state == blocked {
+			continue
+		}
+		st.state = finished
+		for _, of := range st.After {
+			if p.allMade(ref.task, of) {
+				p.freeStage(ref.task, of)
+			}
+		}
+		p.advance(now, ref.task)
+	}
+}
+
+// Tick does what is due: it gives up inputs that were fetched, has pieces of
+// overdue calls made elsewhere, and ends tasks whose deadline is over.
+func (p *Pool) Tick(now time.Time) []Action {
+	p.freeDue(now)
+	for _, c := range p.calls {
+		p.watch(now, c)
+	}
+	for _, t := range p.tasks {
+		if now.After(t.Deadline) {
+			if t.complete {
+				p.end(t)
+			} else {
+				p.fail(t, "deadline", failAgain)
+			}
+		}
+	}
+	p.dispatchAll(now)
+	return p.take()
+}
+
+func (p *Pool) freeDue(now time.Time) {
+	kept := p.frees[:0]
+	for _, f := range p.frees {
+		switch {
+		case f.at.After(now):
+			kept = append(kept, f)
+		case !f.task.stages[f.of].freed && p.allStarted(f.task, f.of):
+			p.freeStage(f.task, f.of)
+		}
+	}
+	clear(p.frees[len(kept):])
+	p.frees = kept
+}
+
+// watch has the pieces of a call queued again when it takes far too long.
+func (p *Pool) watch(now time.Time, c *call) {
+	w := c.worker
+	usual := time.Duration(max(w.speed, 1) * float64(c.expected))
+	if c.overdue || now.Sub(c.sent) < time.Duration(overdueFactor*float64(usual))+overdueMargin {
+		return
+	}
+	c.overdue = true
+	w.speed = max(w.speed, float64(now.Sub(c.sent))/float64(c.expected))
+	w.measured = now
+	for _, ref := range c.items {
+		if _, ok := p.tasks[ref.task.id]; ok && ref.live && ref.task.stages[ref.stage].results[ref.piece] == nil {
+			p.requeue(now, ref, true)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/stagepool/pool.go
@@ -0,0 +1,314 @@
+package stagepool
+
+import (
+	"time"
+
+	"gradetiller.example/internal/core/catalog"
+)
+
+// Counters count what the pool did since its start.
+type Counters struct {
+	Accepted, Refused, Completed, Failed         uint64
+	Calls, Pieces, Again, NoRoom, Gone, Restarts uint64
+	// Unused counts results that nobody wanted any more.
+	Unused uint64
+}
+
+// Budget allows repeated pieces.
+type Budget interface {
+	Fresh(now time.Time, service string, n int)
+	Take(now time.Time, service string, n int) bool
+}
+
+// Option changes a new pool.
+type Option func(*Pool)
+
+// WithBudget bounds the pieces that are made again.
+func WithBudget(b Budget) Option { return func(p *Pool) { p.budget = b } }
+
+// Pool is the state of all stage services at their leader. It is not safe for
+// concurrent use.
+type Pool struct {
+	services map[string]*service
+	tasks    map[TaskID]*task
+	calls    map[CallID]*call
+	frees    []pendingFree
+	lastTask TaskID
+	lastCall CallID
+	budget   Budget
+	counters Counters
+	out      []Action
+}
+
+// pendingFree is a stage whose results are given up at a moment.
+type pendingFree struct {
+	at   time.Time
+	task *task
+	of   int
+}
+
+// New returns a pool without services.
+func New(options ...Option) *Pool {
+	p := &Pool{
+		services: make(map[string]*service),
+		tasks:    make(map[TaskID]*task),
+		calls:    make(map[CallID]*call),
+	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Counters returns a copy of the counters.
+func (p *Pool) Counters() Counters { return p.counters }
+
+// Tasks returns the number of tasks that are not released.
+func (p *Pool) Tasks() int { return len(p.tasks) }
+
+// Configure puts services and their endpoints in force. An endpoint that is
+// draining or missing gets no new calls.
+func (p *Pool) Configure(now time.Time, services map[string]catalog.Service, endpoints []catalog.Endpoint) []Action {
+	for name, conf := range services {
+		if conf.Batching == nil {
+			continue
+		}
+		s, ok := p.services[name]
+		if !ok {
+			s = &service{name: name, backlog: make(map[int]int)}
+			p.services[name] = s
+		}
+		s.conf = *conf.Batching
+	}
+	listed := make(map[string]catalog.Endpoint, len(endpoints))
+	for _, e := range endpoints {
+		listed[e.ID] = e
+	}
+	for _, s := range p.services {
+		kept := s.workers[:0]
+		for _, w := range s.workers {
+			e, ok := listed[w.spec.ID]
+			w.leaving = !ok || e.Draining
+			if ok {
+				delete(listed, w.spec.ID)
+			}
+			if ok || len(w.calls) > 0 || len(w.results) > 0 {
+				kept = append(kept, w)
+			}
+		}
+		s.workers = kept
+	}
+	for _, e := range endpoints {
+		s, ok := p.services[e.Service]
+		if _, fresh := listed[e.ID]; !ok || !fresh || e.Draining {
+			continue
+		}
+		s.workers = append(s.workers, &worker{
+			spec: e, service: s, speed: 1, measured: now,
+			calls: make(map[CallID]*call), results: make(map[*result]struct{}),
+		})
+	}
+	p.dispatchAll(now)
+	return p.take()
+}
+
+// Submit takes a task, or refuses it.
+func (p *Pool) Submit(now time.Time, t Task) (Verdict, []Action) {
+	finish, ok := p.predict(now, t)
+	if !ok {
+		p.counters.Refused++
+		return Verdict{Again: time.Second}, nil
+	}
+	if v, refused := p.admit(now, t, finish); refused {
+		p.counters.Refused++
+		return v, nil
+	}
+	p.counters.Accepted++
+	p.lastTask++
+	live := &task{Task: t, id: p.lastTask, stages: make([]stage, len(t.Stages))}
+	for i, s := range t.Stages {
+		live.stages[i] = stage{Stage: s}
+	}
+	p.tasks[live.id] = live
+	p.begin(now, live)
+	p.dispatchAll(now)
+	return Verdict{Accepted: true, ID: live.id, Finish: finish}, p.take()
+}
+
+// begin counts all stages into the backlogs and queues those that are ready.
+func (p *Pool) begin(now time.Time, t *task) {
+	for i := range t.stages {
+		s := &t.stages[i]
+		s.results = make([]*result, s.Pieces)
+		s.waiting = make([]int, s.Pieces)
+		for k := range s.waiting {
+			s.waiting[k] = k
+		}
+		s.made = 0
+		s.state = blocked
+		s.freed = false
+		if s.Pieces == 0 {
+			s.state = finished
+			continue
+		}
+		p.services[s.Service].backlog[t.Priority] += s.Pieces
+		if p.budget != nil && t.restarts == 0 {
+			p.budget.Fresh(now, s.Service, s.Pieces)
+		}
+	}
+	p.advance(now, t)
+}
+
+// advance queues the stages whose inputs are all there, and completes a task
+// of which every stage is finished.
+func (p *Pool) advance(now time.Time, t *task) {
+	all := true
+	for i := range t.stages {
+		s := &t.stages[i]
+		if s.state == finished {
+			continue
+		}
+		all = false
+		if s.state == blocked && p.inputsReady(t, i) {
+			s.state = queued
+			p.enqueue(t, i)
+		}
+	}
+	if !all || t.complete {
+		return
+	}
+	t.complete = true
+	p.counters.Completed++
+	c := Complete{Task: t.id}
+	var bytes int64
+	for _, i := range t.last() {
+		for _, r := range t.stages[i].results {
+			c.Handles = append(c.Handles, r.handle)
+			if r.bytes >= bytes {
+				bytes = r.bytes
+				c.Domain = r.maker.spec.Domain
+			}
+		}
+	}
+	p.emit(c)
+}
+
+// last lists the stages that no other comes after.
+func (t *task) last() []int {
+	var list []int
+	for i := range t.stages {
+		needed := false
+		for j := range t.stages {
+			if t.stages[j].Pieces > 0 && contains(t.stages[j].After, i) {
+				needed = true
+			}
+		}
+		if !needed && t.stages[i].Pieces > 0 {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+func (p *Pool) inputsReady(t *task, i int) bool {
+	for _, after := range t.stages[i].After {
+		if t.stages[after].state != finished {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) enqueue(t *task, i int) {
+	s := p.services[t.stages[i].Service]
+	for _, e := range s.queue {
+		if e.task == t && e.stage == i {
+			return
+		}
+	}
+	s.queue = append(s.queue, &entry{task: t, stage: i})
+}
+
+// Release gives up a task and its results: its request has used them, or is
+// over.
+func (p *Pool) Release(now time.Time, id TaskID) []Action {
+	t, ok := p.tasks[id]
+	if !ok {
+		return p.take()
+	}
+	p.end(t)
+	p.dispatchAll(now)
+	return p.take()
+}
+
+// end forgets a task, takes its pieces out of all queues and frees its
+// results.
+func (p *Pool) end(t *task) {
+	delete(p.tasks, t.id)
+	p.withdraw(t)
+	for i := range t.stages {
+		p.freeStage(t, i)
+	}
+}
+
+func (p *Pool) withdraw(t *task) {
+	for i := range t.stages {
+		s := &t.stages[i]
+		if s.Pieces == 0 {
+			continue
+		}
+		svc := p.services[s.Service]
+		svc.backlog[t.Priority] -= len(s.waiting)
+		s.waiting = nil
+		kept := svc.queue[:0]
+		for _, e := range svc.queue {
+			if e.task != t || e.stage != i {
+				kept = append(kept, e)
+			}
+		}
+		clear(svc.queue[len(kept):])
+		svc.queue = kept
+	}
+	for _, c := range p.calls {
+		for k := range c.items {
+			if c.items[k].task == t {
+				c.items[k].live = false
+			}
+		}
+	}
+}
+
+// freeStage gives up the results of stage i.
+func (p *Pool) freeStage(t *task, i int) {
+	s := &t.stages[i]
+	s.freed = true
+	byMaker := make(map[*worker][]string)
+	var order []*worker
+	for _, r := range s.results {
+		if r == nil || !r.maker.drop(r) {
+			continue
+		}
+		if byMaker[r.maker] == nil {
+			order = append(order, r.maker)
+		}
+		byMaker[r.maker] = append(byMaker[r.maker], r.handle)
+	}
+	for _, w := range order {
+		p.emit(Free{Endpoint: w.spec.ID, Address: w.spec.Address, Handles: byMaker[w]})
+	}
+}
+
+// fail gives a task up.
+func (p *Pool) fail(t *task, reason string, again time.Duration) {
+	p.counters.Failed++
+	p.end(t)
+	p.emit(Fail{Task: t.id, Reason: reason, Again: again})
+}
+
+func (p *Pool) emit(a Action) { p.out = append(p.out, a) }
+
+func (p *Pool) take() []Action {
+	out := p.out
+	p.out = nil
+	return out
+}
--- /dev/null
+++ b/internal/core/stagepool/task.go
@@ -0,0 +1,202 @@
+package stagepool
+
+import "time"
+
+// TaskID names a task in its pool.
+type TaskID uint64
+
+// CallID names a call to an endpoint.
+type CallID uint64
+
+// Stage is one stage of a task.
+type Stage struct {
+	Service string
+	// After lists the stages whose results this one needs.
+	After []int
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int64
+	// Pieces is the number of pieces; 0 leaves the stage out.
+	Pieces int
+}
+
+// Task is the stages of one request.
+type Task struct {
+	RequestID string
+	// Key is what the first stages work on.
+	Key    string
+	Stages []Stage
+	// Aim is when the last result is wanted; a later one has little worth.
+	Aim time.Time
+	// Deadline is when results are of no use any more.
+	Deadline time.Time
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Domain is where big results are fetched to, or "".
+	Domain string
+}
+
+// Item is one piece in a call.
+type Item struct {
+	RequestID string
+	Stage     int
+	Piece     int
+	Left      time.Duration
+	// Key is set for stages that need no results, Inputs for the others.
+	Key    string
+	Inputs []string
+}
+
+// Reason is why an endpoint made no result of an item.
+type Reason int
+
+// The reasons.
+const (
+	// Made means that there is a result.
+	Made Reason = iota
+	// Late means that the time left was over at the call's turn.
+	Late
+	// Gone means that an input is gone.
+	Gone
+	// NoRoom means that the endpoint had no room for the result.
+	NoRoom
+	// Broken is any other failure.
+	Broken
+)
+
+// ItemResult is what became of one item.
+type ItemResult struct {
+	Handle string
+	Reason Reason
+}
+
+// Ending is how a call ended as a whole.
+type Ending int
+
+// The endings of a call.
+const (
+	// Answered calls have a result for each item.
+	Answered Ending = iota
+	// NotRun calls were declined by the endpoint.
+	NotRun
+	// WrongEndpoint calls met another endpoint at the address.
+	WrongEndpoint
+	// Lost calls ended without an answer.
+	Lost
+)
+
+// Outcome is the end of a call.
+type Outcome struct {
+	Ending Ending
+	Items  []ItemResult
+}
+
+// Action is something for the shell to do.
+type Action interface{ action() }
+
+// StartCall asks the shell to send a call and to answer with Pool.Done.
+type StartCall struct {
+	Call     CallID
+	Endpoint string
+	Address  string
+	Items    []Item
+	// Limit is when the shell gives the call up as lost.
+	Limit time.Duration
+}
+
+// Free asks the shell to give up results at their maker.
+type Free struct {
+	Endpoint string
+	Address  string
+	Handles  []string
+}
+
+// Complete tells that all results of a task's last stages are there.
+type Complete struct {
+	Task    TaskID
+	Handles []string
+	// Domains lists where the results lie.
+	Domain string
+}
+
+// Fail tells that a task is given up.
+type Fail struct {
+	Task   TaskID
+	Reason string
+	// Again is when asking anew may help.
+	Again time.Duration
+}
+
+func (StartCall) action() {}
+func (Free) action()      {}
+func (Complete) action()  {}
+func (Fail) action()      {}
+
+// Verdict answers a submitted task.
+type Verdict struct {
+	Accepted bool
+	ID       TaskID
+	// Finish is the predicted time until the results are there.
+	Finish time.Duration
+	// Again is the time after which a refused task may be submitted anew.
+	Again time.Duration
+}
+
+// state of a stage of a task.
+type stageState int
+
+const (
+	blocked stageState = iota
+	queued
+	running
+	finished
+)
+
+// result lies at its maker until it is freed.
+type result struct {
+	maker   *worker
+	handle  string
+	bytes   int64
+	expires time.Time
+}
+
+type stage struct {
+	Stage
+	state   stageState
+	results []*result
+	// waiting lists the pieces that are in no call.
+	waiting []int
+	// made counts the pieces that have a result.
+	made  int
+	tries int
+	freed bool
+}
+
+type task struct {
+	Task
+	id       TaskID
+	stages   []stage
+	restarts int
+	worked   bool // a call was sent for it
+	complete bool
+}
+
+// need is the shortest time that stage i and those after it still take.
+func (p *Pool) need(t *task, i int) time.Duration {
+	longest := time.Duration(0)
+	for j := i + 1; j < len(t.stages); j++ {
+		if t.stages[j].Pieces == 0 || !contains(t.stages[j].After, i) {
+			continue
+		}
+		longest = max(longest, p.need(t, j))
+	}
+	return longest + p.callTime(t.stages[i].Service, t.stages[i].Pieces)
+}
+
+func contains(list []int, x int) bool {
+	for _, v := range list {
+		if v == x {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/stagepool/worker.go
@@ -0,0 +1,183 @@
+package stagepool
+
+import (
+	"time"
+
+	"gradetiller.example/internal/core/catalog"
+)
+
+const (
+	// speedWeight is the weight of the newest call in a worker's speed.
+	speedWeight = 0.4
+	// slowFactor is how much slower than the fastest a worker is when it
+	// gets pieces only now and then.
+	slowFactor = 2.0
+	slowProbe  = 2 * time.Second
+	// firstAside and longestAside bound how long a failed worker rests.
+	firstAside   = 300 * time.Millisecond
+	longestAside = 3 * time.Second
+	// declinedRest is the rest after a call that the worker did not run.
+	declinedRest = 40 * time.Millisecond
+	// roomRest is the rest after a piece found no room.
+	roomRest = 150 * time.Millisecond
+	// roomShare of the configured room is used; sizes are approximate.
+	roomShare = 0.97
+)
+
+// worker is one endpoint of a stage service.
+type worker struct {
+	spec    catalog.Endpoint
+	service *service
+	calls   map[CallID]*call
+	results map[*result]struct{}
+	used    int64
+	// speed is the measured time of calls over the expected one.
+	speed    float64
+	measured time.Time
+	failures int
+	asideTo  time.Time
+	leaving  bool
+}
+
+func (w *worker) limit() int64 {
+	return int64(roomShare * float64(w.service.conf.Room))
+}
+
+func (w *worker) idle(now time.Time) bool {
+	return !w.leaving && len(w.calls) < w.service.conf.Slots && !now.Before(w.asideTo)
+}
+
+// usable reports whether the worker is fast enough, or due for a trial.
+func (w *worker) usable(now time.Time, best float64) bool {
+	return w.speed <= slowFactor*best || now.Sub(w.measured) > slowProbe
+}
+
+func (w *worker) took(now time.Time, actual, expected time.Duration) {
+	ratio := float64(actual) / float64(max(expected, time.Millisecond))
+	w.speed += speedWeight * (ratio - w.speed)
+	w.measured = now
+}
+
+// rest sets the worker aside after a failure, longer each time.
+func (w *worker) rest(now time.Time) {
+	w.failures++
+	d := firstAside << min(w.failures-1, 4)
+	w.asideTo = now.Add(min(d, longestAside))
+}
+
+func (w *worker) add(r *result) {
+	w.results[r] = struct{}{}
+	w.used += r.bytes
+}
+
+func (w *worker) drop(r *result) bool {
+	if _, ok := w.results[r]; !ok {
+		return false
+	}
+	delete(w.results, r)
+	w.used -= r.bytes
+	return true
+}
+
+// expire forgets results whose life is over.
+func (w *worker) expire(now time.Time) {
+	for r := range w.results {
+		if !r.expires.IsZero() && now.After(r.expires) {
+			w.drop(r)
+		}
+	}
+}
+
+// service is one stage service.
+type service struct {
+	name    string
+	conf    catalog.Batching
+	workers []*worker
+	queue   []*entry
+	// backlog counts the pieces that are in no call, by priority, those of
+	// stages that are not ready included.
+	backlog map[int]int
+}
+
+// entry is a stage of a task that waits for calls.
+type entry struct {
+	task  *task
+	stage int
+	// due orders the queue.
+	due  time.Time
+	late bool
+}
+
+// call is one call at work.
+type call struct {
+	id       CallID
+	worker   *worker
+	items    []itemRef
+	sent     time.Time
+	expected time.Duration
+	reserved int64
+	overdue  bool // its pieces were queued again
+}
+
+type itemRef struct {
+	task  *task
+	stage int
+	piece int
+	bytes int64
+	live  bool
+}
+
+// expected is the time that a call of n pieces takes at an average worker.
+func (s *service) expected(n int) time.Duration {
+	return s.conf.CallTime + time.Duration(n)*s.conf.ItemTime
+}
+
+// best is the speed of the fastest worker that can be used.
+func (s *service) best() float64 {
+	best := 0.0
+	for _, w := range s.workers {
+		if w.leaving {
+			continue
+		}
+		if best == 0 || w.speed < best {
+			best = w.speed
+		}
+	}
+	if best == 0 {
+		return 1
+	}
+	return best
+}
+
+// rate is how many pieces a second the service makes in full batches.
+func (s *service) rate(now time.Time) float64 {
+	sum := 0.0
+	for _, w := range s.workers {
+		if w.leaving || now.Before(w.asideTo) {
+			continue
+		}
+		sum += float64(s.conf.Batch) / (w.speed * s.expected(s.conf.Batch).Seconds())
+	}
+	return sum
+}
+
+// free is the time until the first worker can take a call.
+func (s *service) free(now time.Time) time.Duration {
+	first := time.Duration(-1)
+	for _, w := range s.workers {
+		if w.leaving {
+			continue
+		}
+		wait := max(w.asideTo.Sub(now), 0)
+		if len(w.calls) >= s.conf.Slots {
+			for _, c := range w.calls {
+				left := time.Duration(w.speed*float64(c.expected)) - now.Sub(c.sent)
+				wait = max(wait, left, 20*time.Millisecond)
+			}
+		}
+		if first < 0 || wait < first {
+			first = wait
+		}
+	}
+	return max(first, 0)
+}
