platform, internal/node, cmd/gradetiller-node: the whole path on the users' platform, thin

Change: one process a machine serves clients, look-ups and peers; platform/ translates names, formats and calls.

--- /dev/null
+++ b/cmd/gradetiller-node/cmd/main.go
@@ -0,0 +1,68 @@
+// Package cmd holds the settings and the start of gradetiller-node.
+package cmd
+
+import (
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/logging"
+	"gradetiller.example/internal/node"
+	"gradetiller.example/internal/settings"
+	"gradetiller.example/platform"
+)
+
+const (
+	name = "gradetiller-node"
+	help = "Carries one machine's whole part of the system on the users' platform. Its settings file is named by GRADETILLER_SETTINGS."
+	// memoryShare is the part of the machine's memory from which on memory is
+	// collected more often.
+	memoryShare = 0.6
+	ownMemory   = 200
+)
+
+type cli struct {
+	Check    bool   `help:"Check the settings file and exit."`
+	LogLevel string `help:"debug, info, warn or error." default:"info"`
+}
+
+// Main runs the program.
+func Main() {
+	var c cli
+	settings.Run(&c, name, help, func() error { return c.run() })
+}
+
+func (c *cli) run() error {
+	s, err := platform.LoadSettings(platform.SettingsPath())
+	if err != nil || c.Check {
+		return err
+	}
+	log, flush, err := logging.NewTo(os.Stdout, c.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	debug.SetGCPercent(ownMemory)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	go reload(log)
+	stop, _ := settings.Signals()
+	return node.New(s, node.WithLog(log)).Run(stop)
+}
+
+// reload checks the settings file again at each SIGHUP. Addresses and names
+// stay those of the start; the file is checked so that a mistake is told when
+// it is made, not at the next start.
+func reload(log *zap.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for range hangups {
+		if _, err := platform.LoadSettings(platform.SettingsPath()); err != nil {
+			log.Error("settings refused", zap.Error(err))
+			continue
+		}
+		log.Info("settings read again")
+	}
+}
--- /dev/null
+++ b/internal/node/front.go
@@ -0,0 +1,273 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/place"
+	"gradetiller.example/platform"
+)
+
+const (
+	// againSoon is told to clients when no endpoint can take a request now.
+	againSoon = 300 * time.Millisecond
+	// defaultLeft is taken for clients that do not say how long they wait.
+	defaultLeft = 30 * time.Second
+	// maxBody bounds a request's body when the configuration does not.
+	maxBody = 8 << 20
+	// mostSends bounds the attempts that reached no endpoint.
+	mostSends = 4
+)
+
+// request is a client's request on its way.
+type request struct {
+	in       platform.Ingress
+	route    *catalog.Route
+	view     *view
+	service  string
+	tenant   string
+	priority int
+	arrived  time.Time
+	deadline time.Time
+	body     []byte
+	source   *http.Request
+	sent     int
+	ran      bool
+	worker   string
+	outcome  string
+}
+
+// serveFront takes a client's request.
+func (n *Node) serveFront(w http.ResponseWriter, r *http.Request) {
+	q := &request{in: platform.ParseIngress(r), view: n.view.Load(), arrived: time.Now(), source: r}
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	if n.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if status := n.accept(w, q); status != 0 {
+		if status == http.StatusServiceUnavailable {
+			n.refuse(w, q, status, "not ready", againSoon)
+			return
+		}
+		n.refuse(w, q, status, "not allowed", 0)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	if q.route.Kind == catalog.Streaming {
+		n.serveStream(ctx, w, q)
+		return
+	}
+	n.servePlain(ctx, w, q)
+}
+
+// accept checks a request against the configuration and reads its body. It
+// returns a status when the request ends here.
+func (n *Node) accept(w http.ResponseWriter, q *request) int {
+	if q.view.config == nil {
+		return http.StatusServiceUnavailable
+	}
+	cfg := q.view.config
+	q.route = cfg.Match(q.in.Host, q.in.Path)
+	if q.route == nil {
+		return http.StatusNotFound
+	}
+	tenant := cfg.Tenant(q.in.Key)
+	if tenant == nil && !q.route.Public && len(cfg.Tenants) > 0 {
+		return http.StatusUnauthorized
+	}
+	q.priority = q.route.Priority
+	if tenant != nil {
+		q.tenant = tenant.Name
+		if tenant.HasPriority {
+			q.priority = tenant.Priority
+		}
+	}
+	if q.in.RequestID == "" {
+		return http.StatusBadRequest
+	}
+	left := q.in.Left
+	if left <= 0 {
+		left = defaultLeft
+	}
+	if q.route.Timeout > 0 {
+		left = min(left, q.route.Timeout)
+	}
+	q.deadline = q.arrived.Add(left)
+	q.service = q.route.Choose(hash.Of(q.in.RequestID))
+	limit := cfg.Limits.BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.source.Body, limit))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return http.StatusRequestEntityTooLarge
+		}
+		return http.StatusBadRequest
+	}
+	q.body = body
+	return 0
+}
+
+// refuse answers a request that the system ends itself.
+func (n *Node) refuse(w http.ResponseWriter, q *request, status int, reason string, again time.Duration) {
+	q.outcome = reason
+	platform.WriteRefusal(w, q.in.RequestID, status, again)
+	n.logRequest(q, status)
+}
+
+func (n *Node) logRequest(q *request, status int) {
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	version := uint64(0)
+	if q.view.config != nil {
+		version = q.view.config.Version
+	}
+	n.log.Info("request", zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
+		zap.String("outcome", q.outcome), zap.String("endpoint", q.worker), zap.Int("sent", q.sent),
+		zap.Uint64("config", version), zap.Duration("took", time.Since(q.arrived)))
+}
+
+// outbound is the request as it goes to an endpoint.
+func (q *request) outbound(e catalog.Endpoint, now time.Time) platform.Outbound {
+	return platform.Outbound{
+		Endpoint: e, Method: q.source.Method, Host: q.source.Host, Target: q.in.Target, Header: q.source.Header,
+		Body: q.body, Tenant: q.tenant, Left: q.deadline.Sub(now), Priority: q.priority, Once: !q.route.Repeatable(),
+	}
+}
+
+// servePlain takes a request to an endpoint of a plain service.
+func (n *Node) servePlain(ctx context.Context, w http.ResponseWriter, q *request) {
+	n.budget.Fresh(q.arrived, q.service, 1)
+	exclude := ""
+	for range mostSends {
+		c, ok := n.pools.choose(time.Now(), q.service, 0, exclude)
+		if !ok {
+			n.endNotRun(w, q, "no endpoint")
+			return
+		}
+		exclude = c.endpoint.ID
+		a, body, event := n.tryPlain(ctx, q, c)
+		next := n.next(q, event, a)
+		switch next {
+		case attempt.Again:
+			continue
+		case attempt.Deliver:
+			n.deliver(w, q, a, body)
+		case attempt.AnswerNotRun:
+			n.endNotRun(w, q, "endpoints declined")
+		default:
+			n.endUnknown(ctx, w, q, "no answer")
+		}
+		return
+	}
+	n.endNotRun(w, q, "no endpoint reached")
+}
+
+// next decides about an ended attempt, within the budget of repeats.
+func (n *Node) next(q *request, event attempt.Event, a *platform.Answer) attempt.Next {
+	ended := attempt.Ended{Event: event, Repeatable: q.route.Repeatable(), Sent: q.sent, Most: q.route.MaxAttempts, MayHaveRun: q.ran}
+	if a != nil {
+		ended.ServerError = a.Status >= http.StatusInternalServerError
+	}
+	if event != attempt.RefuseUnsent && event != attempt.RefuseByEndpoint {
+		q.ran = true
+	}
+	next := attempt.Decide(ended)
+	if next != attempt.Again || event == attempt.RefuseUnsent {
+		return next
+	}
+	if time.Until(q.deadline) > 0 && n.budget.Take(time.Now(), q.service, 1) {
+		return next
+	}
+	ended.Most = ended.Sent
+	return attempt.Decide(ended)
+}
+
+// tryPlain sends one attempt and reads its whole answer.
+func (n *Node) tryPlain(ctx context.Context, q *request, c *placed) (*platform.Answer, []byte, attempt.Event) {
+	q.worker = c.endpoint.ID
+	a, err := n.workers.Send(ctx, q.outbound(c.endpoint, time.Now()))
+	if err != nil {
+		return nil, nil, n.faulted(ctx, q, c, err)
+	}
+	defer a.Body.Close()
+	event := a.Event
+	if !a.Elsewhere {
+		q.sent++
+	}
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		n.log.Info("answer broke", zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Error(err))
+		if event != attempt.RefuseByEndpoint {
+			event = attempt.Lose
+		}
+	}
+	if event == attempt.FirstByte {
+		event = attempt.Complete
+	}
+	now := time.Now()
+	c.end(now, place.Result{OK: event == attempt.Complete, Neutral: event == attempt.Fail && a.Status < 500, Load: load(a, now)})
+	return a, body, event
+}
+
+func load(a *platform.Answer, now time.Time) place.Load {
+	if !a.HasBusy {
+		return place.Load{}
+	}
+	return place.Load{Busy: a.Busy, At: now}
+}
+
+// faulted counts an attempt that has no answer.
+func (n *Node) faulted(ctx context.Context, q *request, c *placed, err error) attempt.Event {
+	var fault *platform.Fault
+	sent := errors.As(err, &fault) && fault.Sent
+	c.end(time.Now(), place.Result{Neutral: ctx.Err() != nil && time.Until(q.deadline) > 0})
+	n.log.Info("attempt failed", zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Bool("sent", sent), zap.Error(err))
+	if !sent {
+		return attempt.RefuseUnsent
+	}
+	q.sent++
+	return attempt.Lose
+}
+
+// deliver passes a whole answer on.
+func (n *Node) deliver(w http.ResponseWriter, q *request, a *platform.Answer, body []byte) {
+	q.outcome = "delivered"
+	platform.CopyAnswer(w, a.Header)
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(body)
+	n.logRequest(q, a.Status)
+}
+
+// endNotRun tells the client that its request has not run, and when to come
+// back.
+func (n *Node) endNotRun(w http.ResponseWriter, q *request, reason string) {
+	if q.ran {
+		n.refuse(w, q, http.StatusBadGateway, reason, 0)
+		return
+	}
+	n.refuse(w, q, http.StatusServiceUnavailable, reason, againSoon)
+}
+
+// endUnknown tells the client that its request failed, and promises nothing.
+func (n *Node) endUnknown(ctx context.Context, w http.ResponseWriter, q *request, reason string) {
+	status := http.StatusBadGateway
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	n.refuse(w, q, status, reason, 0)
+}
--- /dev/null
+++ b/internal/node/jobs.go
@@ -0,0 +1,239 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/wire"
+)
+
+const (
+	// verdictTimeout is how long a leader may take to answer a submission.
+	verdictTimeout = 250 * time.Millisecond
+	// lateFactor and lateMargin tell when results are asked for elsewhere.
+	lateFactor = 2.0
+	lateMargin = 900 * time.Millisecond
+	mostJobs   = 3
+)
+
+// refusal is a request that was not taken, and when to come back.
+type refusal struct {
+	reason string
+	again  time.Duration
+}
+
+// Error implements error.
+func (r *refusal) Error() string { return r.reason }
+
+var errLeaderLost = errors.New("the leader of the stage pool does not answer")
+
+// jobs are the submissions of this node to leaders.
+type jobs struct {
+	mu       sync.Mutex
+	last     uint64
+	open     map[uint64]*job
+	suspects map[string]time.Time
+}
+
+// job is one submission.
+type job struct {
+	id       uint64
+	address  string
+	verdicts chan *wire.StagesVerdict
+	dones    chan *wire.StagesDone
+	broken   chan struct{}
+}
+
+func newJobs() *jobs {
+	return &jobs{open: make(map[uint64]*job), suspects: make(map[string]time.Time)}
+}
+
+func (j *jobs) add(address string) *job {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.last++
+	b := &job{
+		id: j.last, address: address, verdicts: make(chan *wire.StagesVerdict, 1),
+		dones: make(chan *wire.StagesDone, 1), broken: make(chan struct{}, 1),
+	}
+	j.open[b.id] = b
+	return b
+}
+
+func (j *jobs) remove(b *job) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.open, b.id)
+}
+
+func (j *jobs) find(id uint64) *job {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.open[id]
+}
+
+func (j *jobs) verdict(m *wire.StagesVerdict) {
+	if b := j.find(m.ID); b != nil {
+		offer(b.verdicts, m)
+	}
+}
+
+func (j *jobs) done(m *wire.StagesDone) {
+	if b := j.find(m.ID); b != nil {
+		offer(b.dones, m)
+	}
+}
+
+// lost tells all jobs at an address that their leader may be gone.
+func (j *jobs) lost(address string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, b := range j.open {
+		if b.address == address {
+			offer(b.broken, struct{}{})
+		}
+	}
+}
+
+func offer[T any](c chan T, v T) {
+	select {
+	case c <- v:
+	default:
+	}
+}
+
+// suspect keeps a node from leading for a while.
+func (j *jobs) suspect(now time.Time, address string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.suspects[address] = now.Add(suspectFor)
+}
+
+func (j *jobs) suspected(now time.Time, address string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return now.Before(j.suspects[address])
+}
+
+// stageWork is a request's stages, in absolute times.
+type stageWork struct {
+	submit   wire.StagesSubmit
+	aim      time.Time
+	deadline time.Time
+}
+
+// stageResults are the results of a request's last stages.
+type stageResults struct {
+	handles []string
+	// release gives them up; it may be called more than once.
+	release func()
+}
+
+// runStages has a request's stages run by a leader. An error is a *refusal
+// when the request was not taken, or the context's.
+func (n *Node) runStages(ctx context.Context, w stageWork) (stageResults, error) {
+	w.submit.Cell = int(hash.Of(w.submit.RequestID) % uint64(n.view.Load().cellCount()))
+	var err error
+	for range mostJobs {
+		rank := n.leaderRank(time.Now(), w.submit.Cell)
+		if len(rank) == 0 {
+			return stageResults{}, &refusal{"no node leads the stage pool", time.Second}
+		}
+		var results stageResults
+		results, err = n.tryLeader(ctx, rank[0], w)
+		if !errors.Is(err, errLeaderLost) {
+			return results, err
+		}
+		n.log.Warn("leader lost", zap.String("request", w.submit.RequestID), zap.String("leader", rank[0].Node))
+		if rank[0].Node != n.settings.Node {
+			n.jobs.suspect(time.Now(), rank[0].PeerAddress)
+		}
+	}
+	return stageResults{}, &refusal{"no leader of the stage pool answers", time.Second}
+}
+
+func (n *Node) tryLeader(ctx context.Context, to wire.Entry, w stageWork) (stageResults, error) {
+	b := n.jobs.add(to.PeerAddress)
+	now := time.Now()
+	w.submit.ID = b.id
+	w.submit.Aim = w.aim.Sub(now).Milliseconds()
+	w.submit.Deadline = w.deadline.Sub(now).Milliseconds()
+	n.toLeader(to, &w.submit)
+	var once sync.Once
+	release := func() {
+		once.Do(func() {
+			n.jobs.remove(b)
+			n.toLeader(to, &wire.StagesRelease{ID: b.id})
+		})
+	}
+	finish, done, err := b.await(ctx)
+	if err == nil && done == nil {
+		limit := time.Duration(lateFactor*float64(finish)) + lateMargin
+		done, err = b.awaitDone(ctx, min(limit, time.Until(w.deadline)))
+	}
+	if err != nil {
+		release()
+		return stageResults{}, err
+	}
+	if done.Failed != "" {
+		release()
+		return stageResults{}, &refusal{"stages: " + done.Failed, time.Duration(done.Again) * time.Millisecond}
+	}
+	return stageResults{handles: done.Handles, release: release}, nil
+}
+
+// await waits for the leader's verdict; a result that comes first counts too.
+func (b *job) await(ctx context.Context) (time.Duration, *wire.StagesDone, error) {
+	timer := time.NewTimer(verdictTimeout)
+	defer timer.Stop()
+	select {
+	case v := <-b.verdicts:
+		if !v.Accepted {
+			return 0, nil, &refusal{"stages would be late", time.Duration(v.Again) * time.Millisecond}
+		}
+		return time.Duration(v.Finish) * time.Millisecond, nil, nil
+	case d := <-b.dones:
+		return 0, d, nil
+	case <-b.broken:
+	case <-timer.C:
+	case <-ctx.Done():
+		return 0, nil, ctx.Err()
+	}
+	return 0, nil, errLeaderLost
+}
+
+func (b *job) awaitDone(ctx context.Context, limit time.Duration) (*wire.StagesDone, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case d := <-b.dones:
+		return d, nil
+	case <-b.broken:
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return nil, errLeaderLost
+}
+
+// toLeader hands a message to a leader, which may be this node.
+func (n *Node) toLeader(to wire.Entry, m wire.Message) {
+	if to.Node != n.settings.Node {
+		n.links.Send(to.PeerAddress, m)
+		return
+	}
+	n.receive(n.hello(), m, func(m wire.Message) error {
+		switch m := m.(type) {
+		case wire.StagesVerdict:
+			n.jobs.verdict(&m)
+		case wire.StagesDone:
+			n.jobs.done(&m)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/node/leaders.go
@@ -0,0 +1,273 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/stagepool"
+	"gradetiller.example/internal/wire"
+	"gradetiller.example/platform"
+)
+
+const (
+	// workersPerCell is how many stage workers one leader serves. More of
+	// them are split into cells with a leader each.
+	workersPerCell = 48
+	leaderTick     = 20 * time.Millisecond
+	freeTimeout    = 2 * time.Second
+)
+
+// ownerKey names a task by the node that submitted it.
+type ownerKey struct {
+	node        string
+	incarnation uint64
+	id          uint64
+}
+
+// owner is where the news of a task go.
+type owner struct {
+	key    ownerKey
+	answer func(wire.Message) error
+}
+
+// leaders holds the stage pools that this node leads.
+type leaders struct {
+	log     *zap.Logger
+	workers *platform.Workers
+	budget  func() stagepool.Budget
+	mu      sync.Mutex
+	view    *view
+	cells   map[int]*leader
+}
+
+// leader runs one cell's stage pool.
+type leader struct {
+	all    *leaders
+	cell   int
+	mu     sync.Mutex
+	pool   *stagepool.Pool
+	owners map[stagepool.TaskID]owner
+	tasks  map[ownerKey]stagepool.TaskID
+	// ticking tells whether the ticker runs; it does while there are tasks.
+	ticking bool
+}
+
+func newLeaders(log *zap.Logger, workers *platform.Workers, budget func() stagepool.Budget) *leaders {
+	return &leaders{log: log, workers: workers, budget: budget, cells: make(map[int]*leader)}
+}
+
+// cellCount is the number of cells for the endpoints of a view.
+func (v *view) cellCount() int {
+	n := 0
+	for _, e := range v.endpoints {
+		if s, ok := v.config.Services[e.Service]; ok && s.Batching != nil {
+			n++
+		}
+	}
+	return max(1, (n+workersPerCell-1)/workersPerCell)
+}
+
+// cellEndpoints deals the endpoints of each stage service to the cells.
+func (v *view) cellEndpoints(cell int) []catalog.Endpoint {
+	cells := v.cellCount()
+	sorted := slices.Clone(v.endpoints)
+	slices.SortFunc(sorted, func(a, b catalog.Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	var list []catalog.Endpoint
+	at := make(map[string]int)
+	for _, e := range sorted {
+		if s, ok := v.config.Services[e.Service]; !ok || s.Batching == nil {
+			continue
+		}
+		if at[e.Service]%cells == cell {
+			list = append(list, e)
+		}
+		at[e.Service]++
+	}
+	return list
+}
+
+func (l *leaders) update(now time.Time, v *view) {
+	l.mu.Lock()
+	l.view = v
+	cells := make([]*leader, 0, len(l.cells))
+	for _, c := range l.cells {
+		cells = append(cells, c)
+	}
+	l.mu.Unlock()
+	for _, c := range cells {
+		c.configure(now, v)
+	}
+}
+
+func (l *leaders) get(cell int) *leader {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.cells[cell]
+	if ok || l.view == nil {
+		return c
+	}
+	c = &leader{
+		all: l, cell: cell, pool: stagepool.New(stagepool.WithBudget(l.budget())),
+		owners: make(map[stagepool.TaskID]owner), tasks: make(map[ownerKey]stagepool.TaskID),
+	}
+	l.cells[cell] = c
+	c.configure(time.Now(), l.view)
+	return c
+}
+
+func (c *leader) configure(now time.Time, v *view) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carryOut(c.pool.Configure(now, v.config.Services, v.cellEndpoints(c.cell)))
+}
+
+// submit takes a request's stages.
+func (l *leaders) submit(o owner, m *wire.StagesSubmit) {
+	c := l.get(m.Cell)
+	if c == nil {
+		_ = o.answer(wire.StagesVerdict{ID: m.ID, Again: time.Second.Milliseconds()})
+		return
+	}
+	now := time.Now()
+	t := stagepool.Task{
+		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: m.Domain,
+		Aim:      now.Add(time.Duration(m.Aim) * time.Millisecond),
+		Deadline: now.Add(time.Duration(m.Deadline) * time.Millisecond),
+	}
+	for _, s := range m.Stages {
+		t.Stages = append(t.Stages, stagepool.Stage(s))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	verdict, actions := c.pool.Submit(now, t)
+	if verdict.Accepted {
+		c.owners[verdict.ID] = o
+		c.tasks[o.key] = verdict.ID
+		c.tick()
+	}
+	_ = o.answer(wire.StagesVerdict{ID: m.ID, Accepted: verdict.Accepted, Finish: verdict.Finish.Milliseconds(), Again: verdict.Again.Milliseconds()})
+	c.carryOut(actions)
+}
+
+// release ends a task for its owner.
+func (l *leaders) release(key ownerKey) {
+	l.mu.Lock()
+	cells := make([]*leader, 0, len(l.cells))
+	for _, c := range l.cells {
+		cells = append(cells, c)
+	}
+	l.mu.Unlock()
+	for _, c := range cells {
+		c.mu.Lock()
+		if id, ok := c.tasks[key]; ok {
+			c.forget(id)
+			c.carryOut(c.pool.Release(time.Now(), id))
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *leader) forget(id stagepool.TaskID) {
+	delete(c.tasks, c.owners[id].key)
+	delete(c.owners, id)
+}
+
+// tick runs the ticker while there are tasks; the lock is held.
+func (c *leader) tick() {
+	if c.ticking {
+		return
+	}
+	c.ticking = true
+	time.AfterFunc(leaderTick, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.ticking = false
+		c.carryOut(c.pool.Tick(time.Now()))
+		if c.pool.Tasks() > 0 {
+			c.tick()
+		}
+	})
+}
+
+// carryOut does what the pool asks for; the lock is held, and nothing here
+// blocks.
+func (c *leader) carryOut(actions []stagepool.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case stagepool.StartCall:
+			go c.call(a)
+		case stagepool.Free:
+			go c.free(a)
+		case stagepool.Complete:
+			c.tell(a.Task, wire.StagesDone{Handles: a.Handles, Domain: a.Domain})
+		case stagepool.Fail:
+			c.tell(a.Task, wire.StagesDone{Failed: a.Reason, Again: a.Again.Milliseconds()})
+			c.forget(a.Task)
+		}
+	}
+}
+
+func (c *leader) tell(id stagepool.TaskID, m wire.StagesDone) {
+	o, ok := c.owners[id]
+	if !ok {
+		return
+	}
+	m.ID = o.key.id
+	go func() { _ = o.answer(m) }()
+}
+
+func (c *leader) call(a stagepool.StartCall) {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Limit)
+	defer cancel()
+	started := time.Now()
+	outcome, err := c.all.workers.RunStages(ctx, a)
+	fields := []zap.Field{
+		zap.String("endpoint", a.Endpoint), zap.Int("pieces", len(a.Items)),
+		zap.Int("ending", int(outcome.Ending)), zap.Duration("took", time.Since(started)),
+	}
+	if err != nil {
+		c.all.log.Warn("stage call lost", append(fields, zap.Error(err))...)
+	} else {
+		c.all.log.Debug("stage call", fields...)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carryOut(c.pool.Done(time.Now(), a.Call, outcome))
+}
+
+func (c *leader) free(a stagepool.Free) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := c.all.workers.FreeResults(ctx, a); err != nil {
+		c.all.log.Debug("results not freed", zap.String("endpoint", a.Endpoint), zap.Error(err))
+	}
+}
+
+// lockedBudget makes a window budget safe for concurrent use.
+type lockedBudget struct {
+	mu     sync.Mutex
+	budget *attempt.WindowBudget
+}
+
+// Fresh implements stagepool.Budget.
+func (b *lockedBudget) Fresh(now time.Time, service string, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Fresh(now, service, n)
+}
+
+// Take implements stagepool.Budget.
+func (b *lockedBudget) Take(now time.Time, service string, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Take(now, service, n)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/member"
+	"gradetiller.example/internal/core/stagepool"
+	"gradetiller.example/internal/peer"
+	"gradetiller.example/internal/settings"
+	"gradetiller.example/internal/wire"
+	"gradetiller.example/platform"
+)
+
+const (
+	// answerLife is how long a look-up answer may be held.
+	answerLife = 2 * time.Second
+	// mostAddresses bounds the addresses of a look-up answer.
+	mostAddresses = 64
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 40 * time.Second
+	maxHeader     = 64 << 10
+	// slackShare is the part of the fixed allowance of repeats that the
+	// nodes together use.
+	slackShare = 0.5
+	// ratioShare is the part of the allowed ratio of repeats that a node
+	// uses.
+	ratioShare = 0.75
+)
+
+// Node is the state of the process.
+type Node struct {
+	settings    platform.Settings
+	incarnation uint64
+	log         *zap.Logger
+	store       *platform.Store
+	workers     *platform.Workers
+	pools       *pools
+	leaders     *leaders
+	jobs        *jobs
+	links       *peer.Links
+	budget      *lockedBudget
+	stageBudget *lockedBudget
+
+	viewMu sync.Mutex
+	view   atomic.Pointer[view]
+
+	membersMu sync.Mutex
+	members   *member.Node
+	entries   atomic.Pointer[[]wire.Entry]
+	liveNodes atomic.Int64
+	// askedView and asked belong to the goroutine that beats.
+	askedView time.Time
+	asked     int
+
+	storeLost atomic.Bool
+	draining  atomic.Bool
+	inFlight  atomic.Int64
+}
+
+// Option changes a new node.
+type Option func(*Node)
+
+// WithLog sets the log.
+func WithLog(log *zap.Logger) Option { return func(n *Node) { n.log = log } }
+
+// New returns a node that serves nothing until Run.
+func New(s platform.Settings, options ...Option) *Node {
+	n := &Node{settings: s, incarnation: settings.Incarnation(), log: zap.NewNop(), jobs: newJobs()}
+	for _, o := range options {
+		o(n)
+	}
+	n.store = platform.NewStore(s.StoreAddress)
+	n.workers = platform.NewWorkers()
+	n.pools = newPools(hash.Of(s.Node))
+	n.budget = n.newBudget()
+	n.stageBudget = n.newBudget()
+	n.leaders = newLeaders(n.log, n.workers, func() stagepool.Budget { return n.stageBudget })
+	n.view.Store(&view{})
+	n.members = member.New(wire.Member{
+		Node: s.Node, Incarnation: n.incarnation, Address: s.PeerAddress, Domain: s.Domain, Region: s.Region,
+		Entries: []wire.Entry{n.entry(false)},
+	}, hash.Of(s.Node))
+	entries := n.members.Entries()
+	n.entries.Store(&entries)
+	n.links = peer.NewLinks(n.hello(), &peer.Security{}, func(m wire.Message, answer peer.Answer) {
+		n.receive(n.hello(), m, answer)
+	}, n.peerLost)
+	return n
+}
+
+func (n *Node) newBudget() *lockedBudget {
+	return &lockedBudget{budget: attempt.NewWindowBudget(ratioShare*n.settings.RetryRatio, 1, n.settings.RetryWindow)}
+}
+
+// shareBudgets divides the fixed allowance of repeats by the live nodes.
+func (n *Node) shareBudgets(live int) {
+	allowance := max(1, slackShare*n.settings.RetrySlack/float64(max(live, 2)))
+	for _, b := range []*lockedBudget{n.budget, n.stageBudget} {
+		b.mu.Lock()
+		b.budget.SetAllowance(allowance)
+		b.mu.Unlock()
+	}
+}
+
+func (n *Node) entry(leaving bool) wire.Entry {
+	s := n.settings
+	return wire.Entry{
+		Node: s.Node, Incarnation: n.incarnation, Address: s.FrontAddress, PeerAddress: s.PeerAddress,
+		Domain: s.Domain, Region: s.Region, Leaving: leaving,
+	}
+}
+
+// Run serves until ctx ends, then stops as planned.
+func (n *Node) Run(ctx context.Context) error {
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	defer n.links.Close()
+	go n.runMembers(background)
+	go n.watchConfig(background)
+	go n.watchEndpoints(background)
+	n.log.Info("started", zap.String("node", n.settings.Node), zap.String("front", n.settings.FrontAddress))
+	<-ctx.Done()
+	n.drain(servers)
+	return nil
+}
+
+// listen opens all listeners and serves them.
+func (n *Node) listen() ([]*http.Server, error) {
+	peers, err := net.Listen("tcp", n.settings.PeerAddress)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	server := peer.NewServer(peers, n.hello(), &peer.Security{}, []wire.Role{wire.RoleNode}, n.servePeer, func(err error) {
+		n.log.Info("peer refused", zap.Error(err))
+	})
+	go func() { _ = server.Serve(context.Background()) }()
+	ready := http.NewServeMux()
+	ready.HandleFunc(platform.ReadyPath, n.serveReady)
+	lookup := http.NewServeMux()
+	lookup.HandleFunc(platform.LookupPath, n.serveLookup)
+	var servers []*http.Server
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.ReadyAddress, ready},
+		{n.settings.DirectoryAddress, lookup},
+		{n.settings.FrontAddress, http.HandlerFunc(n.serveFront)},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		s := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+		servers = append(servers, s)
+		go func() { _ = s.Serve(listener) }()
+	}
+	return servers, nil
+}
+
+// isReady reports whether the node can serve: it knows a configuration and
+// the endpoints, and is not leaving.
+func (n *Node) isReady() bool {
+	v := n.view.Load()
+	return v.config != nil && v.revision > 0 && !n.draining.Load()
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveLookup tells a client which nodes to use: those of its own failure
+// domain first, at most mostAddresses.
+func (n *Node) serveLookup(w http.ResponseWriter, r *http.Request) {
+	q := platform.ParseLookup(r)
+	var near, far []string
+	for _, e := range *n.entries.Load() {
+		switch {
+		case e.Leaving:
+		case e.Domain == q.Domain:
+			near = append(near, e.Address)
+		default:
+			far = append(far, e.Address)
+		}
+	}
+	list := append(near, far...)
+	if len(list) > mostAddresses {
+		list = list[:mostAddresses]
+	}
+	slices.Sort(list)
+	platform.WriteLookup(w, list, min(answerLife, n.settings.AnswerLife))
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/member"
+	"gradetiller.example/internal/peer"
+	"gradetiller.example/internal/wire"
+)
+
+const (
+	// silentPeer closes an incoming connection from which nothing comes.
+	silentPeer = 40 * time.Second
+	// viewAge is the age of the list of endpoints from which on peers are
+	// asked for theirs.
+	viewAge    = 1300 * time.Millisecond
+	askViewGap = 300 * time.Millisecond
+	// suspectFor is how long a node that did not answer leads nothing.
+	suspectFor = 2 * time.Second
+)
+
+// system names the system towards peers.
+const system = "gradetiller"
+
+func (n *Node) hello() wire.Hello {
+	return wire.Hello{Version: wire.Version, System: system, Role: wire.RoleNode, Node: n.settings.Node, Incarnation: n.incarnation}
+}
+
+// runMembers beats until ctx ends.
+func (n *Node) runMembers(ctx context.Context) {
+	ticker := time.NewTicker(member.FlushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.beat(now)
+		}
+	}
+}
+
+func (n *Node) beat(now time.Time) {
+	n.membersMu.Lock()
+	n.members.SetSeeds(n.strangers())
+	sends := n.members.Tick(now)
+	ahead, version := n.members.HigherConfig()
+	address := n.members.Address(ahead)
+	changed := n.members.Changed()
+	entries := n.members.Entries()
+	n.membersMu.Unlock()
+	n.sendGossip(sends)
+	if changed {
+		n.takeEntries(entries)
+	}
+	n.askForView(now, address, version)
+}
+
+// strangers lists the seeds that are no known live member; the lock is held.
+func (n *Node) strangers() []member.Seed {
+	var list []member.Seed
+	for _, address := range n.settings.Seeds {
+		if address != n.settings.PeerAddress && !n.members.LiveAt(address) {
+			list = append(list, member.Seed{Node: address, Address: address})
+		}
+	}
+	return list
+}
+
+func (n *Node) sendGossip(sends []member.Send) {
+	for _, s := range sends {
+		n.links.Send(s.Address, s.Gossip)
+	}
+}
+
+// takeEntries keeps the list of live nodes for look-ups and leaders.
+func (n *Node) takeEntries(entries []wire.Entry) {
+	n.entries.Store(&entries)
+	live := 0
+	for _, e := range entries {
+		if !e.Leaving {
+			live++
+		}
+	}
+	if n.liveNodes.Swap(int64(live)) != int64(live) {
+		n.log.Info("members changed", zap.Int("live", live), zap.Int("listed", len(entries)))
+		n.shareBudgets(max(live, 1))
+	}
+}
+
+// askForView asks a peer that is ahead for its configuration, and any peer
+// for its list of endpoints when the store does not tell.
+func (n *Node) askForView(now time.Time, ahead string, version uint64) {
+	v := n.view.Load()
+	own := uint64(0)
+	if v.config != nil {
+		own = v.config.Version
+	}
+	behind := ahead != "" && version > own
+	old := now.Sub(v.readAt) > viewAge
+	if !behind && !old && own > 0 || now.Sub(n.askedView) < askViewGap {
+		return
+	}
+	if !behind {
+		ahead = n.anyPeer()
+	}
+	if ahead == "" {
+		return
+	}
+	n.askedView = now
+	n.links.Send(ahead, wire.ViewRequest{ConfigAbove: own, EndpointsAbove: v.revision})
+}
+
+// anyPeer returns the peer address of some live node, or of a seed.
+func (n *Node) anyPeer() string {
+	var list []string
+	for _, e := range *n.entries.Load() {
+		if e.Node != n.settings.Node {
+			list = append(list, e.PeerAddress)
+		}
+	}
+	if len(list) == 0 {
+		list = n.settings.Seeds
+	}
+	if len(list) == 0 {
+		return ""
+	}
+	n.asked++
+	return list[n.asked%len(list)]
+}
+
+// servePeer takes the messages of one connection.
+func (n *Node) servePeer(c *peer.Conn) {
+	answer, stop := peer.Answers(c)
+	defer stop()
+	for {
+		c.SetReceiveTimeout(silentPeer)
+		m, err := c.Receive()
+		if err != nil {
+			return
+		}
+		n.receive(c.Hello(), m, answer)
+	}
+}
+
+// receive takes a message from another node.
+func (n *Node) receive(from wire.Hello, m wire.Message, answer peer.Answer) {
+	switch m := m.(type) {
+	case *wire.Gossip:
+		n.membersMu.Lock()
+		sends := n.members.Receive(time.Now(), *m)
+		changed := n.members.Changed()
+		entries := n.members.Entries()
+		n.membersMu.Unlock()
+		n.sendGossip(sends)
+		if changed {
+			n.takeEntries(entries)
+		}
+	case *wire.ViewRequest:
+		n.answerView(m, answer)
+	case *wire.View:
+		n.takeView(m)
+	case *wire.StagesSubmit:
+		n.leaders.submit(owner{key: ownerKey{from.Node, from.Incarnation, m.ID}, answer: answer}, m)
+	case *wire.StagesRelease:
+		n.leaders.release(ownerKey{from.Node, from.Incarnation, m.ID})
+	case *wire.StagesVerdict:
+		n.jobs.verdict(m)
+	case *wire.StagesDone:
+		n.jobs.done(m)
+	default:
+		n.log.Warn("message not expected", zap.String("node", from.Node))
+	}
+}
+
+// peerLost tells that a connection to a node broke or could not be opened.
+func (n *Node) peerLost(address string, err error) {
+	n.log.Info("peer lost", zap.String("address", address), zap.Error(err))
+	n.jobs.lost(address)
+}
+
+// leaderRank lists the nodes that may lead a cell, the first choice first.
+// All nodes with the same view agree on it without messages.
+func (n *Node) leaderRank(now time.Time, cell int) []wire.Entry {
+	var list []wire.Entry
+	for _, e := range *n.entries.Load() {
+		if !e.Leaving && !n.jobs.suspected(now, e.PeerAddress) {
+			list = append(list, e)
+		}
+	}
+	key := hash.Mix(uint64(cell) + 1)
+	slices.SortFunc(list, func(a, b wire.Entry) int {
+		x, y := hash.Pair(key, hash.Of(a.Node)), hash.Pair(key, hash.Of(b.Node))
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	return list
+}
--- /dev/null
+++ b/internal/node/stream.go
@@ -0,0 +1,269 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/wire"
+	"gradetiller.example/platform"
+)
+
+const (
+	// readRate and readBase predict the time to the first event from the
+	// prompt's size.
+	readRate = 45 // tokens a millisecond
+	readBase = 50 * time.Millisecond
+	// maxEvent bounds one event.
+	maxEvent = 1 << 20
+)
+
+var errEventTooLarge = errors.New("an event is larger than allowed")
+
+// stream is the passing on of a stream's events.
+type stream struct {
+	q       *request
+	w       http.ResponseWriter
+	flush   *http.ResponseController
+	started bool
+	last    string
+	results stageResults
+	events  int
+}
+
+// serveStream takes a request through its stages and passes its events on.
+func (n *Node) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
+	n.budget.Fresh(q.arrived, q.service, 1)
+	s := &stream{q: q, w: w, flush: http.NewResponseController(w)}
+	defer func() { s.release() }()
+	exclude := ""
+	for range mostSends {
+		if err := n.prepare(ctx, s, exclude); err != nil {
+			n.endUnprepared(ctx, s, err)
+			return
+		}
+		c, ok := n.pools.choose(time.Now(), q.service, q.prefix(), exclude)
+		if !ok {
+			n.endStream(ctx, s, attempt.AnswerNotRun, "no endpoint")
+			return
+		}
+		exclude = c.endpoint.ID
+		a, event := n.tryStream(ctx, s, c)
+		if event == attempt.Complete {
+			q.outcome = "delivered"
+			n.logRequest(q, http.StatusOK)
+			return
+		}
+		next := n.next(q, event, a)
+		if next == attempt.Again {
+			continue
+		}
+		n.endStream(ctx, s, next, "stream failed")
+		return
+	}
+	n.endStream(ctx, s, attempt.AnswerUnknown, "no endpoint reached")
+}
+
+func (s *stream) release() {
+	if s.results.release != nil {
+		s.results.release()
+	}
+	s.results = stageResults{}
+}
+
+// prefix is the part of the prompt that calls share: the last but one, since
+// the last belongs to the request itself.
+func (q *request) prefix() uint64 {
+	parts := q.in.Prefix
+	switch {
+	case len(parts) == 0:
+		return 0
+	case len(parts) == 1:
+		return parts[0].ID
+	}
+	return parts[len(parts)-2].ID
+}
+
+// prepare has the stages run unless their results are there.
+func (n *Node) prepare(ctx context.Context, s *stream, exclude string) error {
+	q := s.q
+	if s.results.handles != nil || len(q.route.Stages) == 0 {
+		return nil
+	}
+	work := stageWork{deadline: q.deadline, submit: wire.StagesSubmit{
+		RequestID: q.in.RequestID, Key: q.in.PieceKey, Priority: q.priority,
+		Domain: n.pools.domain(time.Now(), q.service, q.prefix()),
+	}}
+	read := readBase + time.Duration(q.in.PromptTokens)*time.Millisecond/readRate
+	work.aim = q.arrived.Add(q.route.Objective - read)
+	any := false
+	for i, st := range q.route.Stages {
+		out := wire.Stage{Service: st.Service, After: st.After, ResultBytes: st.ResultBytes}
+		if i < len(q.in.Pieces) {
+			out.Pieces = q.in.Pieces[i]
+		}
+		any = any || out.Pieces > 0
+		work.submit.Stages = append(work.submit.Stages, out)
+	}
+	if !any {
+		return nil
+	}
+	results, err := n.runStages(ctx, work)
+	if err != nil {
+		return err
+	}
+	s.results = results
+	return nil
+}
+
+// endUnprepared ends a request whose stages were not run.
+func (n *Node) endUnprepared(ctx context.Context, s *stream, err error) {
+	var refused *refusal
+	if errors.As(err, &refused) && !s.started && !s.q.ran {
+		n.refuse(s.w, s.q, http.StatusServiceUnavailable, refused.reason, max(refused.again, againSoon))
+		return
+	}
+	n.endStream(ctx, s, attempt.AnswerUnknown, err.Error())
+}
+
+// endStream ends a stream that is not complete. Once its head is out, only a
+// broken connection tells the client so.
+func (n *Node) endStream(ctx context.Context, s *stream, next attempt.Next, reason string) {
+	switch {
+	case s.started:
+		s.q.outcome = "broken: " + reason
+		n.logRequest(s.q, http.StatusOK)
+		s.release()
+		panic(http.ErrAbortHandler)
+	case next == attempt.AnswerNotRun:
+		n.endNotRun(s.w, s.q, reason)
+	default:
+		n.endUnknown(ctx, s.w, s.q, reason)
+	}
+}
+
+// tryStream sends one attempt and passes its events on.
+func (n *Node) tryStream(ctx context.Context, s *stream, c *placed) (*platform.Answer, attempt.Event) {
+	q := s.q
+	q.worker = c.endpoint.ID
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out := q.outbound(c.endpoint, time.Now())
+	out.Inputs = s.results.handles
+	out.LastEvent = s.last
+	a, err := n.workers.Send(ctx, out)
+	if err != nil {
+		return nil, n.faulted(ctx, q, c, err)
+	}
+	defer a.Body.Close()
+	if !a.Elsewhere {
+		q.sent++
+	}
+	if a.Event != attempt.FirstByte {
+		return a, n.declined(s, c, a)
+	}
+	err = s.pass(a)
+	now := time.Now()
+	c.end(now, place.Result{OK: err == nil, Neutral: ctx.Err() != nil, Load: load(a, now)})
+	if err != nil {
+		n.log.Info("stream broke", zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("events", s.events), zap.Error(err))
+		return a, attempt.Lose
+	}
+	return a, attempt.Complete
+}
+
+// declined handles an answer that is no stream. Results that are gone are
+// made again.
+func (n *Node) declined(s *stream, c *placed, a *platform.Answer) attempt.Event {
+	now := time.Now()
+	if a.Event == attempt.RefuseByEndpoint {
+		n.log.Info("endpoint declined", zap.String("id", s.q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("status", a.Status))
+		c.end(now, place.Result{Neutral: a.Status == http.StatusConflict, Load: load(a, now)})
+		if a.Status == http.StatusConflict {
+			s.release()
+		}
+		return a.Event
+	}
+	c.end(now, place.Result{Neutral: a.Status < 500, Load: load(a, now)})
+	if s.started {
+		return attempt.Lose
+	}
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return attempt.Lose
+	}
+	a.Body = io.NopCloser(bytes.NewReader(body))
+	return attempt.Fail
+}
+
+// pass passes whole events on until the stream ends.
+func (s *stream) pass(a *platform.Answer) error {
+	in := bufio.NewReader(a.Body)
+	var event []byte
+	for {
+		line, err := in.ReadBytes('\n')
+		event = append(event, line...)
+		switch {
+		case err == io.EOF && len(bytes.TrimSpace(event)) == 0:
+			s.head(a)
+			return nil
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		case len(event) > maxEvent:
+			return errEventTooLarge
+		case len(bytes.TrimRight(line, "\r\n")) > 0:
+			continue
+		}
+		if err := s.event(a, event); err != nil {
+			return err
+		}
+		event = event[:0]
+	}
+}
+
+// head sends the head of the first answer.
+func (s *stream) head(a *platform.Answer) {
+	if s.started {
+		return
+	}
+	s.started = true
+	platform.CopyAnswer(s.w, a.Header)
+	s.w.Header().Del("Content-Length")
+	s.w.WriteHeader(a.Status)
+	s.release()
+}
+
+// event passes one whole event on.
+func (s *stream) event(a *platform.Answer, event []byte) error {
+	s.head(a)
+	if id := eventID(event); id != "" {
+		s.last = id
+	}
+	s.events++
+	if _, err := s.w.Write(event); err != nil {
+		return err
+	}
+	return s.flush.Flush()
+}
+
+var idField = []byte("id:")
+
+// eventID returns the id of an event, or "".
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if after, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(after))
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/wire"
+	"gradetiller.example/platform"
+)
+
+// view is what a node believes of the configuration and the endpoints. It is
+// never changed after it was put in force.
+type view struct {
+	config     *catalog.Config
+	configData []byte
+	endpoints  []catalog.Endpoint
+	// revision orders lists of endpoints; readAt is when this node last knew
+	// that the list was current.
+	revision uint64
+	readAt   time.Time
+}
+
+// takeConfig puts a configuration in force if it is above the present one.
+func (n *Node) takeConfig(data []byte, source string) {
+	cfg, err := platform.ParseConfig(data)
+	if err != nil {
+		n.log.Error("configuration refused", zap.String("source", source), zap.Error(err))
+		return
+	}
+	n.viewMu.Lock()
+	old := n.view.Load()
+	if old.config != nil && cfg.Version <= old.config.Version {
+		n.viewMu.Unlock()
+		return
+	}
+	next := *old
+	next.config = cfg
+	next.configData = data
+	n.view.Store(&next)
+	n.viewMu.Unlock()
+	n.log.Info("configuration in force", zap.Uint64("version", cfg.Version), zap.String("source", source), zap.Int("routes", len(cfg.Routes)))
+	n.membersMu.Lock()
+	n.members.SetConfigVersion(cfg.Version)
+	n.membersMu.Unlock()
+	n.viewChanged()
+}
+
+// takeEndpoints puts a list of endpoints in force unless a later one is.
+func (n *Node) takeEndpoints(list []catalog.Endpoint, revision uint64, now time.Time) {
+	n.viewMu.Lock()
+	old := n.view.Load()
+	if revision < old.revision {
+		n.viewMu.Unlock()
+		return
+	}
+	next := *old
+	next.readAt = now
+	next.revision = revision
+	next.endpoints = list
+	changed := !sameEndpoints(old.endpoints, list)
+	if changed {
+		n.logEndpoints(old.endpoints, list)
+	}
+	n.view.Store(&next)
+	n.viewMu.Unlock()
+	if changed {
+		n.viewChanged()
+	}
+}
+
+func sameEndpoints(a, b []catalog.Endpoint) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) logEndpoints(before, after []catalog.Endpoint) {
+	known := make(map[string]catalog.Endpoint, len(before))
+	for _, e := range before {
+		known[e.ID] = e
+	}
+	for _, e := range after {
+		old, ok := known[e.ID]
+		delete(known, e.ID)
+		if !ok || old.Draining != e.Draining {
+			n.log.Info("endpoint listed", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Bool("draining", e.Draining))
+		}
+	}
+	for id, e := range known {
+		n.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", e.Service))
+	}
+}
+
+// viewChanged hands the view in force to the pools.
+func (n *Node) viewChanged() {
+	v := n.view.Load()
+	if v.config == nil {
+		return
+	}
+	n.pools.update(v)
+	n.leaders.update(time.Now(), v)
+}
+
+// answerView sends a peer what it lacks.
+func (n *Node) answerView(m *wire.ViewRequest, answer func(wire.Message) error) {
+	v := n.view.Load()
+	var out wire.View
+	if v.config != nil && v.config.Version > m.ConfigAbove {
+		out.ConfigVersion = v.config.Version
+		out.Config = v.configData
+	}
+	if v.revision > m.EndpointsAbove {
+		out.Revision = v.revision
+		for _, e := range v.endpoints {
+			out.Workers = append(out.Workers, wire.Worker(e))
+		}
+	}
+	if out.Config == nil && out.Revision == 0 {
+		return
+	}
+	_ = answer(out)
+}
+
+// takeView takes a peer's answer in.
+func (n *Node) takeView(m *wire.View) {
+	if len(m.Config) > 0 {
+		n.takeConfig(m.Config, "peer")
+	}
+	if m.Revision == 0 {
+		return
+	}
+	list := make([]catalog.Endpoint, 0, len(m.Workers))
+	for _, w := range m.Workers {
+		list = append(list, catalog.Endpoint(w))
+	}
+	n.takeEndpoints(list, m.Revision, time.Now())
+}
+
+// specs returns the endpoints of a service that take new work.
+func (v *view) specs(service catalog.Service) []place.Spec {
+	var specs []place.Spec
+	for _, e := range v.endpoints {
+		if e.Service != service.Name || e.Draining {
+			continue
+		}
+		specs = append(specs, place.Spec{Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: max(e.Slots, 1)})
+	}
+	return specs
+}
