internal/node: a leader at work is pinged, not given up when it is slow

Cause: a node took the leader of the stage pool for lost after twice the predicted time, and asked another. Ruled out: too little time at each call (0 calls were lost before the first wrongly lost leader), the store. Change: a submission is pinged every 400 ms; only silence, or an answer that the leader does not know it, gives the leader up. A piece whose inputs are freed begins its task anew without a vain call.

--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -110,6 +110,13 @@
 	if contains(st.waiting, ref.piece) {
 		return
 	}
+	for _, of := range st.After {
+		if ref.task.stages[of].freed {
+			// Its inputs are given up already.
+			p.restart(now, ref.task)
+			return
+		}
+	}
 	if counts {
 		st.tries++
 		p.counters.Again++
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -15,10 +15,11 @@
 const (
 	// verdictTimeout is how long a leader may take to answer a submission.
 	verdictTimeout = 250 * time.Millisecond
-	// lateFactor and lateMargin tell when results are asked for elsewhere.
-	lateFactor = 2.0
-	lateMargin = 900 * time.Millisecond
-	mostJobs   = 3
+	// pingGap is how often a leader is asked whether it is still at work. A
+	// leader that is slow is left to its work: a second one would compete with
+	// it for the same endpoints and make both slower.
+	pingGap  = 400 * time.Millisecond
+	mostJobs = 3
 )
 
 // refusal is a request that was not taken, and when to come back.
@@ -171,10 +172,9 @@
 			n.toLeader(to, &wire.StagesRelease{ID: b.id})
 		})
 	}
-	finish, done, err := b.await(ctx)
+	done, err := b.await(ctx)
 	if err == nil && done == nil {
-		limit := time.Duration(lateFactor*float64(finish)) + lateMargin
-		done, err = b.awaitDone(ctx, min(limit, time.Until(w.deadline)))
+		done, err = b.awaitDone(ctx, func() { n.toLeader(to, &wire.StagesPing{ID: b.id}) })
 	}
 	if err != nil {
 		release()
@@ -188,37 +188,54 @@
 }
 
 // await waits for the leader's verdict; a result that comes first counts too.
-func (b *job) await(ctx context.Context) (time.Duration, *wire.StagesDone, error) {
+func (b *job) await(ctx context.Context) (*wire.StagesDone, error) {
 	timer := time.NewTimer(verdictTimeout)
 	defer timer.Stop()
 	select {
 	case v := <-b.verdicts:
 		if !v.Accepted {
-			return 0, nil, &refusal{"stages would be late", time.Duration(v.Again) * time.Millisecond}
+			return nil, &refusal{"stages would be late", time.Duration(v.Again) * time.Millisecond}
 		}
-		return time.Duration(v.Finish) * time.Millisecond, nil, nil
+		return nil, nil
 	case d := <-b.dones:
-		return 0, d, nil
+		return d, nil
 	case <-b.broken:
 	case <-timer.C:
 	case <-ctx.Done():
-		return 0, nil, ctx.Err()
+		return nil, ctx.Err()
 	}
-	return 0, nil, errLeaderLost
+	return nil, errLeaderLost
 }
 
-func (b *job) awaitDone(ctx context.Context, limit time.Duration) (*wire.StagesDone, error) {
-	timer := time.NewTimer(limit)
+// awaitDone waits for the results as long as the leader answers that it works
+// on them.
+func (b *job) awaitDone(ctx context.Context, ping func()) (*wire.StagesDone, error) {
+	timer := time.NewTimer(pingGap)
 	defer timer.Stop()
-	select {
-	case d := <-b.dones:
-		return d, nil
-	case <-b.broken:
-	case <-timer.C:
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	asked := false
+	for {
+		select {
+		case d := <-b.dones:
+			return d, nil
+		case v := <-b.verdicts:
+			if !v.Accepted {
+				return nil, errLeaderLost
+			}
+			asked = false
+			timer.Reset(pingGap)
+		case <-timer.C:
+			if asked {
+				return nil, errLeaderLost
+			}
+			asked = true
+			ping()
+			timer.Reset(verdictTimeout)
+		case <-b.broken:
+			return nil, errLeaderLost
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
-	return nil, errLeaderLost
 }
 
 // toLeader hands a message to a leader, which may be this node.
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -49,7 +49,7 @@
 
 // leader runs one cell's stage pool.
 type leader struct {
-	all    *leaders
+	group  *leaders
 	cell   int
 	mu     sync.Mutex
 	pool   *stagepool.Pool
@@ -98,12 +98,8 @@
 func (l *leaders) update(now time.Time, v *view) {
 	l.mu.Lock()
 	l.view = v
-	cells := make([]*leader, 0, len(l.cells))
-	for _, c := range l.cells {
-		cells = append(cells, c)
-	}
 	l.mu.Unlock()
-	for _, c := range cells {
+	for _, c := range l.all() {
 		c.configure(now, v)
 	}
 }
@@ -116,7 +112,7 @@
 		return c
 	}
 	c = &leader{
-		all: l, cell: cell, pool: stagepool.New(stagepool.WithBudget(l.budget())),
+		group: l, cell: cell, pool: stagepool.New(stagepool.WithBudget(l.budget())),
 		owners: make(map[stagepool.TaskID]owner), tasks: make(map[ownerKey]stagepool.TaskID),
 	}
 	l.cells[cell] = c
@@ -158,15 +154,33 @@
 	c.carryOut(actions)
 }
 
-// release ends a task for its owner.
-func (l *leaders) release(key ownerKey) {
+// all lists the cells that this node leads or led.
+func (l *leaders) all() []*leader {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	cells := make([]*leader, 0, len(l.cells))
 	for _, c := range l.cells {
 		cells = append(cells, c)
 	}
-	l.mu.Unlock()
-	for _, c := range cells {
+	return cells
+}
+
+// knows reports whether a task of an owner is at work here.
+func (l *leaders) knows(key ownerKey) bool {
+	for _, c := range l.all() {
+		c.mu.Lock()
+		_, ok := c.tasks[key]
+		c.mu.Unlock()
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+// release ends a task for its owner.
+func (l *leaders) release(key ownerKey) {
+	for _, c := range l.all() {
 		c.mu.Lock()
 		if id, ok := c.tasks[key]; ok {
 			c.forget(id)
@@ -229,15 +243,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), a.Limit)
 	defer cancel()
 	started := time.Now()
-	outcome, err := c.all.workers.RunStages(ctx, a)
+	outcome, err := c.group.workers.RunStages(ctx, a)
 	fields := []zap.Field{
 		zap.String("endpoint", a.Endpoint), zap.Int("pieces", len(a.Items)),
 		zap.Int("ending", int(outcome.Ending)), zap.Duration("took", time.Since(started)),
 	}
 	if err != nil {
-		c.all.log.Warn("stage call lost", append(fields, zap.Error(err))...)
+		c.group.log.Warn("stage call lost", append(fields, zap.Error(err))...)
 	} else {
-		c.all.log.Debug("stage call", fields...)
+		c.group.log.Debug("stage call", fields...)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -247,8 +261,8 @@
 func (c *leader) free(a stagepool.Free) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	if err := c.all.workers.FreeResults(ctx, a); err != nil {
-		c.all.log.Debug("results not freed", zap.String("endpoint", a.Endpoint), zap.Error(err))
+	if err := c.group.workers.FreeResults(ctx, a); err != nil {
+		c.group.log.Debug("results not freed", zap.String("endpoint", a.Endpoint), zap.Error(err))
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -169,6 +169,9 @@
 		n.leaders.submit(owner{key: ownerKey{from.Node, from.Incarnation, m.ID}, answer: answer}, m)
 	case *wire.StagesRelease:
 		n.leaders.release(ownerKey{from.Node, from.Incarnation, m.ID})
+	case *wire.StagesPing:
+		known := n.leaders.knows(ownerKey{from.Node, from.Incarnation, m.ID})
+		_ = answer(wire.StagesVerdict{ID: m.ID, Accepted: known})
 	case *wire.StagesVerdict:
 		n.jobs.verdict(m)
 	case *wire.StagesDone:
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -25,6 +25,7 @@
 	kindStagesRelease
 	kindViewRequest
 	kindView
+	kindStagesPing
 )
 
 // Role says what a process is; the receiver allows messages by role.
@@ -233,6 +234,8 @@
 		return &ViewRequest{}
 	case kindView:
 		return &View{}
+	case kindStagesPing:
+		return &StagesPing{}
 	}
 	return nil
 }
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -47,6 +47,12 @@
 	ID uint64
 }
 
+// StagesPing asks whether the leader still works on a request. The answer is
+// a StagesVerdict, which is not accepted when the leader does not know it.
+type StagesPing struct {
+	ID uint64
+}
+
 // ViewRequest asks a peer for a configuration above a version and a list of
 // endpoints above a revision.
 type ViewRequest struct {
@@ -77,5 +83,6 @@
 func (StagesVerdict) kind() kind { return kindStagesVerdict }
 func (StagesDone) kind() kind    { return kindStagesDone }
 func (StagesRelease) kind() kind { return kindStagesRelease }
+func (StagesPing) kind() kind    { return kindStagesPing }
 func (ViewRequest) kind() kind   { return kindViewRequest }
 func (View) kind() kind          { return kindView }
