internal/core/stagepool: big transfers stay in their failure domain while the slack allows

Change: a stage waits for a worker in the domain of its inputs' makers, or of the model endpoint, until its slack is short.

--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -12,10 +12,16 @@
 	priorityStep = 250 * time.Millisecond
 	// workedStep is how much earlier a task is due that has used work.
 	workedStep = 300 * time.Millisecond
-	// bigResult is the size from which on the place of a result counts.
-	bigResult = 200_000
-	// elsewhere is the price of making a big result in another domain.
-	elsewhere = 1.25
+	// bigTransfer is the size in bytes from which on it counts whether a
+	// transfer crosses failure domains.
+	bigTransfer = 40_000
+	// crossSlack is the slack from which on a stage no longer waits for a
+	// worker of its home domain, and lateCross how long one waits that is late
+	// anyway.
+	crossSlack = 200 * time.Millisecond
+	lateCross  = 500 * time.Millisecond
+	// elsewhere is the price of work outside of the home domain.
+	elsewhere = 1.5
 	// lostFactor and lostMargin tell when a call is given up as lost.
 	lostFactor = 6
 	lostMargin = 1500 * time.Millisecond
@@ -39,10 +45,11 @@
 	}
 	p.order(now, s)
 	idle := s.idleWorkers(now)
+	homes := s.homes(now)
 	for len(idle) > 0 && len(s.queue) > 0 {
 		w := s.fastest(idle, s.queue[0])
 		idle = slices.DeleteFunc(idle, func(x *worker) bool { return x == w })
-		if items := p.pick(s, w, len(idle)+1); len(items) > 0 {
+		if items := p.pick(now, s, w, len(idle)+1, homes); len(items) > 0 {
 			p.start(now, w, items)
 		}
 	}
@@ -54,6 +61,10 @@
 	for _, e := range s.queue {
 		latest := e.task.Aim.Add(-p.need(e.task, e.stage))
 		e.late = now.After(latest)
+		e.cross = latest.Add(-crossSlack)
+		if e.late {
+			e.cross = e.since.Add(lateCross)
+		}
 		e.due = latest.Add(time.Duration(e.task.Priority) * priorityStep)
 		if e.task.worked {
 			e.due = e.due.Add(-workedStep)
@@ -84,10 +95,9 @@
 
 // fastest picks the worker that suits the first waiting stage best.
 func (s *service) fastest(idle []*worker, first *entry) *worker {
-	big := first.task.stages[first.stage].ResultBytes >= bigResult && first.task.Domain != ""
 	score := func(w *worker) float64 {
 		v := w.speed + float64(w.used)/float64(max(w.limit(), 1))/2
-		if big && w.spec.Domain != first.task.Domain {
+		if first.home != "" && w.spec.Domain != first.home {
 			v *= elsewhere
 		}
 		return v
@@ -95,10 +105,52 @@
 	return slices.MinFunc(idle, func(a, b *worker) int { return cmp.Compare(score(a), score(b)) })
 }
 
+// homes lists the domains in which the service has a worker that is up and
+// not far slower than the fastest.
+func (s *service) homes(now time.Time) map[string]bool {
+	best := s.best()
+	homes := make(map[string]bool)
+	for _, w := range s.workers {
+		if !w.leaving && !now.Before(w.asideTo) && w.speed <= slowFactor*best {
+			homes[w.spec.Domain] = true
+		}
+	}
+	return homes
+}
+
+// mayCross reports whether a stage may go to a worker of a domain.
+func (e *entry) mayCross(now time.Time, domain string, homes map[string]bool) bool {
+	return e.home == "" || e.home == domain || !homes[e.home] || now.After(e.cross)
+}
+
+// home is the domain that a stage's big transfers tie it to, or "": the
+// makers of its inputs, or where its own results are wanted.
+func (t *task) home(i int) string {
+	st := &t.stages[i]
+	bytes := make(map[string]int64)
+	for _, after := range st.After {
+		for _, r := range t.stages[after].results {
+			if r != nil {
+				bytes[r.maker.spec.Domain] += r.bytes * int64(st.Pieces)
+			}
+		}
+	}
+	if t.Domain != "" && contains(t.last(), i) {
+		bytes[t.Domain] += st.ResultBytes * int64(st.Pieces)
+	}
+	home, most := "", int64(bigTransfer)
+	for domain, n := range bytes {
+		if n > most || n == most && domain < home {
+			home, most = domain, n
+		}
+	}
+	return home
+}
+
 // pick takes pieces from the queue for one call. Waiting pieces are spread
 // over the idle workers; the pieces of one stage of a task stay together
 // where they fit.
-func (p *Pool) pick(s *service, w *worker, idle int) []itemRef {
+func (p *Pool) pick(now time.Time, s *service, w *worker, idle int, homes map[string]bool) []itemRef {
 	waiting := 0
 	for _, e := range s.queue {
 		waiting += len(e.task.stages[e.stage].waiting)
@@ -109,6 +161,9 @@
 	for _, e := range s.queue {
 		st := &e.task.stages[e.stage]
 		n := len(st.waiting)
+		if !e.mayCross(now, w.spec.Domain, homes) {
+			continue
+		}
 		if len(items) > 0 && len(items)+n > s.conf.Batch {
 			continue
 		}
--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -132,7 +132,7 @@
 	st.waiting = append(st.waiting, ref.piece)
 	st.state = queued
 	p.services[st.Service].backlog[ref.task.Priority]++
-	p.enqueue(ref.task, ref.stage)
+	p.enqueue(now, ref.task, ref.stage)
 }
 
 // restart begins a task anew because one of its results is gone.
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -171,7 +171,7 @@
 		all = false
 		if s.state == blocked && p.inputsReady(t, i) {
 			s.state = queued
-			p.enqueue(t, i)
+			p.enqueue(now, t, i)
 		}
 	}
 	if !all || t.complete {
@@ -219,14 +219,14 @@
 	return true
 }
 
-func (p *Pool) enqueue(t *task, i int) {
+func (p *Pool) enqueue(now time.Time, t *task, i int) {
 	s := p.services[t.stages[i].Service]
 	for _, e := range s.queue {
 		if e.task == t && e.stage == i {
 			return
 		}
 	}
-	s.queue = append(s.queue, &entry{task: t, stage: i})
+	s.queue = append(s.queue, &entry{task: t, stage: i, home: t.home(i), since: now})
 }
 
 // Release gives up a task and its results: its request has used them, or is
--- a/internal/core/stagepool/worker.go
+++ b/internal/core/stagepool/worker.go
@@ -106,6 +106,11 @@
 	// due orders the queue.
 	due  time.Time
 	late bool
+	// home is the domain where its big transfers stay inside, or ""; cross is
+	// when it goes elsewhere all the same.
+	home  string
+	since time.Time
+	cross time.Time
 }
 
 // call is one call at work.
