--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -16,10 +16,10 @@
 	// transfer crosses failure domains.
 	bigTransfer = 40_000
 	// crossSlack is the slack from which on a stage no longer waits for a
-	// worker of its home domain, and lateCross how long one waits that is late
-	// anyway.
-	crossSlack = 200 * time.Millisecond
-	lateCross  = 500 * time.Millisecond
+	// worker of its home domain, and mostWait how long it waits at most, as a
+	// part of the time of a full call.
+	crossSlack = 250 * time.Millisecond
+	mostWait   = 0.4
 	// elsewhere is the price of work outside of the home domain.
 	elsewhere = 1.5
 	// lostFactor and lostMargin tell when a call is given up as lost.
@@ -61,9 +61,9 @@
 	for _, e := range s.queue {
 		latest := e.task.Aim.Add(-p.need(e.task, e.stage))
 		e.late = now.After(latest)
-		e.cross = latest.Add(-crossSlack)
-		if e.late {
-			e.cross = e.since.Add(lateCross)
+		e.cross = e.since.Add(time.Duration(mostWait * float64(s.expected(s.conf.Batch))))
+		if slack := latest.Add(-crossSlack); !e.late && slack.Before(e.cross) {
+			e.cross = slack
 		}
 		e.due = latest.Add(time.Duration(e.task.Priority) * priorityStep)
 		if e.task.worked {
