internal/core/stagepool, internal/core/member: a stand-in world for the pool, state by service, a start that joins first

Cause: the pool had no test of its own. Also: inputs are kept until a call's end where another leader may be at work.

--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -144,6 +144,28 @@
 	return r.m, true
 }
 
+// Join greets all seeds at once; the shell calls it at its start, so that the
+// node knows the others before its first beats have found them.
+func (n *Node) Join() []Send {
+	sends := make([]Send, 0, len(n.seeds))
+	for _, s := range n.seeds {
+		if s.Node != n.self.Node {
+			sends = append(sends, n.greeting(s))
+		}
+	}
+	return sends
+}
+
+// greeting tells an instance of the platform's list about this node, and asks
+// for what it knows.
+func (n *Node) greeting(s Seed) Send {
+	g := n.header()
+	g.Courtesy = true
+	g.Members = []wire.Member{n.self}
+	g.Listing = n.listing()
+	return Send{Node: s.Node, Address: s.Address, Gossip: g}
+}
+
 // probe greets one instance of the platform's list that is unknown or ended,
 // or one ended member, so that new and cut-off nodes are found.
 func (n *Node) probe(sends []Send) []Send {
@@ -167,12 +189,8 @@
 		return sends
 	}
 	s := candidates[n.rand.IntN(len(candidates))]
-	g := n.header()
-	g.Courtesy = true
-	g.Members = []wire.Member{n.self}
 	n.listings--
-	g.Listing = n.listing()
-	return append(sends, Send{Node: s.Node, Address: s.Address, Gossip: g})
+	return append(sends, n.greeting(s))
 }
 
 func cmpNames(a, b Seed) int {
--- a/internal/core/stagepool/admit.go
+++ b/internal/core/stagepool/admit.go
@@ -52,7 +52,8 @@
 		if rate == 0 {
 			return 0, false
 		}
-		queue := time.Duration(float64(s.ahead(t.Priority)) / rate * float64(time.Second))
+		ahead := s.ahead(t.Priority)
+		queue := time.Duration(float64(ahead) / rate * float64(time.Second))
 		wait := max(queue-ready, 0)
 		if ready == 0 {
 			wait = max(wait, s.free(now))
@@ -91,7 +92,7 @@
 // would be late even alone is taken as long as its deadline is safe.
 func (p *Pool) admit(now time.Time, t Task, finish time.Duration) (Verdict, bool) {
 	aim := t.Aim.Sub(now)
-	if finish <= aim {
+	if finish <= aim+t.Allowance {
 		return Verdict{}, false
 	}
 	alone := p.shortest(t)
--- /dev/null
+++ b/internal/core/stagepool/alone_test.go
@@ -0,0 +1,123 @@
+package stagepool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// alone is the naive way: several nodes each run a pool of their own, and
+// send their calls to the same workers without knowing of each other.
+type alone struct {
+	*world
+	pools []*Pool
+	of    map[CallID]*Pool
+	ends  int
+}
+
+// callShift keeps the call ids of the pools apart.
+const callShift = 32
+
+func newAlone(t testing.TB, seed uint64, workers, nodes int) *alone {
+	a := &alone{world: newWorld(t, seed, workers), of: make(map[CallID]*Pool)}
+	a.queue = nil
+	for i := range nodes {
+		p := New()
+		p.lastCall = CallID(i+1) << callShift
+		p.lastTask = TaskID(i+1) << callShift
+		p.Configure(a.now, testServices, a.endpoints())
+		a.pools = append(a.pools, p)
+	}
+	return a
+}
+
+func (a *alone) poolOf(id uint64) *Pool { return a.pools[id>>callShift-1] }
+
+// load is world.load over all nodes in turn; it returns how many requests
+// were on time, and how many were asked.
+func (a *alone) load(perSecond float64, d, aim time.Duration) (onTime, asked int) {
+	end := a.now.Add(d)
+	var next func()
+	next = func() {
+		if a.now.After(end) {
+			return
+		}
+		asked++
+		p := a.pools[asked%len(a.pools)]
+		t := Task{RequestID: fmt.Sprintf("r%d", asked), Key: "k", Stages: testStages, Aim: a.now.Add(aim), Deadline: a.now.Add(15 * time.Second), Domain: "d0"}
+		v, actions := p.Submit(a.now, t)
+		if v.Accepted {
+			a.tasks[v.ID] = t
+		}
+		a.play(actions)
+		a.after(time.Duration(a.rand.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	var tick func()
+	tick = func() {
+		for _, p := range a.pools {
+			a.play(p.Tick(a.now))
+		}
+		a.after(20*time.Millisecond, tick)
+	}
+	a.after(0, next)
+	a.after(0, tick)
+	a.run(d + 20*time.Second)
+	for id, t := range a.tasks {
+		if at, ok := a.done[id]; ok && !at.After(t.Aim) {
+			onTime++
+		}
+	}
+	return onTime, asked
+}
+
+// play carries actions out, with the ends of calls going to their own pool.
+func (a *alone) play(actions []Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case StartCall:
+			a.pool = a.poolOf(uint64(action.Call))
+			a.send(action)
+		case Complete:
+			a.done[action.Task] = a.now
+			a.after(a.release, func() { a.play(a.poolOf(uint64(action.Task)).Release(a.now, action.Task)) })
+		default:
+			a.carryOut([]Action{action})
+		}
+	}
+}
+
+func (a *alone) send(c StartCall) {
+	p := a.poolOf(uint64(c.Call))
+	s := a.workers[c.Endpoint]
+	a.after(time.Millisecond, func() {
+		if len(s.waiting) > 2 {
+			a.play(p.Done(a.now, c.Call, Outcome{Ending: NotRun}))
+			return
+		}
+		s.waiting = append(s.waiting, c)
+		a.begin(s)
+	})
+}
+
+// begin is world.work with the answer going to the call's own pool.
+func (a *alone) begin(s *simWorker) {
+	if s.busy || len(s.waiting) == 0 {
+		return
+	}
+	c := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	s.busy = true
+	results := make([]ItemResult, len(c.Items))
+	made := 0
+	for k, it := range c.Items {
+		results[k] = a.turn(s, it)
+		if results[k].Reason == Made {
+			made++
+		}
+	}
+	a.after(s.conf.CallTime+time.Duration(made)*s.conf.ItemTime, func() {
+		s.busy = false
+		a.play(a.poolOf(uint64(c.Call)).Done(a.now, c.Call, Outcome{Ending: Answered, Items: results}))
+		a.begin(s)
+	})
+}
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -207,8 +207,12 @@
 	p.calls[c.id] = c
 	p.counters.Calls++
 	p.counters.Pieces += uint64(len(items))
+	w.service.calls++
+	w.service.pieces += uint64(len(items))
 	p.emit(out)
-	p.freeInputs(now, items)
+	if !now.Before(w.contended) {
+		p.freeInputs(now, items)
+	}
 }
 
 func item(now time.Time, ref itemRef) Item {
@@ -235,6 +239,11 @@
 // so that a call that fails can be sent again.
 const crowded = 0.4
 
+// contention is how long a worker that declined a call, or took far too long,
+// is taken to work for another leader as well. Its calls may then wait for
+// their turn, so their inputs are kept until they end.
+const contention = 3 * time.Second
+
 // freeInputs has inputs given up that no further piece needs.
 func (p *Pool) freeInputs(now time.Time, items []itemRef) {
 	for _, ref := range items {
--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -1,6 +1,10 @@
 package stagepool
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// mostTries bounds the calls for one stage, mostRestarts how often a task
@@ -28,9 +32,13 @@
 	switch o.Ending {
 	case Answered:
 		w.failures = 0
+		if now.Sub(c.sent) > 2*time.Duration(w.speed*float64(c.expected)) {
+			w.contended = now.Add(contention)
+		}
 		w.took(now, now.Sub(c.sent), c.expected)
 	case NotRun:
 		w.asideTo = now.Add(declinedRest)
+		w.contended = now.Add(contention)
 	case WrongEndpoint:
 		w.leaving = true
 	default:
@@ -174,22 +182,27 @@
 // overdue calls made elsewhere, and ends tasks whose deadline is over.
 func (p *Pool) Tick(now time.Time) []Action {
 	p.freeDue(now)
-	for _, c := range p.calls {
-		p.watch(now, c)
-	}
-	for _, t := range p.tasks {
-		if now.After(t.Deadline) {
-			if t.complete {
-				p.end(t)
-			} else {
-				p.fail(t, "deadline", failAgain)
-			}
-		}
+	for _, id := range slices.Sorted(maps.Keys(p.calls)) {
+		p.watch(now, p.calls[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.tasks)) {
+		p.endLate(now, p.tasks[id])
 	}
 	p.dispatchAll(now)
 	return p.take()
 }
 
+// endLate ends a task whose deadline is over.
+func (p *Pool) endLate(now time.Time, t *task) {
+	switch {
+	case !now.After(t.Deadline):
+	case t.complete:
+		p.end(t)
+	default:
+		p.fail(t, "deadline", failAgain)
+	}
+}
+
 func (p *Pool) freeDue(now time.Time) {
 	kept := p.frees[:0]
 	for _, f := range p.frees {
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -38,6 +38,8 @@
 	budget   Budget
 	counters Counters
 	out      []Action
+	// alone is when an earlier leader's calls have surely ended.
+	alone time.Time
 }
 
 // pendingFree is a stage whose results are given up at a moment.
@@ -80,6 +82,9 @@
 		}
 		s.conf = *conf.Batching
 	}
+	if p.alone.IsZero() {
+		p.alone = now.Add(contention)
+	}
 	listed := make(map[string]catalog.Endpoint, len(endpoints))
 	for _, e := range endpoints {
 		listed[e.ID] = e
@@ -104,7 +109,7 @@
 			continue
 		}
 		s.workers = append(s.workers, &worker{
-			spec: e, service: s, speed: 1, measured: now,
+			spec: e, service: s, speed: 1, measured: now, contended: p.alone,
 			calls: make(map[CallID]*call), results: make(map[*result]struct{}),
 		})
 	}
--- /dev/null
+++ b/internal/core/stagepool/stats.go
@@ -0,0 +1,60 @@
+package stagepool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ServiceStats is the state of one stage service at its leader.
+type ServiceStats struct {
+	Service string
+	// Workers counts the endpoints that may get calls, Busy those at work.
+	Workers int
+	Busy    int
+	// Queued counts the pieces that are ready, Backlog also those of stages
+	// whose inputs are not there yet.
+	Queued  int
+	Backlog int
+	// Calls and Pieces count what was sent since the start.
+	Calls  uint64
+	Pieces uint64
+	// Room is the part of all room that results take, 0 to 1.
+	Room float64
+}
+
+// Stats returns the state of all services by name.
+func (p *Pool) Stats(now time.Time) []ServiceStats {
+	list := make([]ServiceStats, 0, len(p.services))
+	for _, s := range p.services {
+		list = append(list, s.stats(now))
+	}
+	slices.SortFunc(list, func(a, b ServiceStats) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
+func (s *service) stats(now time.Time) ServiceStats {
+	st := ServiceStats{Service: s.name, Calls: s.calls, Pieces: s.pieces}
+	var used, limit int64
+	for _, w := range s.workers {
+		if w.leaving || now.Before(w.asideTo) {
+			continue
+		}
+		st.Workers++
+		if len(w.calls) > 0 {
+			st.Busy++
+		}
+		used += w.used
+		limit += w.limit()
+	}
+	if limit > 0 {
+		st.Room = float64(used) / float64(limit)
+	}
+	for _, e := range s.queue {
+		st.Queued += len(e.task.stages[e.stage].waiting)
+	}
+	for _, n := range s.backlog {
+		st.Backlog += n
+	}
+	return st
+}
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -27,6 +27,8 @@
 	Stages []Stage
 	// Aim is when the last result is wanted; a later one has little worth.
 	Aim time.Time
+	// Allowance is by how much the task may miss its aim and still be let in.
+	Allowance time.Duration
 	// Deadline is when results are of no use any more.
 	Deadline time.Time
 	// Priority is 0 for the most urgent.
--- a/internal/core/stagepool/worker.go
+++ b/internal/core/stagepool/worker.go
@@ -36,7 +36,9 @@
 	measured time.Time
 	failures int
 	asideTo  time.Time
-	leaving  bool
+	// contended is until when others are taken to send it calls too.
+	contended time.Time
+	leaving   bool
 }
 
 func (w *worker) limit() int64 {
@@ -97,6 +99,9 @@
 	// backlog counts the pieces that are in no call, by priority, those of
 	// stages that are not ready included.
 	backlog map[int]int
+	// calls and pieces count what was sent.
+	calls  uint64
+	pieces uint64
 }
 
 // entry is a stage of a task that waits for calls.
--- /dev/null
+++ b/internal/core/stagepool/world_test.go
@@ -0,0 +1,324 @@
+package stagepool
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gradetiller.example/internal/core/catalog"
+)
+
+// world is a small stand-in of stage workers in simulated time: one slot and
+// a queue each, batches, limited room, results that live for a while. It
+// checks the promises of a pool while it carries its actions out.
+type world struct {
+	t       testing.TB
+	pool    *Pool
+	now     time.Time
+	rand    *rand.Rand
+	queue   []event
+	workers map[string]*simWorker
+	handles map[string]*simResult
+	next    int
+	// release holds how long a finished task's results are needed.
+	release time.Duration
+	done    map[TaskID]time.Time
+	failed  map[TaskID]string
+	tasks   map[TaskID]Task
+	stats   worldStats
+	perCall []int
+}
+
+type worldStats struct{ noRoom, gone, unused, calls, pieces int }
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type simWorker struct {
+	spec    catalog.Endpoint
+	conf    catalog.Batching
+	speed   float64
+	waiting []StartCall
+	busy    bool
+	dead    bool
+	lives   int
+	used    int64
+}
+
+type simResult struct {
+	worker *simWorker
+	owner  string
+	bytes  int64
+	life   time.Time
+}
+
+var testServices = map[string]catalog.Service{
+	"tag":   {Name: "tag", Batching: &catalog.Batching{Slots: 1, Batch: 8, CallTime: 240 * time.Millisecond, ItemTime: 26 * time.Millisecond, Room: 9_600_000, ResultLife: 4 * time.Second}},
+	"bill":  {Name: "bill", Batching: &catalog.Batching{Slots: 1, Batch: 14, CallTime: 240 * time.Millisecond, ItemTime: 15 * time.Millisecond, Room: 1_500_000, ResultLife: 4 * time.Second}},
+	"print": {Name: "print", Batching: &catalog.Batching{Slots: 1, Batch: 20, CallTime: 240 * time.Millisecond, ItemTime: 10 * time.Millisecond, Room: 220_000, ResultLife: 4 * time.Second}},
+}
+
+// resultBytes is the size of a result by service and stage of testStages.
+var testStages = []Stage{
+	{Service: "tag", ResultBytes: 8_000, Pieces: 1},
+	{Service: "bill", After: []int{0}, ResultBytes: 60_000, Pieces: 4},
+	{Service: "print", After: []int{1}, ResultBytes: 6_000, Pieces: 6},
+}
+
+func newWorld(t testing.TB, seed uint64, perService int) *world {
+	w := &world{
+		t: t, pool: New(), now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
+		workers: make(map[string]*simWorker), handles: make(map[string]*simResult),
+		done: make(map[TaskID]time.Time), failed: make(map[TaskID]string), tasks: make(map[TaskID]Task),
+		release: 150 * time.Millisecond,
+	}
+	for _, name := range []string{"tag", "bill", "print"} {
+		for i := range perService {
+			e := catalog.Endpoint{ID: fmt.Sprintf("%s-%d", name, i), Service: name, Address: fmt.Sprintf("%s-%d", name, i), Domain: fmt.Sprintf("d%d", i%3), Slots: 1}
+			w.workers[e.ID] = &simWorker{spec: e, conf: *testServices[name].Batching, speed: 1}
+		}
+	}
+	w.carryOut(w.pool.Configure(w.now, testServices, w.endpoints()))
+	w.tick()
+	return w
+}
+
+func (w *world) endpoints() []catalog.Endpoint {
+	var list []catalog.Endpoint
+	for _, s := range w.workers {
+		if !s.dead {
+			list = append(list, s.spec)
+		}
+	}
+	slices.SortFunc(list, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.queue = append(w.queue, event{w.now.Add(d), do})
+}
+
+func (w *world) tick() {
+	w.carryOut(w.pool.Tick(w.now))
+	w.after(20*time.Millisecond, w.tick)
+}
+
+// run plays events for a time.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for {
+		first := -1
+		for i := range w.queue {
+			if first < 0 || w.queue[i].at.Before(w.queue[first].at) {
+				first = i
+			}
+		}
+		if first < 0 || w.queue[first].at.After(end) {
+			w.now = end
+			return
+		}
+		e := w.queue[first]
+		w.queue = slices.Delete(w.queue, first, first+1)
+		w.now = e.at
+		e.do()
+	}
+}
+
+func (w *world) submit(t Task) (TaskID, bool) {
+	v, actions := w.pool.Submit(w.now, t)
+	if v.Accepted {
+		w.tasks[v.ID] = t
+	}
+	w.carryOut(actions)
+	return v.ID, v.Accepted
+}
+
+func (w *world) carryOut(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case StartCall:
+			w.startCall(a)
+		case Free:
+			w.after(time.Millisecond, func() { w.free(a) })
+		case Complete:
+			w.complete(a)
+		case Fail:
+			w.failed[a.Task] = a.Reason
+		}
+	}
+}
+
+func (w *world) complete(c Complete) {
+	if _, twice := w.done[c.Task]; twice {
+		w.t.Errorf("task %d is complete twice", c.Task)
+	}
+	w.done[c.Task] = w.now
+	want := 0
+	t := w.tasks[c.Task]
+	for i, s := range t.Stages {
+		needed := false
+		for _, other := range t.Stages {
+			needed = needed || other.Pieces > 0 && slices.Contains(other.After, i)
+		}
+		if !needed {
+			want += s.Pieces
+		}
+	}
+	if len(c.Handles) != want {
+		w.t.Errorf("task %d is complete with %d results, want %d", c.Task, len(c.Handles), want)
+	}
+	for _, h := range c.Handles {
+		if r, ok := w.handles[h]; !ok || r.owner != t.RequestID {
+			w.t.Errorf("task %d is given result %s, which is gone or another request's", c.Task, h)
+		}
+	}
+	w.after(w.release, func() { w.carryOut(w.pool.Release(w.now, c.Task)) })
+}
+
+func (w *world) free(f Free) {
+	for _, h := range f.Handles {
+		w.drop(h)
+	}
+}
+
+func (w *world) drop(handle string) {
+	if r, ok := w.handles[handle]; ok {
+		r.worker.used -= r.bytes
+		delete(w.handles, handle)
+	}
+}
+
+func (w *world) startCall(c StartCall) {
+	s := w.workers[c.Endpoint]
+	if n := len(c.Items); n == 0 || n > s.conf.Batch {
+		w.t.Errorf("a call of %d pieces, the batch is %d", n, s.conf.Batch)
+	}
+	w.perCall = append(w.perCall, len(c.Items))
+	w.after(time.Millisecond, func() {
+		switch {
+		case s.dead:
+			w.after(50*time.Millisecond, func() { w.finish(c, Outcome{Ending: Lost}) })
+		case len(s.waiting) > 2:
+			w.finish(c, Outcome{Ending: NotRun})
+		default:
+			s.waiting = append(s.waiting, c)
+			w.work(s)
+		}
+	})
+}
+
+func (w *world) finish(c StartCall, o Outcome) {
+	w.carryOut(w.pool.Done(w.now, c.Call, o))
+}
+
+// work begins the next call of a worker that is idle.
+func (w *world) work(s *simWorker) {
+	if s.busy || len(s.waiting) == 0 || s.dead {
+		return
+	}
+	c := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	s.busy = true
+	w.stats.calls++
+	results := make([]ItemResult, len(c.Items))
+	made := 0
+	for k, it := range c.Items {
+		results[k] = w.turn(s, it)
+		if results[k].Reason == Made {
+			made++
+		}
+	}
+	w.stats.pieces += made
+	took := time.Duration(s.speed * float64(s.conf.CallTime+time.Duration(made)*s.conf.ItemTime))
+	life := s.lives
+	w.after(took, func() {
+		if s.lives != life {
+			w.finish(c, Outcome{Ending: Lost})
+			return
+		}
+		s.busy = false
+		for _, r := range results {
+			if r.Reason == Made {
+				w.handles[r.Handle].life = w.now.Add(s.conf.ResultLife)
+			}
+		}
+		w.finish(c, Outcome{Ending: Answered, Items: results})
+		w.work(s)
+	})
+}
+
+// turn takes one item in at its call's turn.
+func (w *world) turn(s *simWorker, it Item) ItemResult {
+	for _, h := range it.Inputs {
+		r, ok := w.handles[h]
+		if !ok {
+			w.stats.gone++
+			return ItemResult{Reason: Gone}
+		}
+		if r.owner != it.RequestID {
+			w.t.Errorf("a piece of %s is given a result of %s", it.RequestID, r.owner)
+		}
+	}
+	bytes := int64(0)
+	for _, st := range testStages {
+		if st.Service == s.spec.Service {
+			bytes = st.ResultBytes
+		}
+	}
+	if s.used+bytes > s.conf.Room {
+		w.stats.noRoom++
+		return ItemResult{Reason: NoRoom}
+	}
+	s.used += bytes
+	w.next++
+	handle := fmt.Sprintf("%s/%d", s.spec.ID, w.next)
+	w.handles[handle] = &simResult{worker: s, owner: it.RequestID, bytes: bytes}
+	return ItemResult{Handle: handle, Reason: Made}
+}
+
+// kill takes a worker down with its results; it comes back after a while.
+func (w *world) kill(id string, down time.Duration) {
+	s := w.workers[id]
+	s.dead = true
+	s.lives++
+	s.busy = false
+	for _, c := range s.waiting {
+		w.after(10*time.Millisecond, func() { w.finish(c, Outcome{Ending: Lost}) })
+	}
+	s.waiting = nil
+	for h, r := range w.handles {
+		if r.worker == s {
+			delete(w.handles, h)
+		}
+	}
+	s.used = 0
+	w.after(down, func() { s.dead = false })
+}
+
+// load submits requests at a rate for a time, and returns the ids of those
+// that were taken.
+func (w *world) load(perSecond float64, d time.Duration, aim time.Duration) []TaskID {
+	var taken []TaskID
+	end := w.now.Add(d)
+	n := 0
+	var next func()
+	next = func() {
+		if w.now.After(end) {
+			return
+		}
+		n++
+		t := Task{RequestID: fmt.Sprintf("r%d", n), Key: "k", Stages: testStages, Aim: w.now.Add(aim), Deadline: w.now.Add(15 * time.Second), Domain: "d0"}
+		if id, ok := w.submit(t); ok {
+			taken = append(taken, id)
+		}
+		w.after(time.Duration(w.rand.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	w.after(0, next)
+	w.run(d + 20*time.Second)
+	return taken
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -76,6 +76,8 @@
 	Domain      string
 	Region      string
 	Leaving     bool
+	// Leads has a bit for each cell of stage workers that the node leads.
+	Leads uint64
 }
 
 // Member is the record of one control process and its entries. Only its
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -17,6 +17,7 @@
 	Key       string
 	Stages    []Stage
 	Aim       int64
+	Allowance int64
 	Deadline  int64
 	Priority  int
 	Domain    string
