internal/node: leaders claim their cells, large prompts are not refused more often

Change: a leader's claim goes with its membership entry and is kept while it lives; a starting node greets all seeds and waits until it knows others, 1.5 s at most; the admission of a large prompt allows for its longer reading.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"gradetiller.example/internal/wire"
 )
 
 const (
@@ -24,9 +22,7 @@
 func (n *Node) drain(servers []*http.Server) {
 	started := time.Now()
 	n.draining.Store(true)
-	n.membersMu.Lock()
-	n.members.SetEntries([]wire.Entry{n.entry(true)})
-	n.membersMu.Unlock()
+	n.publishEntry()
 	n.log.Info("stopping", zap.Int64("in_flight", n.inFlight.Load()))
 	time.Sleep(min(acceptAfter, n.settings.Grace/2))
 	bounded, cancel := context.WithDeadline(context.Background(), started.Add(n.settings.Grace-lastMoment))
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -139,6 +139,7 @@
 // when the request was not taken, or the context's.
 func (n *Node) runStages(ctx context.Context, w stageWork) (stageResults, error) {
 	w.submit.Cell = int(hash.Of(w.submit.RequestID) % uint64(n.view.Load().cellCount()))
+	n.awaitJoined(ctx)
 	var err error
 	for range mostJobs {
 		rank := n.leaderRank(time.Now(), w.submit.Cell)
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -21,7 +21,9 @@
 	// them are split into cells with a leader each.
 	workersPerCell = 48
 	leaderTick     = 20 * time.Millisecond
-	freeTimeout    = 2 * time.Second
+	// stateGap is how often the state of a pool is logged.
+	stateGap    = time.Second
+	freeTimeout = 2 * time.Second
 )
 
 // ownerKey names a task by the node that submitted it.
@@ -55,6 +57,7 @@
 	pool   *stagepool.Pool
 	owners map[stagepool.TaskID]owner
 	tasks  map[ownerKey]stagepool.TaskID
+	logged time.Time
 	// ticking tells whether the ticker runs; it does while there are tasks.
 	ticking bool
 }
@@ -136,8 +139,9 @@
 	now := time.Now()
 	t := stagepool.Task{
 		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: m.Domain,
-		Aim:      now.Add(time.Duration(m.Aim) * time.Millisecond),
-		Deadline: now.Add(time.Duration(m.Deadline) * time.Millisecond),
+		Aim:       now.Add(time.Duration(m.Aim) * time.Millisecond),
+		Allowance: time.Duration(m.Allowance) * time.Millisecond,
+		Deadline:  now.Add(time.Duration(m.Deadline) * time.Millisecond),
 	}
 	for _, s := range m.Stages {
 		t.Stages = append(t.Stages, stagepool.Stage(s))
@@ -206,12 +210,26 @@
 		defer c.mu.Unlock()
 		c.ticking = false
 		c.carryOut(c.pool.Tick(time.Now()))
+		c.logState(time.Now())
 		if c.pool.Tasks() > 0 {
 			c.tick()
 		}
 	})
 }
 
+// logState writes the state of the pool now and then; the lock is held.
+func (c *leader) logState(now time.Time) {
+	if now.Sub(c.logged) < stateGap {
+		return
+	}
+	c.logged = now
+	for _, s := range c.pool.Stats(now) {
+		c.group.log.Info("stage service", zap.Int("cell", c.cell), zap.String("service", s.Service),
+			zap.Int("workers", s.Workers), zap.Int("busy", s.Busy), zap.Int("queued", s.Queued), zap.Int("backlog", s.Backlog),
+			zap.Uint64("calls", s.Calls), zap.Uint64("pieces", s.Pieces), zap.Float64("room", s.Room))
+	}
+}
+
 // carryOut does what the pool asks for; the lock is held, and nothing here
 // blocks.
 func (c *leader) carryOut(actions []stagepool.Action) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 type Node struct {
 	settings    platform.Settings
 	incarnation uint64
+	started     time.Time
 	log         *zap.Logger
 	store       *platform.Store
 	workers     *platform.Workers
@@ -49,6 +50,7 @@
 	leaders     *leaders
 	jobs        *jobs
 	links       *peer.Links
+	sizes       *sizes
 	budget      *lockedBudget
 	stageBudget *lockedBudget
 
@@ -59,6 +61,8 @@
 	members   *member.Node
 	entries   atomic.Pointer[[]wire.Entry]
 	liveNodes atomic.Int64
+	// leads has a bit for each cell that this node claims.
+	leads atomic.Uint64
 	// askedView and asked belong to the goroutine that beats.
 	askedView time.Time
 	asked     int
@@ -76,7 +80,7 @@
 
 // New returns a node that serves nothing until Run.
 func New(s platform.Settings, options ...Option) *Node {
-	n := &Node{settings: s, incarnation: settings.Incarnation(), log: zap.NewNop(), jobs: newJobs()}
+	n := &Node{settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(), jobs: newJobs(), sizes: &sizes{usual: make(map[string]float64)}}
 	for _, o := range options {
 		o(n)
 	}
@@ -117,7 +121,7 @@
 	s := n.settings
 	return wire.Entry{
 		Node: s.Node, Incarnation: n.incarnation, Address: s.FrontAddress, PeerAddress: s.PeerAddress,
-		Domain: s.Domain, Region: s.Region, Leaving: leaving,
+		Domain: s.Domain, Region: s.Region, Leaving: leaving, Leads: n.leads.Load(),
 	}
 }
 
@@ -177,7 +181,7 @@
 // the endpoints, and is not leaving.
 func (n *Node) isReady() bool {
 	v := n.view.Load()
-	return v.config != nil && v.revision > 0 && !n.draining.Load()
+	return v.config != nil && v.revision > 0 && n.joined() && !n.draining.Load()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -33,6 +33,11 @@
 
 // runMembers beats until ctx ends.
 func (n *Node) runMembers(ctx context.Context) {
+	n.membersMu.Lock()
+	n.members.SetSeeds(n.strangers())
+	sends := n.members.Join()
+	n.membersMu.Unlock()
+	n.sendGossip(sends)
 	ticker := time.NewTicker(member.FlushInterval)
 	defer ticker.Stop()
 	for {
@@ -81,6 +86,7 @@
 // takeEntries keeps the list of live nodes for look-ups and leaders.
 func (n *Node) takeEntries(entries []wire.Entry) {
 	n.entries.Store(&entries)
+	n.yield()
 	live := 0
 	for _, e := range entries {
 		if !e.Leaving {
@@ -166,6 +172,7 @@
 	case *wire.View:
 		n.takeView(m)
 	case *wire.StagesSubmit:
+		n.claim(m.Cell)
 		n.leaders.submit(owner{key: ownerKey{from.Node, from.Incarnation, m.ID}, answer: answer}, m)
 	case *wire.StagesRelease:
 		n.leaders.release(ownerKey{from.Node, from.Incarnation, m.ID})
@@ -187,8 +194,71 @@
 	n.jobs.lost(address)
 }
 
-// leaderRank lists the nodes that may lead a cell, the first choice first.
-// All nodes with the same view agree on it without messages.
+const (
+	// joinTime is how long a node that was just started waits for others
+	// before it takes itself for the only one.
+	joinTime = 1500 * time.Millisecond
+	joinPoll = 20 * time.Millisecond
+)
+
+// joined reports whether this node knows the others. Before, it would take
+// itself for the leader of all cells.
+func (n *Node) joined() bool {
+	return len(*n.entries.Load()) > 1 || len(n.settings.Seeds) == 0 || time.Since(n.started) > joinTime
+}
+
+// awaitJoined waits until the node has joined.
+func (n *Node) awaitJoined(ctx context.Context) {
+	for !n.joined() && ctx.Err() == nil {
+		pause(ctx, joinPoll)
+	}
+}
+
+// mostCells bounds the cells that a node can claim.
+const mostCells = 64
+
+func cellBit(cell int) uint64 { return 1 << (cell % mostCells) }
+
+// claim tells all nodes that this one leads a cell. A node that comes back
+// does not take its cell from the one that leads it by then: each change
+// leaves two leaders at the same endpoints for a while. A claim is no lease:
+// two leaders cost time only.
+func (n *Node) claim(cell int) {
+	leads := n.leads.Load() | cellBit(cell)
+	if n.leads.Swap(leads) != leads {
+		n.log.Info("leads a cell", zap.Int("cell", cell))
+		n.publishEntry()
+	}
+}
+
+// yield gives the claim on a cell up when a node of higher rank claims it too.
+func (n *Node) yield() {
+	own := n.leads.Load()
+	for cell := 0; own>>cell != 0; cell++ {
+		if own&cellBit(cell) == 0 {
+			continue
+		}
+		rank := n.leaderRank(time.Now(), cell)
+		if len(rank) > 0 && rank[0].Node != n.settings.Node && rank[0].Leads&cellBit(cell) != 0 {
+			n.log.Info("leads a cell no more", zap.Int("cell", cell), zap.String("leader", rank[0].Node))
+			n.leads.Store(n.leads.Load() &^ cellBit(cell))
+			n.publishEntry()
+		}
+	}
+}
+
+// publishEntry spreads this node's entry.
+func (n *Node) publishEntry() {
+	n.membersMu.Lock()
+	defer n.membersMu.Unlock()
+	n.members.SetEntries([]wire.Entry{n.entry(n.draining.Load())})
+	entries := n.members.Entries()
+	n.entries.Store(&entries)
+}
+
+// leaderRank lists the nodes that may lead a cell, the first choice first:
+// those that claim it, then by rendezvous hashing. All nodes with the same
+// view agree on it without messages.
 func (n *Node) leaderRank(now time.Time, cell int) []wire.Entry {
 	var list []wire.Entry
 	for _, e := range *n.entries.Load() {
@@ -197,7 +267,14 @@
 		}
 	}
 	key := hash.Mix(uint64(cell) + 1)
+	bit := cellBit(cell)
 	slices.SortFunc(list, func(a, b wire.Entry) int {
+		if leads := a.Leads&bit != 0; leads != (b.Leads&bit != 0) {
+			if leads {
+				return -1
+			}
+			return 1
+		}
 		x, y := hash.Pair(key, hash.Of(a.Node)), hash.Pair(key, hash.Of(b.Node))
 		switch {
 		case x > y:
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -102,8 +103,9 @@
 		RequestID: q.in.RequestID, Key: q.in.PieceKey, Priority: q.priority,
 		Domain: n.pools.domain(time.Now(), q.service, q.prefix()),
 	}}
-	read := readBase + time.Duration(q.in.PromptTokens)*time.Millisecond/readRate
+	read := readTime(q.in.PromptTokens)
 	work.aim = q.arrived.Add(q.route.Objective - read)
+	work.submit.Allowance = n.sizes.allowance(q.route.Name, q.in.PromptTokens).Milliseconds()
 	any := false
 	for i, st := range q.route.Stages {
 		out := wire.Stage{Service: st.Service, After: st.After, ResultBytes: st.ResultBytes}
@@ -124,6 +126,33 @@
 	return nil
 }
 
+// readTime predicts the time to the first event.
+func readTime(tokens int) time.Duration {
+	return readBase + time.Duration(tokens)*time.Millisecond/readRate
+}
+
+// sizes learns the usual size of a route's prompts, so that large requests
+// are not refused more often than others because reading them takes longer.
+type sizes struct {
+	mu    sync.Mutex
+	usual map[string]float64
+}
+
+const sizeWeight = 0.05
+
+// allowance is by how much a request may miss its aim because it is larger
+// than usual.
+func (s *sizes) allowance(route string, tokens int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usual, ok := s.usual[route]
+	if !ok {
+		usual = float64(tokens)
+	}
+	s.usual[route] = usual + sizeWeight*(float64(tokens)-usual)
+	return max(readTime(tokens)-readTime(int(usual)), 0)
+}
+
 // endUnprepared ends a request whose stages were not run.
 func (n *Node) endUnprepared(ctx context.Context, s *stream, err error) {
 	var refused *refusal
