--- /dev/null
+++ b/internal/core/discovery/list.go
@@ -0,0 +1,172 @@
+package discovery
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/hash"
+)
+
+// mostGone bounds the endpoints that are remembered as gone. A node whose
+// revision lies before the oldest of them gets the whole list.
+const mostGone = 512
+
+// List is the endpoints as of a revision. It is not safe for concurrent use.
+type List struct {
+	revision  uint64
+	endpoints map[string]known
+	gone      []departed
+	// floor is the revision from which on all departures are remembered.
+	floor uint64
+	// digest is the sum of the endpoints' hashes.
+	digest uint64
+}
+
+type known struct {
+	endpoint catalog.Endpoint
+	changed  uint64
+}
+
+type departed struct {
+	id      string
+	changed uint64
+}
+
+// Delta is what changed above a revision.
+type Delta struct {
+	// Revision is up to which the receiver then holds all changes.
+	Revision uint64
+	// Whole is true when Changed is the whole list.
+	Whole   bool
+	Changed []catalog.Endpoint
+	Gone    []string
+	// Digest is the sender's whole list in one number. An endpoint that came
+	// and went between two reads of the sender is in no delta; the digest then
+	// differs, and the receiver asks for the whole list.
+	Digest uint64
+}
+
+// NewList returns an empty list of revision 0.
+func NewList() *List { return &List{endpoints: make(map[string]known)} }
+
+// Revision returns up to which revision of the store all changes are in.
+func (l *List) Revision() uint64 { return l.revision }
+
+// Endpoints returns the list by id.
+func (l *List) Endpoints() []catalog.Endpoint {
+	list := make([]catalog.Endpoint, 0, len(l.endpoints))
+	for _, k := range l.endpoints {
+		list = append(list, k.endpoint)
+	}
+	sortByID(list)
+	return list
+}
+
+func sortByID(list []catalog.Endpoint) {
+	slices.SortFunc(list, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Read takes a whole list as of a revision in, and reports whether anything
+// but the revision changed. An older list than the present one is ignored.
+func (l *List) Read(endpoints []catalog.Endpoint, revision uint64) bool {
+	if revision < l.revision || revision == 0 {
+		return false
+	}
+	if l.revision == 0 {
+		l.floor = revision
+	}
+	l.revision = revision
+	changed := false
+	listed := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		listed[e.ID] = true
+		changed = l.put(e) || changed
+	}
+	for id := range l.endpoints {
+		if !listed[id] {
+			l.remove(id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (l *List) put(e catalog.Endpoint) bool {
+	old, ok := l.endpoints[e.ID]
+	if ok && old.endpoint == e {
+		return false
+	}
+	if ok {
+		l.digest -= digestOf(old.endpoint)
+	}
+	l.digest += digestOf(e)
+	l.endpoints[e.ID] = known{endpoint: e, changed: l.revision}
+	return true
+}
+
+func digestOf(e catalog.Endpoint) uint64 {
+	text := e.ID + " " + e.Service + " " + e.Address + " " + e.Domain + " " + strconv.Itoa(e.Slots) + " " + strconv.FormatBool(e.Draining)
+	return hash.Of(text)
+}
+
+func (l *List) remove(id string) {
+	l.digest -= digestOf(l.endpoints[id].endpoint)
+	delete(l.endpoints, id)
+	l.gone = append(l.gone, departed{id: id, changed: l.revision})
+	if len(l.gone) > mostGone {
+		l.floor = l.gone[0].changed
+		l.gone = slices.Delete(l.gone, 0, 1)
+	}
+}
+
+// Above returns what changed above a revision.
+func (l *List) Above(revision uint64) Delta {
+	d := Delta{Revision: l.revision, Digest: l.digest}
+	if revision < l.floor || revision == 0 {
+		d.Whole = true
+		d.Changed = l.Endpoints()
+		return d
+	}
+	for _, k := range l.endpoints {
+		if k.changed > revision {
+			d.Changed = append(d.Changed, k.endpoint)
+		}
+	}
+	sortByID(d.Changed)
+	for _, g := range l.gone {
+		if _, back := l.endpoints[g.id]; g.changed > revision && !back {
+			d.Gone = append(d.Gone, g.id)
+		}
+	}
+	return d
+}
+
+// Apply takes another node's answer in, and reports whether anything but the
+// revision changed. An answer that is not ahead is ignored. When the lists
+// differ all the same, the revision becomes 0, so that the whole list is asked
+// for next.
+func (l *List) Apply(d Delta) bool {
+	if d.Whole {
+		return l.Read(d.Changed, d.Revision)
+	}
+	if d.Revision <= l.revision {
+		return false
+	}
+	l.revision = d.Revision
+	changed := false
+	for _, e := range d.Changed {
+		changed = l.put(e) || changed
+	}
+	for _, id := range d.Gone {
+		if _, ok := l.endpoints[id]; ok {
+			l.remove(id)
+			changed = true
+		}
+	}
+	if l.digest != d.Digest {
+		l.revision = 0
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/core/discovery/list_test.go
@@ -0,0 +1,97 @@
+package discovery
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gradetiller.example/internal/core/catalog"
+)
+
+// TestNoChangeIsMissed lets some nodes read a store that changes, and the
+// others ask any of them at any moment: a node that reaches a revision holds
+// exactly the store's list of that revision, whomever it asked before.
+func TestNoChangeIsMissed(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const nodes = 4
+		store := map[string]catalog.Endpoint{}
+		history := map[uint64][]catalog.Endpoint{}
+		revision := uint64(1)
+		lists := make([]*List, nodes)
+		for i := range lists {
+			lists[i] = NewList()
+		}
+		snapshot := func() []catalog.Endpoint {
+			var all []catalog.Endpoint
+			for _, e := range store {
+				all = append(all, e)
+			}
+			sortByID(all)
+			return all
+		}
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				id := fmt.Sprint(rapid.IntRange(0, 5).Draw(rt, "id"))
+				store[id] = catalog.Endpoint{ID: id, Draining: rapid.Bool().Draw(rt, "draining")}
+				revision++
+			case 1:
+				delete(store, fmt.Sprint(rapid.IntRange(0, 5).Draw(rt, "gone")))
+				revision++
+			case 2:
+				history[revision] = snapshot()
+				lists[rapid.IntRange(0, 1).Draw(rt, "reader")].Read(snapshot(), revision)
+			case 3:
+				to := lists[rapid.IntRange(0, nodes-1).Draw(rt, "to")]
+				from := lists[rapid.IntRange(0, nodes-1).Draw(rt, "from")]
+				to.Apply(from.Above(to.Revision()))
+			}
+			for i, l := range lists {
+				if l.Revision() == 0 {
+					continue
+				}
+				if got := l.Endpoints(); !slices.Equal(got, history[l.Revision()]) {
+					rt.Fatalf("node %d at revision %d holds %v, the store had %v", i, l.Revision(), got, history[l.Revision()])
+				}
+			}
+		}
+	})
+}
+
+// TestOldListIsIgnored checks that a list never goes back.
+func TestOldListIsIgnored(t *testing.T) {
+	l := NewList()
+	l.Read([]catalog.Endpoint{{ID: "a", Draining: true}}, 7)
+	if l.Read([]catalog.Endpoint{{ID: "a"}}, 6) {
+		t.Error("an older list was taken")
+	}
+	if l.Apply(Delta{Revision: 7, Changed: []catalog.Endpoint{{ID: "a"}}}) {
+		t.Error("an answer that is not ahead was taken")
+	}
+}
+
+// TestReadersAreFewAndEven checks that small systems read on every node, and
+// large ones on few, with the others spread evenly.
+func TestReadersAreFewAndEven(t *testing.T) {
+	for _, size := range []int{1, 7, 80, 380} {
+		var nodes []string
+		for i := range size {
+			nodes = append(nodes, fmt.Sprintf("node-%d", i))
+		}
+		readers := Readers(nodes)
+		if size <= 8 && len(readers) != size {
+			t.Errorf("%d of %d nodes read, want all", len(readers), size)
+		}
+		asked := make(map[string]int)
+		for _, n := range nodes {
+			asked[ReaderFor(readers, n, 0)]++
+		}
+		for r, n := range asked {
+			if n > 3*size/len(readers)+1 {
+				t.Errorf("%d nodes: reader %s is asked by %d", size, r, n)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/discovery/readers.go
@@ -0,0 +1,42 @@
+package discovery
+
+import (
+	"slices"
+
+	"gradetiller.example/internal/core/hash"
+)
+
+const (
+	// fewestReaders is how many nodes read the store at least; systems up to
+	// this size read it on every node.
+	fewestReaders = 8
+	// nodesPerReader bounds how many nodes ask one reader.
+	nodesPerReader = 16
+	readerSalt     = 0x5bd1e995
+)
+
+// Readers returns the nodes that read the store for all, in an order that all
+// nodes with the same view agree on without messages.
+func Readers(nodes []string) []string {
+	ranked := slices.Clone(nodes)
+	slices.SortFunc(ranked, func(a, b string) int {
+		x, y := hash.Pair(readerSalt, hash.Of(a)), hash.Pair(readerSalt, hash.Of(b))
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	return ranked[:min(len(ranked), max(fewestReaders, len(ranked)/nodesPerReader))]
+}
+
+// ReaderFor returns the reader that a node asks. Each try that failed moves on
+// to the next one; the nodes are spread evenly over the readers.
+func ReaderFor(readers []string, node string, failed int) string {
+	if len(readers) == 0 {
+		return ""
+	}
+	return readers[(hash.Of(node)+uint64(failed))%uint64(len(readers))]
+}
