internal/node: few nodes read the store for all

Change: eight nodes, or one in sixteen, read; each other node asks one of them every 350 ms, moves on to the next when its answer is old, and reads itself when all it knows is older than 1.6 s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/member"
 	"gradetiller.example/internal/core/stagepool"
@@ -54,8 +55,10 @@
 	budget      *lockedBudget
 	stageBudget *lockedBudget
 
+	// viewMu is held by changes of the view and the list.
 	viewMu sync.Mutex
 	view   atomic.Pointer[view]
+	list   *discovery.List
 
 	membersMu sync.Mutex
 	members   *member.Node
@@ -91,6 +94,7 @@
 	n.stageBudget = n.newBudget()
 	n.leaders = newLeaders(n.log, n.workers, func() stagepool.Budget { return n.stageBudget })
 	n.view.Store(&view{})
+	n.list = discovery.NewList()
 	n.members = member.New(wire.Member{
 		Node: s.Node, Incarnation: n.incarnation, Address: s.PeerAddress, Domain: s.Domain, Region: s.Region,
 		Entries: []wire.Entry{n.entry(false)},
@@ -181,7 +185,7 @@
 // the endpoints, and is not leaving.
 func (n *Node) isReady() bool {
 	v := n.view.Load()
-	return v.config != nil && v.revision > 0 && n.joined() && !n.draining.Load()
+	return v.config != nil && !v.readAt.IsZero() && n.joined() && !n.draining.Load()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
@@ -48,21 +49,24 @@
 	n.viewChanged()
 }
 
-// takeEndpoints puts a list of endpoints in force unless a later one is.
-func (n *Node) takeEndpoints(list []catalog.Endpoint, revision uint64, now time.Time) {
+// readEndpoints takes a list in that was read from the store at a moment.
+func (n *Node) readEndpoints(list []catalog.Endpoint, revision uint64, at time.Time) {
+	n.changeEndpoints(at, func() bool { return n.list.Read(list, revision) })
+}
+
+// changeEndpoints changes the list and puts it in force if anything changed.
+func (n *Node) changeEndpoints(at time.Time, change func() bool) {
 	n.viewMu.Lock()
+	changed := change()
 	old := n.view.Load()
-	if revision < old.revision {
-		n.viewMu.Unlock()
-		return
-	}
 	next := *old
-	next.readAt = now
-	next.revision = revision
-	next.endpoints = list
-	changed := !sameEndpoints(old.endpoints, list)
+	next.revision = n.list.Revision()
+	if at.After(next.readAt) {
+		next.readAt = at
+	}
 	if changed {
-		n.logEndpoints(old.endpoints, list)
+		next.endpoints = n.list.Endpoints()
+		n.logEndpoints(old.endpoints, next.endpoints)
 	}
 	n.view.Store(&next)
 	n.viewMu.Unlock()
@@ -71,18 +75,6 @@
 	}
 }
 
-func sameEndpoints(a, b []catalog.Endpoint) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (n *Node) logEndpoints(before, after []catalog.Endpoint) {
 	known := make(map[string]catalog.Endpoint, len(before))
 	for _, e := range before {
@@ -112,21 +104,21 @@
 
 // answerView sends a peer what it lacks.
 func (n *Node) answerView(m *wire.ViewRequest, answer func(wire.Message) error) {
+	n.viewMu.Lock()
 	v := n.view.Load()
-	var out wire.View
+	delta := n.list.Above(m.EndpointsAbove)
+	n.viewMu.Unlock()
+	out := wire.View{
+		Revision: delta.Revision, Whole: delta.Whole, Gone: delta.Gone, Digest: delta.Digest,
+		Age: time.Since(v.readAt).Milliseconds(),
+	}
+	for _, e := range delta.Changed {
+		out.Changed = append(out.Changed, wire.Worker(e))
+	}
 	if v.config != nil && v.config.Version > m.ConfigAbove {
 		out.ConfigVersion = v.config.Version
 		out.Config = v.configData
 	}
-	if v.revision > m.EndpointsAbove {
-		out.Revision = v.revision
-		for _, e := range v.endpoints {
-			out.Workers = append(out.Workers, wire.Worker(e))
-		}
-	}
-	if out.Config == nil && out.Revision == 0 {
-		return
-	}
 	_ = answer(out)
 }
 
@@ -138,11 +130,12 @@
 	if m.Revision == 0 {
 		return
 	}
-	list := make([]catalog.Endpoint, 0, len(m.Workers))
-	for _, w := range m.Workers {
-		list = append(list, catalog.Endpoint(w))
+	delta := discovery.Delta{Revision: m.Revision, Whole: m.Whole, Gone: m.Gone, Digest: m.Digest}
+	for _, w := range m.Changed {
+		delta.Changed = append(delta.Changed, catalog.Endpoint(w))
 	}
-	n.takeEndpoints(list, m.Revision, time.Now())
+	at := time.Now().Add(-time.Duration(m.Age) * time.Millisecond)
+	n.changeEndpoints(at, func() bool { return n.list.Apply(delta) })
 }
 
 // specs returns the endpoints of a service that take new work.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/discovery"
+	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
 )
 
@@ -17,12 +20,24 @@
 	storeLimit     = 900 * time.Millisecond
 	storePause     = 300 * time.Millisecond
 	endpointsEvery = 700 * time.Millisecond
+	// askEvery is how often a node that is no reader asks one, askStale the
+	// age at which its answer counts as a failure, and readAge the age of all
+	// that it knows at which it reads the store itself.
+	askEvery = 350 * time.Millisecond
+	askStale = 1000 * time.Millisecond
+	readAge  = 1600 * time.Millisecond
 )
 
-// watchConfig keeps the configuration current until ctx ends.
+// watchConfig keeps the configuration current until ctx ends. A node that is
+// no reader gets it from one with the list of endpoints.
 func (n *Node) watchConfig(ctx context.Context) {
 	revision := uint64(0)
 	for ctx.Err() == nil {
+		if !n.reads(time.Now()) {
+			revision = 0
+			pause(ctx, askEvery)
+			continue
+		}
 		r, err := n.nextConfig(ctx, revision)
 		if err != nil {
 			if errors.Is(err, platform.ErrHistoryGone) {
@@ -47,15 +62,57 @@
 	return n.store.AwaitConfig(ctx, after, configWait)
 }
 
-// watchEndpoints keeps the list of endpoints current until ctx ends.
+// watchEndpoints keeps the list of endpoints current until ctx ends: readers
+// read the store, the others ask a reader.
 func (n *Node) watchEndpoints(ctx context.Context) {
+	failed := 0
 	for ctx.Err() == nil {
 		asked := time.Now()
-		list, revision, err := n.store.Endpoints(ctx, storeLimit)
-		if err == nil {
-			n.takeEndpoints(list, revision, asked)
+		if n.reads(asked) {
+			list, revision, err := n.store.Endpoints(ctx, storeLimit)
+			if err == nil {
+				n.readEndpoints(list, revision, asked)
+			}
+			pause(ctx, endpointsEvery-time.Since(asked))
+			continue
+		}
+		n.askReader(failed)
+		pause(ctx, askEvery)
+		if n.view.Load().readAt.Before(asked.Add(-askStale)) {
+			failed++
+		}
+	}
+}
+
+// reads reports whether this node reads the store: it is a reader, or knows
+// nothing recent, so that readers that are gone or cut off leave no one behind.
+func (n *Node) reads(now time.Time) bool {
+	v := n.view.Load()
+	if v.config == nil || now.Sub(v.readAt) > readAge {
+		return true
+	}
+	return slices.Contains(n.readers(), n.settings.Node)
+}
+
+// readers lists the nodes that read the store.
+func (n *Node) readers() []string {
+	var nodes []string
+	for _, e := range *n.entries.Load() {
+		if !e.Leaving || e.Node == n.settings.Node {
+			nodes = append(nodes, e.Node)
+		}
+	}
+	return discovery.Readers(nodes)
+}
+
+// askReader asks the reader of this node for what is new.
+func (n *Node) askReader(failed int) {
+	name := discovery.ReaderFor(n.readers(), n.settings.Node, failed)
+	for _, e := range *n.entries.Load() {
+		if e.Node == name {
+			v := n.view.Load()
+			n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.config.Version, EndpointsAbove: v.revision})
 		}
-		pause(ctx, endpointsEvery-time.Since(asked))
 	}
 }
 
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -71,13 +71,19 @@
 	Draining bool
 }
 
-// View answers a ViewRequest. Parts that are not newer are left out.
+// View answers a ViewRequest. A configuration that is not newer is left out.
 type View struct {
 	ConfigVersion uint64
 	Config        []byte
-	// Revision orders lists of workers.
+	// Revision is up to which the receiver then holds all changes of the list
+	// of workers; the rest is discovery.Delta.
 	Revision uint64
-	Workers  []Worker
+	Whole    bool
+	Changed  []Worker
+	Gone     []string
+	Digest   uint64
+	// Age is how long ago the sender's list was current, in milliseconds.
+	Age int64
 }
 
 func (StagesSubmit) kind() kind  { return kindStagesSubmit }
