internal/node: the configuration is asked for at most every 400 ms; nodes without one ask readers first

Cause: other rows of the configuration's table end the store's wait, so that readers asked six times a second, and every node before the first configuration.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -132,13 +132,9 @@
 	if q.route != nil {
 		route = q.route.Name
 	}
-	version := uint64(0)
-	if q.view.config != nil {
-		version = q.view.config.Version
-	}
 	n.log.Info("request", zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
 		zap.String("outcome", q.outcome), zap.String("endpoint", q.worker), zap.Int("sent", q.sent),
-		zap.Uint64("config", version), zap.Duration("took", time.Since(q.arrived)))
+		zap.Uint64("config", q.view.version()), zap.Duration("took", time.Since(q.arrived)))
 }
 
 // outbound is the request as it goes to an endpoint.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -103,10 +103,7 @@
 // for its list of endpoints when the store does not tell.
 func (n *Node) askForView(now time.Time, ahead string, version uint64) {
 	v := n.view.Load()
-	own := uint64(0)
-	if v.config != nil {
-		own = v.config.Version
-	}
+	own := v.version()
 	behind := ahead != "" && version > own
 	old := now.Sub(v.readAt) > viewAge
 	if !behind && !old && own > 0 || now.Sub(n.askedView) < askViewGap {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -24,6 +24,14 @@
 	readAt   time.Time
 }
 
+// version is the version of the configuration in force, or 0.
+func (v *view) version() uint64 {
+	if v.config == nil {
+		return 0
+	}
+	return v.config.Version
+}
+
 // takeConfig puts a configuration in force if it is above the present one.
 func (n *Node) takeConfig(data []byte, source string) {
 	cfg, err := platform.ParseConfig(data)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -17,6 +17,7 @@
 	// configWait is how long the store holds a question for changes. It is
 	// short, because a lost answer is noticed only after it.
 	configWait     = 1500 * time.Millisecond
+	configEvery    = 400 * time.Millisecond
 	storeLimit     = 900 * time.Millisecond
 	storePause     = 300 * time.Millisecond
 	endpointsEvery = 700 * time.Millisecond
@@ -38,6 +39,7 @@
 			pause(ctx, askEvery)
 			continue
 		}
+		asked := time.Now()
 		r, err := n.nextConfig(ctx, revision)
 		if err != nil {
 			if errors.Is(err, platform.ErrHistoryGone) {
@@ -52,6 +54,8 @@
 		if r.Data != nil {
 			n.takeConfig(r.Data, "store")
 		}
+		// Other rows of the table also end the store's wait.
+		pause(ctx, configEvery-time.Since(asked))
 	}
 }
 
@@ -87,8 +91,11 @@
 // reads reports whether this node reads the store: it is a reader, or knows
 // nothing recent, so that readers that are gone or cut off leave no one behind.
 func (n *Node) reads(now time.Time) bool {
-	v := n.view.Load()
-	if v.config == nil || now.Sub(v.readAt) > readAge {
+	known := n.view.Load().readAt
+	if known.IsZero() {
+		known = n.started
+	}
+	if now.Sub(known) > readAge {
 		return true
 	}
 	return slices.Contains(n.readers(), n.settings.Node)
@@ -111,7 +118,7 @@
 	for _, e := range *n.entries.Load() {
 		if e.Node == name {
 			v := n.view.Load()
-			n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.config.Version, EndpointsAbove: v.revision})
+			n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.version(), EndpointsAbove: v.revision})
 		}
 	}
 }
