--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -185,7 +185,7 @@
 // the endpoints, and is not leaving.
 func (n *Node) isReady() bool {
 	v := n.view.Load()
-	return v.config != nil && !v.readAt.IsZero() && n.joined() && !n.draining.Load()
+	return v.config != nil && !v.readAt.IsZero() && n.joined() && n.liveNodes.Load() > 0 && !n.draining.Load()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -60,7 +60,7 @@
 	entries := n.members.Entries()
 	n.membersMu.Unlock()
 	n.sendGossip(sends)
-	if changed {
+	if changed || n.liveNodes.Load() == 0 && n.joined() {
 		n.takeEntries(entries)
 	}
 	n.askForView(now, address, version)
--- /dev/null
+++ b/internal/node/system_test.go
@@ -0,0 +1,388 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gradetiller.example/platform"
+	"gradetiller.example/platform/platformtest"
+)
+
+// running is a node under test.
+type running struct {
+	platformtest.Addresses
+	node *Node
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func startNode(t *testing.T, site *platformtest.Site, seeds ...string) *running {
+	t.Helper()
+	text, addresses := site.Settings(seeds...)
+	s, err := platform.ParseSettings(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Addresses: addresses, node: New(s), stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(r.done)
+		if err := r.node.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-r.done
+	})
+	return r
+}
+
+func (r *running) awaitReady(t *testing.T) {
+	t.Helper()
+	eventually(t, "the node is ready", func() bool { return platformtest.Ready(r.Ready) == 200 })
+}
+
+// eventually waits for what must come about; the bound is generous because no
+// verdict depends on speed.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 1500 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+const key = "key-1"
+
+// desk is a site with a plain service, a model service and two stages.
+func desk(t *testing.T) (*platformtest.Site, platformtest.Config) {
+	site := platformtest.NewSite(t)
+	c := platformtest.Config{
+		Version: 1, Keys: map[string]string{key: "barbers"},
+		Models: []string{"model"}, Stages: []string{"encode", "rank"},
+		Routes: []platformtest.Route{
+			{Prefix: "/read/", Kind: "safe", Service: "desk", Attempts: 2},
+			{Prefix: "/book/", Kind: "unsafe", Service: "desk"},
+			{Prefix: "/plain/", Kind: "streaming", Service: "model", Resumable: true, Attempts: 2},
+			{Prefix: "/once/", Kind: "streaming", Service: "model"},
+			{Prefix: "/staged/", Kind: "streaming", Service: "model", Resumable: true, Attempts: 2, Stages: []platformtest.RouteStage{
+				{Service: "encode", Bytes: 8000}, {Service: "rank", After: []int{0}, Bytes: 6000},
+			}},
+		},
+	}
+	site.Publish(c)
+	return site, c
+}
+
+func do(a string, q platformtest.Request) platformtest.Response {
+	if q.Key == "" {
+		q.Key = key
+	}
+	if q.Deadline == 0 {
+		q.Deadline = 4 * time.Second
+	}
+	return platformtest.Do(context.Background(), a, q)
+}
+
+func events(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d of %s\n\n", i, i, id)
+	}
+	return b.String()
+}
+
+// TestWholePath takes a request of each kind through a node.
+func TestWholePath(t *testing.T) {
+	site, _ := desk(t)
+	workers := site.AddWorkers("desk", 2)
+	models := site.AddWorkers("model", 2)
+	encode, rank := site.AddWorkers("encode", 1)[0], site.AddWorkers("rank", 1)[0]
+	n := startNode(t, site)
+	n.awaitReady(t)
+
+	a := do(n.Front, platformtest.Request{ID: "p1", Path: "/book/a%2Fb/?q=1%202", Body: "seat 4", Forged: "clinics"})
+	if a.Status != 200 || a.Body != "POST /book/a%2Fb/?q=1%202 seat 4" || a.Stamp == "" {
+		t.Errorf("plain request: %+v", a)
+	}
+	if runs := workers[0].Runs("p1") + workers[1].Runs("p1"); runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+	for _, w := range workers {
+		if w.Runs("p1") == 1 && w.Tenant("p1") != "barbers" {
+			t.Errorf("tenant %q reached the worker", w.Tenant("p1"))
+		}
+	}
+	s := do(n.Front, platformtest.Request{ID: "s1", Path: "/staged/x", Streaming: true, Pieces: []int{2, 3}, Prefix: "aa:10,bb:20,cc:5"})
+	if s.Status != 200 || s.Body != events("s1", 4) {
+		t.Errorf("staged stream: %+v", s)
+	}
+	if got := len(models[0].Inputs("s1")) + len(models[1].Inputs("s1")); got != 3 {
+		t.Errorf("the model was given %d results, want 3", got)
+	}
+	eventually(t, "all results are freed", func() bool { return encode.Held()+rank.Held() == 0 })
+	if b := rank.Batches(); len(b) != 1 || b[0] != 3 {
+		t.Errorf("pieces of one stage went in calls of %v, want one of 3", b)
+	}
+	none := do(n.Front, platformtest.Request{ID: "s2", Path: "/staged/x", Streaming: true, Pieces: []int{0, 0}})
+	if none.Status != 200 {
+		t.Errorf("stages left out: %+v", none)
+	}
+}
+
+// TestConfigurationDecides checks routes and keys, that a later version is in
+// force soon, and that an earlier one is never.
+func TestConfigurationDecides(t *testing.T) {
+	site, c := desk(t)
+	site.AddWorkers("desk", 1)
+	n := startNode(t, site)
+	n.awaitReady(t)
+	for _, q := range []struct {
+		path, key string
+		want      int
+	}{{"/read/", "", 200}, {"/none/", "", 404}, {"/read/", "wrong", 401}} {
+		if a := do(n.Front, platformtest.Request{ID: "c", Path: q.path, Key: q.key}); a.Status != q.want {
+			t.Errorf("%s with key %q: %d, want %d", q.path, q.key, a.Status, q.want)
+		}
+	}
+	next := c
+	next.Version = 9
+	next.Keys = map[string]string{"key-2": "barbers"}
+	site.Publish(next)
+	eventually(t, "the revoked key is refused", func() bool {
+		return do(n.Front, platformtest.Request{ID: "c", Path: "/read/"}).Status == 401
+	})
+	site.Publish(c)
+	time.Sleep(700 * time.Millisecond)
+	if a := do(n.Front, platformtest.Request{ID: "c", Path: "/read/"}); a.Status != 401 {
+		t.Errorf("an older version came into force: %d", a.Status)
+	}
+}
+
+// TestNotReadyWithoutConfiguration checks that a node that knows nothing yet
+// answers 503 and says when to come back.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	site := platformtest.NewSite(t)
+	site.Store.SetDown(true)
+	n := startNode(t, site)
+	eventually(t, "the node listens", func() bool { return platformtest.Ready(n.Ready) != 0 })
+	if got := platformtest.Ready(n.Ready); got != 503 {
+		t.Errorf("ready answers %d", got)
+	}
+	a := do(n.Front, platformtest.Request{ID: "x", Path: "/read/"})
+	if a.Status != 503 || a.RetryAfter == "" {
+		t.Errorf("got %+v, want 503 with the time to come back", a)
+	}
+}
+
+// TestOnceIsNeverRepeated brings each fault to a request that may run once.
+func TestOnceIsNeverRepeated(t *testing.T) {
+	site, _ := desk(t)
+	workers := site.AddWorkers("desk", 2)
+	models := site.AddWorkers("model", 2)
+	n := startNode(t, site)
+	n.awaitReady(t)
+	for i, c := range []struct {
+		fault platformtest.Fault
+		want  int
+	}{
+		{platformtest.Reset, 502},
+		{platformtest.OtherID, 502},
+		{platformtest.NoStamp, 502},
+		{platformtest.CutShort, 502},
+		{platformtest.Fail, 500},
+		{platformtest.Shed, 503},
+	} {
+		id := fmt.Sprintf("once-%d", i)
+		for _, w := range workers {
+			w.Inject(c.fault)
+		}
+		a := do(n.Front, platformtest.Request{ID: id, Path: "/book/"})
+		if a.Status != c.want {
+			t.Errorf("fault %d: status %d, want %d", c.fault, a.Status, c.want)
+		}
+		runs := workers[0].Runs(id) + workers[1].Runs(id)
+		if runs > 1 || c.want == 503 && runs != 0 {
+			t.Errorf("fault %d: ran %d times with status %d", c.fault, runs, a.Status)
+		}
+		for _, w := range workers {
+			w.Heal()
+		}
+	}
+	for _, m := range models {
+		m.Inject(platformtest.Torn)
+	}
+	s := do(n.Front, platformtest.Request{ID: "torn", Path: "/once/", Streaming: true, Prefix: "aa:1"})
+	if s.Err == nil {
+		t.Errorf("a broken stream looks complete: %+v", s)
+	}
+	if s.Body != events("torn", 2) {
+		t.Errorf("the client got %q, want whole events only", s.Body)
+	}
+	if runs := models[0].Runs("torn") + models[1].Runs("torn"); runs != 1 {
+		t.Errorf("a stream that may run once ran %d times", runs)
+	}
+}
+
+// TestSafeIsSentAgain brings faults to requests that may run twice: the
+// client gets a whole answer all the same.
+func TestSafeIsSentAgain(t *testing.T) {
+	site, _ := desk(t)
+	workers := site.AddWorkers("desk", 2)
+	models := site.AddWorkers("model", 2)
+	n := startNode(t, site)
+	n.awaitReady(t)
+	for i, f := range []platformtest.Fault{platformtest.Reset, platformtest.OtherID, platformtest.CutShort, platformtest.Fail, platformtest.Shed} {
+		workers[i%2].Inject(f)
+		for k := 0; workers[i%2].Pending() > 0; k++ {
+			path := fmt.Sprintf("/read/safe-%d-%d", i, k)
+			if a := do(n.Front, platformtest.Request{ID: path, Path: path}); a.Status != 200 || a.Body != "POST "+path+" " {
+				t.Fatalf("fault %d: %+v", f, a)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	for _, m := range models {
+		m.Events = 9
+	}
+	models[0].Inject(platformtest.Torn)
+	for k := 0; models[0].Pending() > 0; k++ {
+		id := fmt.Sprintf("resumed-%d", k)
+		s := do(n.Front, platformtest.Request{ID: id, Path: "/plain/", Streaming: true, Prefix: fmt.Sprintf("%x:1", k)})
+		if s.Err != nil || s.Body != events(id, 9) {
+			t.Fatalf("stream with one fault: %+v", s)
+		}
+	}
+}
+
+// TestTwoNodesActAsOne checks that nodes find each other by seeds, are named
+// in look-ups, share one stage pool, and that one that stops is named no more
+// and cuts off nothing.
+func TestTwoNodesActAsOne(t *testing.T) {
+	site, _ := desk(t)
+	models := site.AddWorkers("model", 2)
+	for _, m := range models {
+		m.Pause = 30 * time.Millisecond
+		m.Events = 10
+	}
+	site.AddWorkers("encode", 1)
+	site.AddWorkers("rank", 1)
+	a := startNode(t, site)
+	b := startNode(t, site, a.Peer)
+	a.awaitReady(t)
+	b.awaitReady(t)
+	eventually(t, "both are named", func() bool {
+		list, err := platformtest.Lookup(b.Directory)
+		return err == nil && len(list) == 2
+	})
+	var wait sync.WaitGroup
+	for i := range 8 {
+		wait.Go(func() {
+			front := []string{a.Front, b.Front}[i%2]
+			id := fmt.Sprintf("both-%d", i)
+			s := do(front, platformtest.Request{ID: id, Path: "/staged/", Streaming: true, Pieces: []int{1, 2}, Prefix: "aa:1"})
+			if s.Err != nil || s.Body != events(id, 10) {
+				t.Errorf("%s: %+v", id, s)
+			}
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	b.stop()
+	eventually(t, "the stopping node is named no more", func() bool {
+		list, err := platformtest.Lookup(a.Directory)
+		return err == nil && len(list) == 1
+	})
+	wait.Wait()
+	leaders := 0
+	for _, n := range []*running{a, b} {
+		if n.node.leads.Load() != 0 {
+			leaders++
+		}
+	}
+	if leaders == 0 {
+		t.Error("no node led the stage pool")
+	}
+}
+
+// TestPeersPassTheViewOn checks that a node which the store turns away
+// takes what its peers hold, and serves by it.
+func TestPeersPassTheViewOn(t *testing.T) {
+	site, _ := desk(t)
+	site.AddWorkers("desk", 1)
+	a := startNode(t, site)
+	a.awaitReady(t)
+	v := a.node.view.Load()
+	site.Store.SetDown(true)
+	b := startNode(t, site, a.Peer)
+	b.awaitReady(t)
+	if got := b.node.view.Load(); got.version() != v.version() || len(got.endpoints) != 1 {
+		t.Errorf("the second node holds version %d and %d endpoints", got.version(), len(got.endpoints))
+	}
+	if s := do(b.Front, platformtest.Request{ID: "x", Path: "/read/"}); s.Status != 200 {
+		t.Errorf("served %d from what a peer holds", s.Status)
+	}
+}
+
+// TestDrainingEndpointGetsNothing checks that an endpoint that says it leaves
+// is sent nothing more.
+func TestDrainingEndpointGetsNothing(t *testing.T) {
+	site, _ := desk(t)
+	workers := site.AddWorkers("desk", 2)
+	n := startNode(t, site)
+	n.awaitReady(t)
+	eventually(t, "both endpoints are listed", func() bool { return len(n.node.view.Load().endpoints) == 2 })
+	workers[0].Drain()
+	eventually(t, "the draining state is known", func() bool {
+		for _, e := range n.node.view.Load().endpoints {
+			if e.Draining {
+				return true
+			}
+		}
+		return false
+	})
+	workers[1].Leave()
+	workers = append(workers, site.AddWorkers("desk", 1)...)
+	eventually(t, "the list is current", func() bool {
+		list := n.node.view.Load().endpoints
+		return len(list) == 2 && list[0].ID != workers[1].ID && list[1].ID != workers[1].ID
+	})
+	before := workers[0].Total()
+	for i := range 10 {
+		if a := do(n.Front, platformtest.Request{ID: fmt.Sprint("d", i), Path: "/read/"}); a.Status != 200 {
+			t.Errorf("status %d", a.Status)
+		}
+	}
+	if after := workers[0].Total(); after != before {
+		t.Errorf("%d requests reached the draining endpoint", after-before)
+	}
+}
+
+// TestClientThatLeaves checks that the work of a client that has left ends,
+// and that its results are given up.
+func TestClientThatLeaves(t *testing.T) {
+	site, _ := desk(t)
+	model := site.AddWorkers("model", 1)[0]
+	encode, rank := site.AddWorkers("encode", 1)[0], site.AddWorkers("rank", 1)[0]
+	n := startNode(t, site)
+	n.awaitReady(t)
+	model.Inject(platformtest.Silent)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		eventually(t, "the model runs the request", func() bool { return model.Runs("left") == 1 })
+		cancel()
+	}()
+	a := platformtest.Do(ctx, n.Front, platformtest.Request{ID: "left", Key: key, Path: "/staged/", Streaming: true, Pieces: []int{1, 2}, Deadline: 9 * time.Second})
+	if a.Err == nil {
+		t.Fatalf("got an answer: %+v", a)
+	}
+	eventually(t, "results are given up", func() bool { return encode.Held()+rank.Held() == 0 })
+	eventually(t, "nothing is in flight", func() bool { return n.node.inFlight.Load() == 0 })
+}
