internal/core/stagepool, internal/node: leaders know of each other; room of foreign results; nodes greet until they know others

Tests: TestContendedInputsAreKept (gone inputs without the warning, none with it), TestFullWorkerIsSpared.

--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -156,7 +156,7 @@
 		waiting += len(e.task.stages[e.stage].waiting)
 	}
 	target := min((waiting+idle-1)/idle, s.conf.Batch)
-	room := w.limit() - w.used
+	room := w.room(now)
 	var items []itemRef
 	for _, e := range s.queue {
 		st := &e.task.stages[e.stage]
@@ -210,7 +210,7 @@
 	w.service.calls++
 	w.service.pieces += uint64(len(items))
 	p.emit(out)
-	if !now.Before(w.contended) {
+	if !now.Before(w.contended) && !now.Before(p.alone) {
 		p.freeInputs(now, items)
 	}
 }
@@ -240,8 +240,7 @@
 const crowded = 0.4
 
 // contention is how long a worker that declined a call, or took far too long,
-// is taken to work for another leader as well. Its calls may then wait for
-// their turn, so their inputs are kept until they end.
+// is taken to work for another leader as well.
 const contention = 3 * time.Second
 
 // freeInputs has inputs given up that no further piece needs.
--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -82,7 +82,7 @@
 	case NoRoom:
 		if answered {
 			p.counters.NoRoom++
-			w.asideTo = now.Add(roomRest)
+			w.full(now)
 		}
 	case Gone:
 		p.counters.Gone++
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -82,9 +82,6 @@
 		}
 		s.conf = *conf.Batching
 	}
-	if p.alone.IsZero() {
-		p.alone = now.Add(contention)
-	}
 	listed := make(map[string]catalog.Endpoint, len(endpoints))
 	for _, e := range endpoints {
 		listed[e.ID] = e
@@ -109,7 +106,7 @@
 			continue
 		}
 		s.workers = append(s.workers, &worker{
-			spec: e, service: s, speed: 1, measured: now, contended: p.alone,
+			spec: e, service: s, speed: 1, measured: now,
 			calls: make(map[CallID]*call), results: make(map[*result]struct{}),
 		})
 	}
@@ -117,6 +114,15 @@
 	return p.take()
 }
 
+// Contend tells that another leader may be at work on the same endpoints
+// until a moment: a call may then wait for its turn behind the other's, so
+// that its inputs are kept until it ends.
+func (p *Pool) Contend(until time.Time) {
+	if until.After(p.alone) {
+		p.alone = until
+	}
+}
+
 // Submit takes a task, or refuses it.
 func (p *Pool) Submit(now time.Time, t Task) (Verdict, []Action) {
 	finish, ok := p.predict(now, t)
--- a/internal/core/stagepool/pool_test.go
+++ b/internal/core/stagepool/pool_test.go
@@ -162,3 +162,43 @@
 		t.Errorf("pooled misses %d, alone %d: not halved", missesPooled, missesAlone)
 	}
 }
+
+// TestContendedInputsAreKept lets two leaders work at the same endpoints, as
+// at a change of leader. A call may then wait behind the other's; inputs that
+// were freed soon after its start were gone at its turn.
+func TestContendedInputsAreKept(t *testing.T) {
+	gone := func(contend bool) int {
+		a := newAlone(t, 8, 3, 2)
+		if contend {
+			for _, p := range a.pools {
+				p.Contend(a.now.Add(time.Minute))
+			}
+		}
+		a.load(14, 8*time.Second, 2*time.Second)
+		return a.stats.gone
+	}
+	if n := gone(false); n == 0 {
+		t.Error("the load shows nothing: no input was gone without the warning either")
+	}
+	if n := gone(true); n != 0 {
+		t.Errorf("%d inputs were gone although the leaders knew of each other", n)
+	}
+}
+
+// TestFullWorkerIsSpared fills a worker's room with results that the pool does
+// not know of: after the first pieces found no room, few more are sent there.
+func TestFullWorkerIsSpared(t *testing.T) {
+	w := newWorld(t, 9, 2)
+	s := w.workers["bill-0"]
+	s.used = s.conf.Room
+	w.after(3*time.Second, func() { s.used -= s.conf.Room })
+	taken := w.load(6, 5*time.Second, 3*time.Second)
+	for _, id := range taken {
+		if _, ok := w.done[id]; !ok {
+			t.Errorf("task %d has no results: %q", id, w.failed[id])
+		}
+	}
+	if w.stats.noRoom > 60 {
+		t.Errorf("%d pieces found no room", w.stats.noRoom)
+	}
+}
--- a/internal/core/stagepool/worker.go
+++ b/internal/core/stagepool/worker.go
@@ -18,8 +18,9 @@
 	longestAside = 3 * time.Second
 	// declinedRest is the rest after a call that the worker did not run.
 	declinedRest = 40 * time.Millisecond
-	// roomRest is the rest after a piece found no room.
-	roomRest = 150 * time.Millisecond
+	// foreignLife is how long a worker without room is taken to hold another
+	// leader's results.
+	foreignLife = 500 * time.Millisecond
 	// roomShare of the configured room is used; sizes are approximate.
 	roomShare = 0.97
 )
@@ -36,6 +37,10 @@
 	measured time.Time
 	failures int
 	asideTo  time.Time
+	// foreign is the room that results of an earlier leader take, believed
+	// until foreignTo.
+	foreign   int64
+	foreignTo time.Time
 	// contended is until when others are taken to send it calls too.
 	contended time.Time
 	leaving   bool
@@ -45,6 +50,22 @@
 	return int64(roomShare * float64(w.service.conf.Room))
 }
 
+// room is how many bytes of results the worker can take.
+func (w *worker) room(now time.Time) int64 {
+	room := w.limit() - w.used
+	if now.Before(w.foreignTo) {
+		room -= w.foreign
+	}
+	return max(room, 0)
+}
+
+// full notes that a piece found no room: what this pool does not hold there
+// is another's, and stays for a while.
+func (w *worker) full(now time.Time) {
+	w.foreign = max(w.limit()-w.used, 0)
+	w.foreignTo = now.Add(foreignLife)
+}
+
 func (w *worker) idle(now time.Time) bool {
 	return !w.leaving && len(w.calls) < w.service.conf.Slots && !now.Before(w.asideTo)
 }
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -24,6 +24,9 @@
 	// stateGap is how often the state of a pool is logged.
 	stateGap    = time.Second
 	freeTimeout = 2 * time.Second
+	// contention is how long the calls of another leader may still wait at
+	// endpoints after the last sign of it.
+	contention = 2500 * time.Millisecond
 )
 
 // ownerKey names a task by the node that submitted it.
@@ -129,6 +132,17 @@
 	c.carryOut(c.pool.Configure(now, v.config.Services, v.cellEndpoints(c.cell)))
 }
 
+// contend tells a cell's pool that another leader may be at work.
+func (l *leaders) contend(cell int, now time.Time) {
+	c := l.get(cell)
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool.Contend(now.Add(contention))
+}
+
 // submit takes a request's stages.
 func (l *leaders) submit(o owner, m *wire.StagesSubmit) {
 	c := l.get(m.Cell)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,8 +66,9 @@
 	liveNodes atomic.Int64
 	// leads has a bit for each cell that this node claims.
 	leads atomic.Uint64
-	// askedView and asked belong to the goroutine that beats.
+	// askedView, greeted and asked belong to the goroutine that beats.
 	askedView time.Time
+	greeted   time.Time
 	asked     int
 
 	storeLost atomic.Bool
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -33,11 +33,7 @@
 
 // runMembers beats until ctx ends.
 func (n *Node) runMembers(ctx context.Context) {
-	n.membersMu.Lock()
-	n.members.SetSeeds(n.strangers())
-	sends := n.members.Join()
-	n.membersMu.Unlock()
-	n.sendGossip(sends)
+	n.beat(time.Now())
 	ticker := time.NewTicker(member.FlushInterval)
 	defer ticker.Stop()
 	for {
@@ -54,6 +50,10 @@
 	n.membersMu.Lock()
 	n.members.SetSeeds(n.strangers())
 	sends := n.members.Tick(now)
+	if n.alone() && now.Sub(n.greeted) > greetGap {
+		n.greeted = now
+		sends = append(sends, n.members.Join()...)
+	}
 	ahead, version := n.members.HigherConfig()
 	address := n.members.Address(ahead)
 	changed := n.members.Changed()
@@ -196,12 +196,18 @@
 	// before it takes itself for the only one.
 	joinTime = 1500 * time.Millisecond
 	joinPoll = 20 * time.Millisecond
+	// greetGap is how often a node that is alone greets its seeds: after a
+	// loss of power they may start later than it does.
+	greetGap = 200 * time.Millisecond
 )
 
+// alone reports whether this node knows no other.
+func (n *Node) alone() bool { return len(*n.entries.Load()) < 2 }
+
 // joined reports whether this node knows the others. Before, it would take
 // itself for the leader of all cells.
 func (n *Node) joined() bool {
-	return len(*n.entries.Load()) > 1 || len(n.settings.Seeds) == 0 || time.Since(n.started) > joinTime
+	return !n.alone() || len(n.settings.Seeds) == 0 || time.Since(n.started) > joinTime
 }
 
 // awaitJoined waits until the node has joined.
@@ -224,6 +230,7 @@
 	leads := n.leads.Load() | cellBit(cell)
 	if n.leads.Swap(leads) != leads {
 		n.log.Info("leads a cell", zap.Int("cell", cell))
+		n.leaders.contend(cell, time.Now())
 		n.publishEntry()
 	}
 }
@@ -235,6 +242,9 @@
 		if own&cellBit(cell) == 0 {
 			continue
 		}
+		if n.otherLeads(cell) {
+			n.leaders.contend(cell, time.Now())
+		}
 		rank := n.leaderRank(time.Now(), cell)
 		if len(rank) > 0 && rank[0].Node != n.settings.Node && rank[0].Leads&cellBit(cell) != 0 {
 			n.log.Info("leads a cell no more", zap.Int("cell", cell), zap.String("leader", rank[0].Node))
@@ -244,6 +254,17 @@
 	}
 }
 
+// otherLeads reports whether another node leads a cell too, or is about to
+// end its work there.
+func (n *Node) otherLeads(cell int) bool {
+	for _, e := range *n.entries.Load() {
+		if e.Node != n.settings.Node && e.Leads&cellBit(cell) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // publishEntry spreads this node's entry.
 func (n *Node) publishEntry() {
 	n.membersMu.Lock()
