internal/node, internal/core/stagepool: a leader that leaves gives back what has not begun

Change: a claim stays until all tasks have ended, so that others know; tasks for which no call was sent go back to their nodes, which ask the next leader. Test: TestGiveBack.

--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -1,6 +1,8 @@
 package stagepool
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gradetiller.example/internal/core/catalog"
@@ -123,6 +125,21 @@
 	}
 }
 
+// MoveReason is the reason of tasks that are given back for another leader.
+const MoveReason = "moved"
+
+// GiveBack gives the tasks up for which no call was sent, so that another
+// leader takes them whole.
+func (p *Pool) GiveBack(now time.Time) []Action {
+	for _, id := range slices.Sorted(maps.Keys(p.tasks)) {
+		if t := p.tasks[id]; !t.worked && !t.complete {
+			p.fail(t, MoveReason, 0)
+		}
+	}
+	p.dispatchAll(now)
+	return p.take()
+}
+
 // Submit takes a task, or refuses it.
 func (p *Pool) Submit(now time.Time, t Task) (Verdict, []Action) {
 	finish, ok := p.predict(now, t)
--- a/internal/core/stagepool/pool_test.go
+++ b/internal/core/stagepool/pool_test.go
@@ -202,3 +202,35 @@
 		t.Errorf("%d pieces found no room", w.stats.noRoom)
 	}
 }
+
+// TestGiveBack checks that a leader that leaves gives back exactly the tasks
+// that have not begun, and brings the others to their end.
+func TestGiveBack(t *testing.T) {
+	w := newWorld(t, 10, 1)
+	var ids []TaskID
+	for i := range 12 {
+		id, ok := w.submit(Task{RequestID: fmt.Sprint("r", i), Stages: testStages, Aim: w.now.Add(9 * time.Second), Deadline: w.now.Add(15 * time.Second)})
+		if !ok {
+			t.Fatal("refused")
+		}
+		ids = append(ids, id)
+	}
+	w.run(50 * time.Millisecond)
+	w.carryOut(w.pool.GiveBack(w.now))
+	w.run(10 * time.Second)
+	moved, done := 0, 0
+	for _, id := range ids {
+		if w.failed[id] == MoveReason {
+			moved++
+		}
+		if _, ok := w.done[id]; ok {
+			done++
+		}
+	}
+	if moved == 0 || done == 0 || moved+done != len(ids) {
+		t.Errorf("%d tasks given back, %d done, of %d", moved, done, len(ids))
+	}
+	if len(w.handles) != 0 {
+		t.Errorf("%d results are left", len(w.handles))
+	}
+}
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -65,6 +65,11 @@
 	Broken
 )
 
+// String returns the reason's name.
+func (r Reason) String() string {
+	return [...]string{"made", "late", "gone", "no_room", "broken"}[r]
+}
+
 // ItemResult is what became of one item.
 type ItemResult struct {
 	Handle string
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
 )
 
@@ -31,6 +32,9 @@
 // Error implements error.
 func (r *refusal) Error() string { return r.reason }
 
+// errLeaderMoved tells that a leader leaves and gives the work back.
+var errLeaderMoved = errors.New("the leader of the stage pool gives its work back")
+
 var errLeaderLost = errors.New("the leader of the stage pool does not answer")
 
 // jobs are the submissions of this node to leaders.
@@ -148,6 +152,9 @@
 		}
 		var results stageResults
 		results, err = n.tryLeader(ctx, rank[0], w)
+		if errors.Is(err, errLeaderMoved) {
+			continue
+		}
 		if !errors.Is(err, errLeaderLost) {
 			return results, err
 		}
@@ -181,6 +188,10 @@
 		release()
 		return stageResults{}, err
 	}
+	if done.Failed == stagepool.MoveReason {
+		release()
+		return stageResults{}, errLeaderMoved
+	}
 	if done.Failed != "" {
 		release()
 		return stageResults{}, &refusal{"stages: " + done.Failed, time.Duration(done.Again) * time.Millisecond}
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -143,6 +144,28 @@
 	c.pool.Contend(now.Add(contention))
 }
 
+// giveBack gives the tasks of a cell that have not begun back to their owners.
+func (l *leaders) giveBack(cell int, now time.Time) {
+	c := l.get(cell)
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carryOut(c.pool.GiveBack(now))
+}
+
+// idle reports whether a cell has no task here.
+func (l *leaders) idle(cell int) bool {
+	c := l.get(cell)
+	if c == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pool.Tasks() == 0
+}
+
 // submit takes a request's stages.
 func (l *leaders) submit(o owner, m *wire.StagesSubmit) {
 	c := l.get(m.Cell)
@@ -280,9 +303,12 @@
 		zap.String("endpoint", a.Endpoint), zap.Int("pieces", len(a.Items)),
 		zap.Int("ending", int(outcome.Ending)), zap.Duration("took", time.Since(started)),
 	}
-	if err != nil {
+	switch unmade := unmadeFields(outcome); {
+	case err != nil:
 		c.group.log.Warn("stage call lost", append(fields, zap.Error(err))...)
-	} else {
+	case len(unmade) > 0:
+		c.group.log.Info("stage call with unmade pieces", append(fields, unmade...)...)
+	default:
 		c.group.log.Debug("stage call", fields...)
 	}
 	c.mu.Lock()
@@ -290,6 +316,20 @@
 	c.carryOut(c.pool.Done(time.Now(), a.Call, outcome))
 }
 
+// unmadeFields counts the pieces without a result, by reason.
+func unmadeFields(o stagepool.Outcome) []zap.Field {
+	counts := make(map[stagepool.Reason]int)
+	for _, r := range o.Items {
+		counts[r.Reason]++
+	}
+	delete(counts, stagepool.Made)
+	var fields []zap.Field
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		fields = append(fields, zap.Int(reason.String(), counts[reason]))
+	}
+	return fields
+}
+
 func (c *leader) free(a stagepool.Free) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -64,6 +64,7 @@
 		n.takeEntries(entries)
 	}
 	n.askForView(now, address, version)
+	n.watchCells()
 }
 
 // strangers lists the seeds that are no known live member; the lock is held.
@@ -86,7 +87,6 @@
 // takeEntries keeps the list of live nodes for look-ups and leaders.
 func (n *Node) takeEntries(entries []wire.Entry) {
 	n.entries.Store(&entries)
-	n.yield()
 	live := 0
 	for _, e := range entries {
 		if !e.Leaving {
@@ -235,25 +235,38 @@
 	}
 }
 
-// yield gives the claim on a cell up when a node of higher rank claims it too.
-func (n *Node) yield() {
+// watchCells tells the pools of this node's cells whether another leader is at
+// work there. When this node leaves, or one of higher rank claims a cell too,
+// it gives back what has not begun, and its claim when all tasks have ended.
+func (n *Node) watchCells() {
 	own := n.leads.Load()
 	for cell := 0; own>>cell != 0; cell++ {
 		if own&cellBit(cell) == 0 {
 			continue
 		}
-		if n.otherLeads(cell) {
+		shared := n.otherLeads(cell)
+		if shared {
 			n.leaders.contend(cell, time.Now())
 		}
-		rank := n.leaderRank(time.Now(), cell)
-		if len(rank) > 0 && rank[0].Node != n.settings.Node && rank[0].Leads&cellBit(cell) != 0 {
-			n.log.Info("leads a cell no more", zap.Int("cell", cell), zap.String("leader", rank[0].Node))
+		if !n.draining.Load() && (!shared || n.ranksFirst(cell)) {
+			continue
+		}
+		if !n.alone() {
+			n.leaders.giveBack(cell, time.Now())
+		}
+		if n.leaders.idle(cell) {
+			n.log.Info("leads a cell no more", zap.Int("cell", cell))
 			n.leads.Store(n.leads.Load() &^ cellBit(cell))
 			n.publishEntry()
 		}
 	}
 }
 
+func (n *Node) ranksFirst(cell int) bool {
+	rank := n.leaderRank(time.Now(), cell)
+	return len(rank) > 0 && rank[0].Node == n.settings.Node
+}
+
 // otherLeads reports whether another node leads a cell too, or is about to
 // end its work there.
 func (n *Node) otherLeads(cell int) bool {
