internal/node: a missed answer moves all work away from a leader; suspicion until it is heard of

Each request found the silent leader out by itself, suspicion ended after 2 s although nothing was heard, and one lost packet looked like a dead leader (250 ms). Test: TestFrozenLeaderIsLeftByAll.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// verdictTimeout is how long a leader may take to answer a submission.
-	verdictTimeout = 250 * time.Millisecond
+	// verdictTimeout is how long a leader may take to answer a submission. It
+	// covers the loss of a packet, after which TCP sends it again.
+	verdictTimeout = 400 * time.Millisecond
 	// pingGap is how often a leader is asked whether it is still at work. A
 	// leader that is slow is left to its work: a second one would compete with
 	// it for the same endpoints and make both slower.
@@ -42,7 +43,13 @@
 	mu       sync.Mutex
 	last     uint64
 	open     map[uint64]*job
-	suspects map[string]time.Time
+	suspects map[string]suspicion
+}
+
+// suspicion keeps a node from leading until a moment, or until it is heard of.
+type suspicion struct {
+	until time.Time
+	lasts time.Duration
 }
 
 // job is one submission.
@@ -55,7 +62,7 @@
 }
 
 func newJobs() *jobs {
-	return &jobs{open: make(map[uint64]*job), suspects: make(map[string]time.Time)}
+	return &jobs{open: make(map[uint64]*job), suspects: make(map[string]suspicion)}
 }
 
 func (j *jobs) add(address string) *job {
@@ -112,17 +119,34 @@
 	}
 }
 
-// suspect keeps a node from leading for a while.
+// suspect keeps a node from leading for a while, longer each time in a row,
+// and tells all jobs there that their leader may be gone.
 func (j *jobs) suspect(now time.Time, address string) {
+	j.mu.Lock()
+	old := j.suspects[address]
+	lasts := suspectFor
+	if now.Before(old.until.Add(suspectFor)) {
+		lasts = min(2*old.lasts, suspectMost)
+	}
+	j.suspects[address] = suspicion{until: now.Add(lasts), lasts: lasts}
+	j.mu.Unlock()
+	j.lost(address)
+}
+
+// heard ends the suspicion of a node that has sent something.
+func (j *jobs) heard(address string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.suspects[address] = now.Add(suspectFor)
+	if s, ok := j.suspects[address]; ok {
+		s.until = time.Time{}
+		j.suspects[address] = s
+	}
 }
 
 func (j *jobs) suspected(now time.Time, address string) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return now.Before(j.suspects[address])
+	return now.Before(j.suspects[address].until)
 }
 
 // stageWork is a request's stages, in absolute times.
--- a/internal/node/jobs_test.go
+++ b/internal/node/jobs_test.go
@@ -52,3 +52,37 @@
 		}
 	})
 }
+
+// TestFrozenLeaderIsLeftByAll checks that one missed answer moves all work
+// away from a leader, that the suspicion grows while nothing is heard of it,
+// and that a sign of life ends it.
+func TestFrozenLeaderIsLeftByAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := newJobs()
+		waiting := j.add("leader")
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			j.suspect(time.Now(), "leader")
+		}()
+		started := time.Now()
+		if _, err := waiting.awaitDone(context.Background(), func() {}); !errors.Is(err, errLeaderLost) {
+			t.Fatalf("got %v", err)
+		}
+		if took := time.Since(started); took > 60*time.Millisecond {
+			t.Errorf("moved after %v, want at once", took)
+		}
+		time.Sleep(suspectFor + 50*time.Millisecond)
+		if j.suspected(time.Now(), "leader") {
+			t.Error("still suspected after the first time")
+		}
+		j.suspect(time.Now(), "leader")
+		time.Sleep(suspectFor + 50*time.Millisecond)
+		if !j.suspected(time.Now(), "leader") {
+			t.Error("the second suspicion in a row is no longer than the first")
+		}
+		j.heard("leader")
+		if j.suspected(time.Now(), "leader") {
+			t.Error("suspected although it was heard of")
+		}
+	})
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -21,7 +21,8 @@
 	viewAge    = 1300 * time.Millisecond
 	askViewGap = 300 * time.Millisecond
 	// suspectFor is how long a node that did not answer leads nothing.
-	suspectFor = 2 * time.Second
+	suspectFor  = 2 * time.Second
+	suspectMost = 16 * time.Second
 )
 
 // system names the system towards peers.
@@ -156,6 +157,7 @@
 	switch m := m.(type) {
 	case *wire.Gossip:
 		n.membersMu.Lock()
+		n.jobs.heard(n.members.Address(m.Node))
 		sends := n.members.Receive(time.Now(), *m)
 		changed := n.members.Changed()
 		entries := n.members.Entries()
