--- a/internal/core/stagepool/admit.go
+++ b/internal/core/stagepool/admit.go
@@ -6,6 +6,9 @@
 	// deadlineShare is the part of the time left within which a task that
 	// can't reach its aim must still end.
 	deadlineShare = 0.6
+	// spareShare of the predicted time is kept to spare: a task that is let in
+	// on the edge is late as soon as anything goes wrong, and makes others late.
+	spareShare    = 8
 	shortestAgain = 250 * time.Millisecond
 	longestAgain  = 3 * time.Second
 )
@@ -92,7 +95,7 @@
 // would be late even alone is taken as long as its deadline is safe.
 func (p *Pool) admit(now time.Time, t Task, finish time.Duration) (Verdict, bool) {
 	aim := t.Aim.Sub(now)
-	if finish <= aim+t.Allowance {
+	if finish+finish/spareShare <= aim+t.Allowance {
 		return Verdict{}, false
 	}
 	alone := p.shortest(t)
