--- a/cmd/gradetiller-node/cmd/main.go
+++ b/cmd/gradetiller-node/cmd/main.go
@@ -49,7 +49,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	go reload(log)
 	stop, _ := settings.Signals()
-	return node.New(s, node.WithLog(log)).Run(stop)
+	return node.New(s, node.WithLog(log), node.WithMetrics(s.MetricsAddress)).Run(stop)
 }
 
 // reload checks the settings file again at each SIGHUP. Addresses and names
--- a/internal/core/stagepool/alone_test.go
+++ b/internal/core/stagepool/alone_test.go
@@ -12,7 +12,6 @@
 	*world
 	pools []*Pool
 	of    map[CallID]*Pool
-	ends  int
 }
 
 // callShift keeps the call ids of the pools apart.
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -194,7 +194,7 @@
 func (p *Pool) start(now time.Time, w *worker, items []itemRef) {
 	p.lastCall++
 	c := &call{id: p.lastCall, worker: w, items: items, sent: now, expected: w.service.expected(len(items))}
-	out := StartCall{Call: c.id, Endpoint: w.spec.ID, Address: w.spec.Address}
+	out := StartCall{Call: c.id, Service: w.service.name, Endpoint: w.spec.ID, Address: w.spec.Address}
 	out.Limit = time.Duration(lostFactor*float64(c.expected)) + lostMargin
 	for _, ref := range items {
 		c.reserved += ref.bytes
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -103,6 +103,7 @@
 // StartCall asks the shell to send a call and to answer with Pool.Done.
 type StartCall struct {
 	Call     CallID
+	Service  string
 	Endpoint string
 	Address  string
 	Items    []Item
--- a/internal/core/stagepool/world_test.go
+++ b/internal/core/stagepool/world_test.go
@@ -32,7 +32,7 @@
 	perCall []int
 }
 
-type worldStats struct{ noRoom, gone, unused, calls, pieces int }
+type worldStats struct{ noRoom, gone, calls, pieces int }
 
 type event struct {
 	at time.Time
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -33,7 +33,7 @@
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
 	enc.EncodeDuration = zapcore.StringDurationEncoder
-	out := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(stream), FlushInterval: flushInterval}
+	out := NewBounded(stream)
 	log := zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(enc), out, l))
-	return log, func() { _ = out.Stop() }, nil
+	return log, out.Stop, nil
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -128,6 +128,7 @@
 }
 
 func (n *Node) logRequest(q *request, status int) {
+	n.meters.request(q, status)
 	route := ""
 	if q.route != nil {
 		route = q.route.Name
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -47,6 +47,7 @@
 type leaders struct {
 	log     *zap.Logger
 	workers *platform.Workers
+	meters  *meters
 	budget  func() stagepool.Budget
 	mu      sync.Mutex
 	view    *view
@@ -264,6 +265,7 @@
 		c.group.log.Info("stage service", zap.Int("cell", c.cell), zap.String("service", s.Service),
 			zap.Int("workers", s.Workers), zap.Int("busy", s.Busy), zap.Int("queued", s.Queued), zap.Int("backlog", s.Backlog),
 			zap.Uint64("calls", s.Calls), zap.Uint64("pieces", s.Pieces), zap.Float64("room", s.Room))
+		c.group.meters.stageState(s.Service, s.Queued, s.Backlog, s.Busy, s.Room)
 	}
 }
 
@@ -299,11 +301,13 @@
 	defer cancel()
 	started := time.Now()
 	outcome, err := c.group.workers.RunStages(ctx, a)
+	lost, unmade := unmadePieces(outcome)
+	c.group.meters.stageCall(a.Service, len(a.Items), lost, time.Since(started))
 	fields := []zap.Field{
-		zap.String("endpoint", a.Endpoint), zap.Int("pieces", len(a.Items)),
+		zap.String("endpoint", a.Endpoint), zap.String("service", a.Service), zap.Int("pieces", len(a.Items)),
 		zap.Int("ending", int(outcome.Ending)), zap.Duration("took", time.Since(started)),
 	}
-	switch unmade := unmadeFields(outcome); {
+	switch {
 	case err != nil:
 		c.group.log.Warn("stage call lost", append(fields, zap.Error(err))...)
 	case len(unmade) > 0:
@@ -316,18 +320,20 @@
 	c.carryOut(c.pool.Done(time.Now(), a.Call, outcome))
 }
 
-// unmadeFields counts the pieces without a result, by reason.
-func unmadeFields(o stagepool.Outcome) []zap.Field {
+// unmadePieces counts the pieces without a result, and those of each reason.
+func unmadePieces(o stagepool.Outcome) (int, []zap.Field) {
 	counts := make(map[stagepool.Reason]int)
 	for _, r := range o.Items {
 		counts[r.Reason]++
 	}
 	delete(counts, stagepool.Made)
+	total := 0
 	var fields []zap.Field
 	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		total += counts[reason]
 		fields = append(fields, zap.Int(reason.String(), counts[reason]))
 	}
-	return fields
+	return total, fields
 }
 
 func (c *leader) free(a stagepool.Free) {
--- /dev/null
+++ b/internal/node/meters.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+const (
+	metricsPath = "/metrics"
+	// mostSeries bounds the series of one name; further labels share "other".
+	mostSeries = 400
+)
+
+// meters are the node's counters and histograms.
+type meters struct {
+	set    *metrics.Set
+	mu     sync.Mutex
+	series map[string]bool
+}
+
+func newMeters(n *Node) *meters {
+	m := &meters{set: metrics.NewSet(), series: make(map[string]bool)}
+	m.set.NewGauge("gradetiller_in_flight", func() float64 { return float64(n.inFlight.Load()) })
+	m.set.NewGauge("gradetiller_config_version", func() float64 { return float64(n.view.Load().version()) })
+	m.set.NewGauge("gradetiller_endpoints", func() float64 { return float64(len(n.view.Load().endpoints)) })
+	m.set.NewGauge("gradetiller_view_age_seconds", func() float64 { return time.Since(n.view.Load().readAt).Seconds() })
+	m.set.NewGauge("gradetiller_members_live", func() float64 { return float64(n.liveNodes.Load()) })
+	m.set.NewGauge("gradetiller_store_lost", func() float64 { return number(n.storeLost.Load()) })
+	m.set.NewGauge("gradetiller_draining", func() float64 { return number(n.draining.Load()) })
+	m.set.NewGauge("gradetiller_cells_led", func() float64 { return float64(onesCount(n.leads.Load())) })
+	return m
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func onesCount(x uint64) int {
+	n := 0
+	for ; x != 0; x &= x - 1 {
+		n++
+	}
+	return n
+}
+
+// label returns a label's value, or "other" when the name has too many.
+func (m *meters) label(value string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.series[value] {
+		if len(m.series) >= mostSeries {
+			return "other"
+		}
+		m.series[value] = true
+	}
+	return value
+}
+
+// request counts one ended request.
+func (m *meters) request(q *request, status int) {
+	route, account := "none", "none"
+	if q.route != nil {
+		route = m.label(q.route.Name)
+	}
+	if q.tenant != "" {
+		account = m.label(q.tenant)
+	}
+	took := time.Since(q.arrived).Seconds()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_requests_total{route=%q,status="%d"}`, route, status)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`gradetiller_request_seconds{route=%q}`, route)).Update(took)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`gradetiller_account_seconds{account=%q}`, account)).Update(took)
+	if q.sent > 1 {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_repeats_total{service=%q}`, m.label(q.service))).Add(q.sent - 1)
+	}
+}
+
+// stageCall counts one call of a stage pool that this node leads.
+func (m *meters) stageCall(service string, pieces, unmade int, took time.Duration) {
+	service = m.label(service)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_stage_calls_total{service=%q}`, service)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_stage_pieces_total{service=%q}`, service)).Add(pieces)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_stage_unmade_total{service=%q}`, service)).Add(unmade)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`gradetiller_stage_call_seconds{service=%q}`, service)).Update(took.Seconds())
+}
+
+// stageState sets the state of a stage service that this node leads.
+func (m *meters) stageState(service string, queued, backlog, busy int, room float64) {
+	service = m.label(service)
+	for _, g := range []struct {
+		name  string
+		value float64
+	}{
+		{"queued_pieces", float64(queued)},
+		{"backlog_pieces", float64(backlog)},
+		{"busy_workers", float64(busy)},
+		{"room_used_ratio", room},
+	} {
+		m.set.GetOrCreateGauge(fmt.Sprintf(`gradetiller_stage_%s{service=%q}`, g.name, service), nil).Set(g.value)
+	}
+}
+
+// serveMetrics serves the metrics until the process ends. A port that is taken
+// costs the metrics only.
+func (n *Node) serveMetrics() {
+	if n.metricsAddress == "" {
+		return
+	}
+	l, err := net.Listen("tcp", n.metricsAddress)
+	if err != nil {
+		n.log.Warn("no metrics", zap.String("address", n.metricsAddress), zap.Error(err))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(metricsPath, func(w http.ResponseWriter, _ *http.Request) { n.meters.set.WritePrometheus(w) })
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(l) }()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,8 +52,11 @@
 	jobs        *jobs
 	links       *peer.Links
 	sizes       *sizes
-	budget      *lockedBudget
-	stageBudget *lockedBudget
+	meters      *meters
+	// metricsAddress serves the metrics; it may be empty.
+	metricsAddress string
+	budget         *lockedBudget
+	stageBudget    *lockedBudget
 
 	// viewMu is held by changes of the view and the list.
 	viewMu sync.Mutex
@@ -82,6 +85,9 @@
 // WithLog sets the log.
 func WithLog(log *zap.Logger) Option { return func(n *Node) { n.log = log } }
 
+// WithMetrics serves the metrics at an IP address and port.
+func WithMetrics(address string) Option { return func(n *Node) { n.metricsAddress = address } }
+
 // New returns a node that serves nothing until Run.
 func New(s platform.Settings, options ...Option) *Node {
 	n := &Node{settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(), jobs: newJobs(), sizes: &sizes{usual: make(map[string]float64)}}
@@ -94,6 +100,8 @@
 	n.budget = n.newBudget()
 	n.stageBudget = n.newBudget()
 	n.leaders = newLeaders(n.log, n.workers, func() stagepool.Budget { return n.stageBudget })
+	n.meters = newMeters(n)
+	n.leaders.meters = n.meters
 	n.view.Store(&view{})
 	n.list = discovery.NewList()
 	n.members = member.New(wire.Member{
@@ -139,6 +147,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	defer n.links.Close()
+	n.serveMetrics()
 	go n.runMembers(background)
 	go n.watchConfig(background)
 	go n.watchEndpoints(background)
