internal/core/place, internal/node: no endpoint is tried twice for a request; one that can't be reached is set aside at once

Test: TestCrashedEndpoints (fails with the last endpoint excluded only: 502), TestUnreachableIsSetAsideAtOnce.

--- a/internal/core/place/health.go
+++ b/internal/core/place/health.go
@@ -76,6 +76,13 @@
 	return true
 }
 
+// unreachable sets the endpoint aside at once: to wait for more failures would
+// only cost more requests a try.
+func (h *health) unreachable(now time.Time) bool {
+	h.failures = max(h.failures, failuresToSetAside-1)
+	return h.failed(now)
+}
+
 func (h *health) succeeded(slots int) {
 	h.failures = 0
 	if h.ramp == 0 {
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -181,3 +181,29 @@
 		}
 	}
 }
+
+// TestUnreachableIsSetAsideAtOnce checks that an endpoint at whose address
+// nothing listens gets no second call, while a single failure of another kind
+// does not set one aside.
+func TestUnreachableIsSetAsideAtOnce(t *testing.T) {
+	for _, unreachable := range []bool{true, false} {
+		p, err := NewPool("prefix_affinity", 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Update([]Spec{{Name: "a", Slots: 4}, {Name: "b", Slots: 4}})
+		now := time.Unix(1000, 0)
+		req := Request{Prefix: 7, Exclude: None}
+		first, _ := p.Choose(now, req)
+		p.Start(first, req)
+		p.Finish(now, first, Result{Unreachable: unreachable})
+		second, _ := p.Choose(now, req)
+		if (second != first) != unreachable {
+			t.Errorf("unreachable %v: chosen %d, then %d", unreachable, first, second)
+		}
+		req.Tried = []int{0, 1}
+		if i, ok := p.Choose(now, req); ok {
+			t.Errorf("endpoint %d was tried before", i)
+		}
+	}
+}
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"gradetiller.example/internal/policy"
@@ -29,7 +30,7 @@
 const sampleSize = 12
 
 func (p *Pool) usable(now time.Time, i int, req Request) bool {
-	return i != req.Exclude && p.endpoints[i].available(now, req.Version)
+	return i != req.Exclude && !slices.Contains(req.Tried, i) && p.endpoints[i].available(now, req.Version)
 }
 
 // next returns the first usable endpoint from start on, going round once.
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -23,6 +23,8 @@
 	Version string
 	// Exclude is an endpoint not to choose, or None.
 	Exclude int
+	// Tried are further endpoints not to choose.
+	Tried []int
 	// CostWeight is how many seconds of delay one unit of cost is worth.
 	CostWeight float64
 }
@@ -34,7 +36,10 @@
 	// Neutral results say nothing about the endpoint's health, as when the
 	// caller canceled.
 	Neutral bool
-	Load    Load
+	// Unreachable tells that nothing listens at the endpoint's address; it is
+	// set aside at once.
+	Unreachable bool
+	Load        Load
 }
 
 // Pool holds the endpoints of one pool. It is not safe for concurrent use.
@@ -178,6 +183,8 @@
 	switch {
 	case r.Neutral:
 		return false
+	case r.Unreachable:
+		return e.health.unreachable(now)
 	case !r.OK:
 		return e.health.failed(now)
 	}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -24,7 +24,7 @@
 	// maxBody bounds a request's body when the configuration does not.
 	maxBody = 8 << 20
 	// mostSends bounds the attempts that reached no endpoint.
-	mostSends = 4
+	mostSends = 6
 )
 
 // request is a client's request on its way.
@@ -149,14 +149,14 @@
 // servePlain takes a request to an endpoint of a plain service.
 func (n *Node) servePlain(ctx context.Context, w http.ResponseWriter, q *request) {
 	n.budget.Fresh(q.arrived, q.service, 1)
-	exclude := ""
+	var tried []string
 	for range mostSends {
-		c, ok := n.pools.choose(time.Now(), q.service, 0, exclude)
+		c, ok := n.pools.choose(time.Now(), q.service, 0, tried)
 		if !ok {
 			n.endNotRun(w, q, "no endpoint")
 			return
 		}
-		exclude = c.endpoint.ID
+		tried = append(tried, c.endpoint.ID)
 		a, body, event := n.tryPlain(ctx, q, c)
 		next := n.next(q, event, a)
 		switch next {
@@ -232,7 +232,7 @@
 func (n *Node) faulted(ctx context.Context, q *request, c *placed, err error) attempt.Event {
 	var fault *platform.Fault
 	sent := errors.As(err, &fault) && fault.Sent
-	c.end(time.Now(), place.Result{Neutral: ctx.Err() != nil && time.Until(q.deadline) > 0})
+	c.end(time.Now(), place.Result{Neutral: ctx.Err() != nil && time.Until(q.deadline) > 0, Unreachable: !sent})
 	n.log.Info("attempt failed", zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Bool("sent", sent), zap.Error(err))
 	if !sent {
 		return attempt.RefuseUnsent
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -64,11 +64,11 @@
 	started  time.Time
 }
 
-// choose picks an endpoint and counts a call there.
-func (p *pools) choose(now time.Time, service string, prefix uint64, exclude string) (*placed, bool) {
+// choose picks an endpoint that was not tried yet and counts a call there.
+func (p *pools) choose(now time.Time, service string, prefix uint64, tried []string) (*placed, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pool, req, i, ok := p.pick(now, service, prefix, exclude)
+	pool, req, i, ok := p.pick(now, service, prefix, tried)
 	if !ok {
 		return nil, false
 	}
@@ -82,21 +82,21 @@
 func (p *pools) domain(now time.Time, service string, prefix uint64) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pool, _, i, ok := p.pick(now, service, prefix, "")
+	pool, _, i, ok := p.pick(now, service, prefix, nil)
 	if !ok {
 		return ""
 	}
 	return pool.At(i).Spec().Domain
 }
 
-func (p *pools) pick(now time.Time, service string, prefix uint64, exclude string) (*place.Pool, place.Request, int, bool) {
+func (p *pools) pick(now time.Time, service string, prefix uint64, tried []string) (*place.Pool, place.Request, int, bool) {
 	pool, ok := p.byService[service]
 	if !ok {
 		return nil, place.Request{}, place.None, false
 	}
 	req := place.Request{Prefix: prefix, Exclude: place.None}
-	if exclude != "" {
-		req.Exclude = pool.Find(exclude)
+	for _, id := range tried {
+		req.Tried = append(req.Tried, pool.Find(id))
 	}
 	i, ok := pool.Choose(now, req)
 	return pool, req, i, ok
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -45,18 +45,18 @@
 	n.budget.Fresh(q.arrived, q.service, 1)
 	s := &stream{q: q, w: w, flush: http.NewResponseController(w)}
 	defer func() { s.release() }()
-	exclude := ""
+	var tried []string
 	for range mostSends {
-		if err := n.prepare(ctx, s, exclude); err != nil {
+		if err := n.prepare(ctx, s); err != nil {
 			n.endUnprepared(ctx, s, err)
 			return
 		}
-		c, ok := n.pools.choose(time.Now(), q.service, q.prefix(), exclude)
+		c, ok := n.pools.choose(time.Now(), q.service, q.prefix(), tried)
 		if !ok {
 			n.endStream(ctx, s, attempt.AnswerNotRun, "no endpoint")
 			return
 		}
-		exclude = c.endpoint.ID
+		tried = append(tried, c.endpoint.ID)
 		a, event := n.tryStream(ctx, s, c)
 		if event == attempt.Complete {
 			q.outcome = "delivered"
@@ -94,7 +94,7 @@
 }
 
 // prepare has the stages run unless their results are there.
-func (n *Node) prepare(ctx context.Context, s *stream, exclude string) error {
+func (n *Node) prepare(ctx context.Context, s *stream) error {
 	q := s.q
 	if s.results.handles != nil || len(q.route.Stages) == 0 {
 		return nil
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -379,3 +379,25 @@
 	eventually(t, "results are given up", func() bool { return encode.Held()+rank.Held() == 0 })
 	eventually(t, "nothing is in flight", func() bool { return n.node.inFlight.Load() == 0 })
 }
+
+// TestCrashedEndpoints takes three of four endpoints down without a word, as
+// with a rack: every request finds the one that is left, and those that are
+// down are asked hardly any more. Two that are down used to take turns until
+// the request was given up.
+func TestCrashedEndpoints(t *testing.T) {
+	site, _ := desk(t)
+	models := site.AddWorkers("model", 4)
+	n := startNode(t, site)
+	n.awaitReady(t)
+	eventually(t, "all endpoints are listed", func() bool { return len(n.node.view.Load().endpoints) == 4 })
+	for _, m := range models[:3] {
+		m.Crash()
+	}
+	for i := range 12 {
+		id := fmt.Sprintf("crash-%d", i)
+		a := do(n.Front, platformtest.Request{ID: id, Path: "/once/", Streaming: true, Prefix: fmt.Sprintf("%x:1,ff:1", i)})
+		if a.Status != 200 || a.Err != nil {
+			t.Errorf("%s: %+v", id, a)
+		}
+	}
+}
