internal/node: an endpoint that hangs does not take all of a request's time

Change: while another endpoint may be asked, an attempt has 1.5 times the objective for its answer; a client that left after the objective was over counts as the endpoint's failure. Test: TestHungEndpoint (fails without the limit: 504 after 20 s).

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -25,6 +25,10 @@
 	maxBody = 8 << 20
 	// mostSends bounds the attempts that reached no endpoint.
 	mostSends = 6
+	// patienceShare of the objective, but leastPatience at least, is what an
+	// endpoint has for its answer while another one may be asked.
+	patienceShare = 1.5
+	leastPatience = 400 * time.Millisecond
 )
 
 // request is a client's request on its way.
@@ -197,7 +201,9 @@
 // tryPlain sends one attempt and reads its whole answer.
 func (n *Node) tryPlain(ctx context.Context, q *request, c *placed) (*platform.Answer, []byte, attempt.Event) {
 	q.worker = c.endpoint.ID
-	a, err := n.workers.Send(ctx, q.outbound(c.endpoint, time.Now()))
+	limited, cancel := context.WithTimeout(ctx, q.patience(time.Now()))
+	defer cancel()
+	a, err := n.workers.Send(limited, q.outbound(c.endpoint, time.Now()))
 	if err != nil {
 		return nil, nil, n.faulted(ctx, q, c, err)
 	}
@@ -228,11 +234,26 @@
 	return place.Load{Busy: a.Busy, At: now}
 }
 
+// patience is how long an attempt may go without an answer: until the deadline,
+// but less when another endpoint may be asked. An endpoint that hangs must not
+// take all of the time.
+func (q *request) patience(now time.Time) time.Duration {
+	left := q.deadline.Sub(now)
+	if !q.route.Repeatable() || q.sent+1 >= q.route.MaxAttempts {
+		return left
+	}
+	usual := time.Duration(patienceShare * float64(q.route.Objective))
+	return min(max(usual, leastPatience), left/2)
+}
+
 // faulted counts an attempt that has no answer.
 func (n *Node) faulted(ctx context.Context, q *request, c *placed, err error) attempt.Event {
 	var fault *platform.Fault
 	sent := errors.As(err, &fault) && fault.Sent
-	c.end(time.Now(), place.Result{Neutral: ctx.Err() != nil && time.Until(q.deadline) > 0, Unreachable: !sent})
+	// A client that left before its answer was late says nothing of the
+	// endpoint; one that waited longer than the objective does.
+	left := ctx.Err() != nil && time.Since(c.started) < q.route.Objective
+	c.end(time.Now(), place.Result{Neutral: left, Unreachable: !sent})
 	n.log.Info("attempt failed", zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Bool("sent", sent), zap.Error(err))
 	if !sent {
 		return attempt.RefuseUnsent
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -183,14 +183,17 @@
 func (n *Node) tryStream(ctx context.Context, s *stream, c *placed) (*platform.Answer, attempt.Event) {
 	q := s.q
 	q.worker = c.endpoint.ID
+	parent := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	hung := time.AfterFunc(q.patience(time.Now()), cancel)
 	out := q.outbound(c.endpoint, time.Now())
 	out.Inputs = s.results.handles
 	out.LastEvent = s.last
 	a, err := n.workers.Send(ctx, out)
+	hung.Stop()
 	if err != nil {
-		return nil, n.faulted(ctx, q, c, err)
+		return nil, n.faulted(parent, q, c, err)
 	}
 	defer a.Body.Close()
 	if !a.Elsewhere {
@@ -201,7 +204,7 @@
 	}
 	err = s.pass(a)
 	now := time.Now()
-	c.end(now, place.Result{OK: err == nil, Neutral: ctx.Err() != nil, Load: load(a, now)})
+	c.end(now, place.Result{OK: err == nil, Neutral: parent.Err() != nil, Load: load(a, now)})
 	if err != nil {
 		n.log.Info("stream broke", zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("events", s.events), zap.Error(err))
 		return a, attempt.Lose
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -401,3 +401,30 @@
 		}
 	}
 }
+
+// TestHungEndpoint lets an endpoint run requests and never answer: those that
+// may run twice are answered by another long before their deadline.
+func TestHungEndpoint(t *testing.T) {
+	site, c := desk(t)
+	for i := range c.Routes {
+		c.Routes[i].Objective = 200 * time.Millisecond
+		c.Routes[i].Timeout = 20 * time.Second
+	}
+	c.Version = 2
+	site.Publish(c)
+	workers := site.AddWorkers("desk", 2)
+	models := site.AddWorkers("model", 2)
+	n := startNode(t, site)
+	n.awaitReady(t)
+	eventually(t, "the objective is known", func() bool { return n.node.view.Load().version() == 2 })
+	for _, w := range []*platformtest.Worker{workers[0], models[0]} {
+		w.Inject(platformtest.Silent)
+	}
+	for k := 0; workers[0].Pending()+models[0].Pending() > 0; k++ {
+		plain := do(n.Front, platformtest.Request{ID: fmt.Sprint("p", k), Path: "/read/", Deadline: 20 * time.Second})
+		stream := do(n.Front, platformtest.Request{ID: fmt.Sprint("s", k), Path: "/plain/", Streaming: true, Prefix: fmt.Sprintf("%x:1", k), Deadline: 20 * time.Second})
+		if plain.Status != 200 || stream.Status != 200 || stream.Err != nil {
+			t.Fatalf("%+v, %+v", plain, stream)
+		}
+	}
+}
