internal/node, platform, internal/core/hash: files named for the one thing in them, one ranking by hashes

Cells and claims, budgets, sizes of prompts and stage calls have files of their own; rendezvous ranking stood in two places and is hash.Rank now. No change of behaviour.

--- a/internal/core/discovery/readers.go
+++ b/internal/core/discovery/readers.go
@@ -1,10 +1,6 @@
 package discovery
 
-import (
-	"slices"
-
-	"gradetiller.example/internal/core/hash"
-)
+import "gradetiller.example/internal/core/hash"
 
 const (
 	// fewestReaders is how many nodes read the store at least; systems up to
@@ -18,17 +14,7 @@
 // Readers returns the nodes that read the store for all, in an order that all
 // nodes with the same view agree on without messages.
 func Readers(nodes []string) []string {
-	ranked := slices.Clone(nodes)
-	slices.SortFunc(ranked, func(a, b string) int {
-		x, y := hash.Pair(readerSalt, hash.Of(a)), hash.Pair(readerSalt, hash.Of(b))
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
+	ranked := hash.Rank(readerSalt, nodes)
 	return ranked[:min(len(ranked), max(fewestReaders, len(ranked)/nodesPerReader))]
 }
 
--- a/internal/core/hash/hash.go
+++ b/internal/core/hash/hash.go
@@ -8,7 +8,11 @@
 //	weight := hash.Pair(hash.Of(account), hash.Of(node))
 package hash
 
-import "hash/fnv"
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
 
 // Of returns the hash of a text, with its bits well spread.
 func Of(s string) uint64 {
@@ -29,3 +33,13 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
+
+// Rank orders names by rendezvous hashing for a key, the first choice first.
+// All nodes that know the same names find the same order without messages.
+func Rank(key uint64, names []string) []string {
+	ranked := slices.Clone(names)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(Pair(key, Of(b)), Pair(key, Of(a))), cmp.Compare(a, b))
+	})
+	return ranked
+}
--- /dev/null
+++ b/internal/node/budget.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"gradetiller.example/internal/core/attempt"
+)
+
+// lockedBudget makes a window budget safe for concurrent use.
+type lockedBudget struct {
+	mu     sync.Mutex
+	budget *attempt.WindowBudget
+}
+
+// Fresh implements stagepool.Budget.
+func (b *lockedBudget) Fresh(now time.Time, service string, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Fresh(now, service, n)
+}
+
+// Take implements stagepool.Budget.
+func (b *lockedBudget) Take(now time.Time, service string, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Take(now, service, n)
+}
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
@@ -343,23 +342,3 @@
 		c.group.log.Debug("results not freed", zap.String("endpoint", a.Endpoint), zap.Error(err))
 	}
 }
-
-// lockedBudget makes a window budget safe for concurrent use.
-type lockedBudget struct {
-	mu     sync.Mutex
-	budget *attempt.WindowBudget
-}
-
-// Fresh implements stagepool.Budget.
-func (b *lockedBudget) Fresh(now time.Time, service string, n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.budget.Fresh(now, service, n)
-}
-
-// Take implements stagepool.Budget.
-func (b *lockedBudget) Take(now time.Time, service string, n int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.budget.Take(now, service, n)
-}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
-	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/member"
 	"gradetiller.example/internal/peer"
 	"gradetiller.example/internal/wire"
@@ -218,104 +216,3 @@
 		pause(ctx, joinPoll)
 	}
 }
-
-// mostCells bounds the cells that a node can claim.
-const mostCells = 64
-
-func cellBit(cell int) uint64 { return 1 << (cell % mostCells) }
-
-// claim tells all nodes that this one leads a cell. A node that comes back
-// does not take its cell from the one that leads it by then: each change
-// leaves two leaders at the same endpoints for a while. A claim is no lease:
-// two leaders cost time only.
-func (n *Node) claim(cell int) {
-	leads := n.leads.Load() | cellBit(cell)
-	if n.leads.Swap(leads) != leads {
-		n.log.Info("leads a cell", zap.Int("cell", cell))
-		n.leaders.contend(cell, time.Now())
-		n.publishEntry()
-	}
-}
-
-// watchCells tells the pools of this node's cells whether another leader is at
-// work there. When this node leaves, or one of higher rank claims a cell too,
-// it gives back what has not begun, and its claim when all tasks have ended.
-func (n *Node) watchCells() {
-	own := n.leads.Load()
-	for cell := 0; own>>cell != 0; cell++ {
-		if own&cellBit(cell) == 0 {
-			continue
-		}
-		shared := n.otherLeads(cell)
-		if shared {
-			n.leaders.contend(cell, time.Now())
-		}
-		if !n.draining.Load() && (!shared || n.ranksFirst(cell)) {
-			continue
-		}
-		if !n.alone() {
-			n.leaders.giveBack(cell, time.Now())
-		}
-		if n.leaders.idle(cell) {
-			n.log.Info("leads a cell no more", zap.Int("cell", cell))
-			n.leads.Store(n.leads.Load() &^ cellBit(cell))
-			n.publishEntry()
-		}
-	}
-}
-
-func (n *Node) ranksFirst(cell int) bool {
-	rank := n.leaderRank(time.Now(), cell)
-	return len(rank) > 0 && rank[0].Node == n.settings.Node
-}
-
-// otherLeads reports whether another node leads a cell too, or is about to
-// end its work there.
-func (n *Node) otherLeads(cell int) bool {
-	for _, e := range *n.entries.Load() {
-		if e.Node != n.settings.Node && e.Leads&cellBit(cell) != 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// publishEntry spreads this node's entry.
-func (n *Node) publishEntry() {
-	n.membersMu.Lock()
-	defer n.membersMu.Unlock()
-	n.members.SetEntries([]wire.Entry{n.entry(n.draining.Load())})
-	entries := n.members.Entries()
-	n.entries.Store(&entries)
-}
-
-// leaderRank lists the nodes that may lead a cell, the first choice first:
-// those that claim it, then by rendezvous hashing. All nodes with the same
-// view agree on it without messages.
-func (n *Node) leaderRank(now time.Time, cell int) []wire.Entry {
-	var list []wire.Entry
-	for _, e := range *n.entries.Load() {
-		if !e.Leaving && !n.jobs.suspected(now, e.PeerAddress) {
-			list = append(list, e)
-		}
-	}
-	key := hash.Mix(uint64(cell) + 1)
-	bit := cellBit(cell)
-	slices.SortFunc(list, func(a, b wire.Entry) int {
-		if leads := a.Leads&bit != 0; leads != (b.Leads&bit != 0) {
-			if leads {
-				return -1
-			}
-			return 1
-		}
-		x, y := hash.Pair(key, hash.Of(a.Node)), hash.Pair(key, hash.Of(b.Node))
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
-	return list
-}
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,14 +17,8 @@
 	"gradetiller.example/platform"
 )
 
-const (
-	// readRate and readBase predict the time to the first event from the
-	// prompt's size.
-	readRate = 45 // tokens a millisecond
-	readBase = 50 * time.Millisecond
-	// maxEvent bounds one event.
-	maxEvent = 1 << 20
-)
+// maxEvent bounds one event.
+const maxEvent = 1 << 20
 
 var errEventTooLarge = errors.New("an event is larger than allowed")
 
@@ -126,33 +119,6 @@
 	return nil
 }
 
-// readTime predicts the time to the first event.
-func readTime(tokens int) time.Duration {
-	return readBase + time.Duration(tokens)*time.Millisecond/readRate
-}
-
-// sizes learns the usual size of a route's prompts, so that large requests
-// are not refused more often than others because reading them takes longer.
-type sizes struct {
-	mu    sync.Mutex
-	usual map[string]float64
-}
-
-const sizeWeight = 0.05
-
-// allowance is by how much a request may miss its aim because it is larger
-// than usual.
-func (s *sizes) allowance(route string, tokens int) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	usual, ok := s.usual[route]
-	if !ok {
-		usual = float64(tokens)
-	}
-	s.usual[route] = usual + sizeWeight*(float64(tokens)-usual)
-	return max(readTime(tokens)-readTime(int(usual)), 0)
-}
-
 // endUnprepared ends a request whose stages were not run.
 func (n *Node) endUnprepared(ctx context.Context, s *stream, err error) {
 	var refused *refusal
