--- a/internal/core/stagepool/admit.go
+++ b/internal/core/stagepool/admit.go
@@ -33,16 +33,22 @@
 	return n
 }
 
+// readyAt is when all stages that another comes after are finished.
+func readyAt(finish []time.Duration, after []int) time.Duration {
+	ready := time.Duration(0)
+	for _, i := range after {
+		ready = max(ready, finish[i])
+	}
+	return ready
+}
+
 // predict returns the time until a task's last result, and false when a
 // service has no worker.
 func (p *Pool) predict(now time.Time, t Task) (time.Duration, bool) {
 	finish := make([]time.Duration, len(t.Stages))
 	longest := time.Duration(0)
 	for i, st := range t.Stages {
-		ready := time.Duration(0)
-		for _, after := range st.After {
-			ready = max(ready, finish[after])
-		}
+		ready := readyAt(finish, st.After)
 		if st.Pieces == 0 {
 			finish[i] = ready
 			continue
@@ -78,10 +84,7 @@
 	finish := make([]time.Duration, len(t.Stages))
 	longest := time.Duration(0)
 	for i, st := range t.Stages {
-		ready := time.Duration(0)
-		for _, after := range st.After {
-			ready = max(ready, finish[after])
-		}
+		ready := readyAt(finish, st.After)
 		finish[i] = ready
 		if st.Pieces > 0 {
 			finish[i] += p.callTime(st.Service, st.Pieces)
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -135,7 +135,7 @@
 			}
 		}
 	}
-	if t.Domain != "" && contains(t.last(), i) {
+	if t.Domain != "" && slices.Contains(t.last(), i) {
 		bytes[t.Domain] += st.ResultBytes * int64(st.Pieces)
 	}
 	home, most := "", int64(bigTransfer)
@@ -268,7 +268,7 @@
 func (p *Pool) allStarted(t *task, i int) bool {
 	for j := range t.stages {
 		s := &t.stages[j]
-		if s.Pieces == 0 || !contains(s.After, i) {
+		if s.Pieces == 0 || !slices.Contains(s.After, i) {
 			continue
 		}
 		if s.state == blocked || len(s.waiting) > 0 {
@@ -283,7 +283,7 @@
 func (p *Pool) allMade(t *task, i int) bool {
 	for j := range t.stages {
 		s := &t.stages[j]
-		if s.Pieces > 0 && contains(s.After, i) && s.state != finished {
+		if s.Pieces > 0 && slices.Contains(s.After, i) && s.state != finished {
 			return false
 		}
 	}
--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -115,7 +115,7 @@
 		return
 	}
 	st := &ref.task.stages[ref.stage]
-	if contains(st.waiting, ref.piece) {
+	if slices.Contains(st.waiting, ref.piece) {
 		return
 	}
 	for _, of := range st.After {
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -227,7 +227,7 @@
 	for i := range t.stages {
 		needed := false
 		for j := range t.stages {
-			if t.stages[j].Pieces > 0 && contains(t.stages[j].After, i) {
+			if t.stages[j].Pieces > 0 && slices.Contains(t.stages[j].After, i) {
 				needed = true
 			}
 		}
--- a/internal/core/stagepool/pool_test.go
+++ b/internal/core/stagepool/pool_test.go
@@ -106,6 +106,15 @@
 	if late*5 > len(taken) {
 		t.Errorf("%d of %d tasks are late with one of four workers slow", late, len(taken))
 	}
+	slow, all := w.workers["bill-1"].calls, 0
+	for _, worker := range w.workers {
+		if worker.spec.Service == "bill" {
+			all += worker.calls
+		}
+	}
+	if slow*20 > all {
+		t.Errorf("%d of %d calls went to the slow worker", slow, all)
+	}
 }
 
 // TestOverloadKeepsGoodput offers three times what the workers can do: those
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -1,6 +1,9 @@
 package stagepool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // TaskID names a task in its pool.
 type TaskID uint64
@@ -192,19 +195,10 @@
 func (p *Pool) need(t *task, i int) time.Duration {
 	longest := time.Duration(0)
 	for j := i + 1; j < len(t.stages); j++ {
-		if t.stages[j].Pieces == 0 || !contains(t.stages[j].After, i) {
+		if t.stages[j].Pieces == 0 || !slices.Contains(t.stages[j].After, i) {
 			continue
 		}
 		longest = max(longest, p.need(t, j))
 	}
 	return longest + p.callTime(t.stages[i].Service, t.stages[i].Pieces)
 }
-
-func contains(list []int, x int) bool {
-	for _, v := range list {
-		if v == x {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/core/stagepool/world_test.go
+++ b/internal/core/stagepool/world_test.go
@@ -47,6 +47,7 @@
 	busy    bool
 	dead    bool
 	lives   int
+	calls   int
 	used    int64
 }
 
@@ -224,6 +225,7 @@
 	c := s.waiting[0]
 	s.waiting = s.waiting[1:]
 	s.busy = true
+	s.calls++
 	w.stats.calls++
 	results := make([]ItemResult, len(c.Items))
 	made := 0
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"net"
 	"net/http"
 	"sync"
@@ -33,7 +34,7 @@
 	m.set.NewGauge("gradetiller_members_live", func() float64 { return float64(n.liveNodes.Load()) })
 	m.set.NewGauge("gradetiller_store_lost", func() float64 { return number(n.storeLost.Load()) })
 	m.set.NewGauge("gradetiller_draining", func() float64 { return number(n.draining.Load()) })
-	m.set.NewGauge("gradetiller_cells_led", func() float64 { return float64(onesCount(n.leads.Load())) })
+	m.set.NewGauge("gradetiller_cells_led", func() float64 { return float64(bits.OnesCount64(n.leads.Load())) })
 	return m
 }
 
@@ -44,14 +45,6 @@
 	return 0
 }
 
-func onesCount(x uint64) int {
-	n := 0
-	for ; x != 0; x &= x - 1 {
-		n++
-	}
-	return n
-}
-
 // label returns a label's value, or "other" when the name has too many.
 func (m *meters) label(value string) string {
 	m.mu.Lock()
