internal/core/attempt: budgets of repeats follow the steady clock

Cause: the window's buckets were counted from the time of day. A clock that is set forward by more than the window emptied it, so that a node had its whole allowance of repeats again; one set back stopped the window from moving. Ruled out: the shell's times; time.Now carries the steady clock. Change: buckets count from the first time seen, by Sub. Measured: TestBudgetIgnoresClockSteps failed before (two repeats too many), passes after.

--- a/internal/core/attempt/window.go
+++ b/internal/core/attempt/window.go
@@ -13,6 +13,9 @@
 	allowance float64
 	bucket    time.Duration
 	services  map[string]*window
+	// origin is the first time seen. Buckets count from it, so that they
+	// follow the steady clock and not a time of day that may be set.
+	origin time.Time
 }
 
 type window struct {
@@ -41,7 +44,10 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	index := now.UnixNano() / int64(b.bucket)
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	index := int64(now.Sub(b.origin) / b.bucket)
 	for gap := min(index-w.newest, buckets); gap > 0; gap-- {
 		slot := (index - gap + 1) % buckets
 		w.fresh[slot] = 0
