internal/core/stagepool: a stage waits for its home domain as long as a worker there is predicted in time

Cause: a stage of big inputs waited for a worker of its home domain for at most 0.4 of a full call, whether one was about to come free or not, and crossed at once when its slack was under 250 ms. Change: the queue predicts for each stage when a worker of its home comes free, those before it included, and lets it cross only when that is later than its patience.

--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -14,12 +14,12 @@
 	workedStep = 300 * time.Millisecond
 	// bigTransfer is the size in bytes from which on it counts whether a
 	// transfer crosses failure domains.
-	bigTransfer = 40_000
-	// crossSlack is the slack from which on a stage no longer waits for a
-	// worker of its home domain, and mostWait how long it waits at most, as a
-	// part of the time of a full call.
-	crossSlack = 250 * time.Millisecond
-	mostWait   = 0.4
+	bigTransfer = 300_000
+	// mostWait bounds how long a stage waits for a worker of its home domain,
+	// as a part of the time of a full call, and crossSlack is what it leaves
+	// of the time that it can wait without being late.
+	crossSlack = 40 * time.Millisecond
+	mostWait   = 0.8
 	// elsewhere is the price of work outside of the home domain.
 	elsewhere = 1.5
 	// lostFactor and lostMargin tell when a call is given up as lost.
@@ -44,12 +44,12 @@
 		return
 	}
 	p.order(now, s)
+	s.predictHomes(now)
 	idle := s.idleWorkers(now)
-	homes := s.homes(now)
 	for len(idle) > 0 && len(s.queue) > 0 {
 		w := s.fastest(idle, s.queue[0])
 		idle = slices.DeleteFunc(idle, func(x *worker) bool { return x == w })
-		if items := p.pick(now, s, w, len(idle)+1, homes); len(items) > 0 {
+		if items := p.pick(now, s, w, len(idle)+1); len(items) > 0 {
 			p.start(now, w, items)
 		}
 	}
@@ -61,9 +61,9 @@
 	for _, e := range s.queue {
 		latest := e.task.Aim.Add(-p.need(e.task, e.stage))
 		e.late = now.After(latest)
-		e.cross = e.since.Add(time.Duration(mostWait * float64(s.expected(s.conf.Batch))))
-		if slack := latest.Add(-crossSlack); !e.late && slack.Before(e.cross) {
-			e.cross = slack
+		e.patience = e.since.Add(time.Duration(mostWait * float64(s.expected(s.conf.Batch))))
+		if slack := latest.Add(-crossSlack); !e.late && slack.Before(e.patience) {
+			e.patience = slack
 		}
 		e.due = latest.Add(time.Duration(e.task.Priority) * priorityStep)
 		if e.task.worked {
@@ -105,22 +105,52 @@
 	return slices.MinFunc(idle, func(a, b *worker) int { return cmp.Compare(score(a), score(b)) })
 }
 
-// homes lists the domains in which the service has a worker that is up and
-// not far slower than the fastest.
-func (s *service) homes(now time.Time) map[string]bool {
+// predictHomes decides for each waiting stage whether it stays for a worker of
+// its home domain: as long as one is predicted to come free within the
+// stage's patience, the stages before it in the queue included.
+func (s *service) predictHomes(now time.Time) {
+	free := s.freeTimes(now)
+	ahead := make(map[string]int)
+	full := s.expected(s.conf.Batch)
+	for _, e := range s.queue {
+		times := free[e.home]
+		e.stays = false
+		if len(times) == 0 {
+			continue
+		}
+		turn := ahead[e.home] / s.conf.Batch
+		start := times[turn%len(times)].Add(time.Duration(turn/len(times)) * full)
+		e.stays = !start.After(e.patience) && now.Before(e.patience)
+		ahead[e.home] += len(e.task.stages[e.stage].waiting)
+	}
+}
+
+// freeTimes lists for each domain when its workers come free, the first ones
+// first. Workers that are down or far slower than the fastest are left out.
+func (s *service) freeTimes(now time.Time) map[string][]time.Time {
 	best := s.best()
-	homes := make(map[string]bool)
+	free := make(map[string][]time.Time)
 	for _, w := range s.workers {
-		if !w.leaving && !now.Before(w.asideTo) && w.speed <= slowFactor*best {
-			homes[w.spec.Domain] = true
+		if w.leaving || now.Before(w.asideTo) || w.speed > slowFactor*best {
+			continue
 		}
+		at := now
+		for _, c := range w.calls {
+			if end := c.sent.Add(time.Duration(w.speed * float64(c.expected))); end.After(at) {
+				at = end
+			}
+		}
+		free[w.spec.Domain] = append(free[w.spec.Domain], at)
+	}
+	for _, times := range free {
+		slices.SortFunc(times, time.Time.Compare)
 	}
-	return homes
+	return free
 }
 
-// mayCross reports whether a stage may go to a worker of a domain.
-func (e *entry) mayCross(now time.Time, domain string, homes map[string]bool) bool {
-	return e.home == "" || e.home == domain || !homes[e.home] || now.After(e.cross)
+// mayGoTo reports whether a stage may go to a worker of a domain.
+func (e *entry) mayGoTo(domain string) bool {
+	return !e.stays || e.home == domain
 }
 
 // home is the domain that a stage's big transfers tie it to, or "": the
@@ -150,7 +180,7 @@
 // pick takes pieces from the queue for one call. Waiting pieces are spread
 // over the idle workers; the pieces of one stage of a task stay together
 // where they fit.
-func (p *Pool) pick(now time.Time, s *service, w *worker, idle int, homes map[string]bool) []itemRef {
+func (p *Pool) pick(now time.Time, s *service, w *worker, idle int) []itemRef {
 	waiting := 0
 	for _, e := range s.queue {
 		waiting += len(e.task.stages[e.stage].waiting)
@@ -161,7 +191,7 @@
 	for _, e := range s.queue {
 		st := &e.task.stages[e.stage]
 		n := len(st.waiting)
-		if !e.mayCross(now, w.spec.Domain, homes) {
+		if !e.mayGoTo(w.spec.Domain) {
 			continue
 		}
 		if len(items) > 0 && len(items)+n > s.conf.Batch {
--- a/internal/core/stagepool/worker.go
+++ b/internal/core/stagepool/worker.go
@@ -132,11 +132,13 @@
 	// due orders the queue.
 	due  time.Time
 	late bool
-	// home is the domain where its big transfers stay inside, or ""; cross is
-	// when it goes elsewhere all the same.
-	home  string
-	since time.Time
-	cross time.Time
+	// home is the domain where its big transfers stay inside, or "". The
+	// stage waits for a worker there while stays is true, which is until
+	// patience at the latest.
+	home     string
+	since    time.Time
+	patience time.Time
+	stays    bool
 }
 
 // call is one call at work.
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -19,7 +19,7 @@
 const (
 	// workersPerCell is how many stage workers one leader serves. More of
 	// them are split into cells with a leader each.
-	workersPerCell = 48
+	workersPerCell = 160
 	leaderTick     = 20 * time.Millisecond
 	// stateGap is how often the state of a pool is logged.
 	stateGap    = time.Second
