internal/core/lead, internal/core/place: strong nodes lead and read; prompts meet by the first part that one endpoint can carry

Prompts were placed by their last shared part, so that each first part was read on nearly every endpoint. Ruled out: always the first part; three of them begin a third of the calls. Change: entries tell their capacity; instances of at least half of the largest come first as leaders, claims count among equals, and as readers. Sharing learns per kind of request the chance that two prompts share a part, and takes the first part whose calls one endpoint carries on average. The longest wait for the home domain is 1.2 of a full call.

--- a/internal/core/discovery/list_test.go
+++ b/internal/core/discovery/list_test.go
@@ -80,7 +80,7 @@
 		for i := range size {
 			nodes = append(nodes, fmt.Sprintf("node-%d", i))
 		}
-		readers := Readers(nodes)
+		readers := Readers(nodes, nil)
 		if size <= 8 && len(readers) != size {
 			t.Errorf("%d of %d nodes read, want all", len(readers), size)
 		}
@@ -95,3 +95,22 @@
 		}
 	}
 }
+
+// TestStrongInstancesRead checks that weak instances read only where strong
+// ones are too few.
+func TestStrongInstancesRead(t *testing.T) {
+	var strong, weak []string
+	for i := range 80 {
+		if i%10 == 0 {
+			strong = append(strong, fmt.Sprintf("node-%d", i))
+			continue
+		}
+		weak = append(weak, fmt.Sprintf("node-%d", i))
+	}
+	if readers := Readers(strong, weak); len(readers) != 8 || slices.ContainsFunc(readers, func(r string) bool { return slices.Contains(weak, r) }) {
+		t.Errorf("eight strong nodes are there, %v read", readers)
+	}
+	if readers := Readers(strong[:3], weak); len(readers) != 8 || !slices.Contains(readers, strong[0]) {
+		t.Errorf("three strong nodes are there, %v read", readers)
+	}
+}
--- a/internal/core/discovery/readers.go
+++ b/internal/core/discovery/readers.go
@@ -12,9 +12,10 @@
 )
 
 // Readers returns the nodes that read the store for all, in an order that all
-// nodes with the same view agree on without messages.
-func Readers(nodes []string) []string {
-	ranked := hash.Rank(readerSalt, nodes)
+// nodes with the same view agree on without messages. Weak instances read only
+// where the strong ones are too few.
+func Readers(strong, weak []string) []string {
+	ranked := append(hash.Rank(readerSalt, strong), hash.Rank(readerSalt, weak)...)
 	return ranked[:min(len(ranked), max(fewestReaders, len(ranked)/nodesPerReader))]
 }
 
--- /dev/null
+++ b/internal/core/place/sharing_test.go
@@ -0,0 +1,54 @@
+package place
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// TestKeyIsTheFirstPartThatFits draws prompts of three parts, the last their
+// own, from few and many things at the first position: a first part that
+// hundreds of calls share out of many others is the key, one of three is not.
+func TestKeyIsTheFirstPartThatFits(t *testing.T) {
+	const endpoints = 18
+	for _, c := range []struct {
+		name  string
+		first uint64 // how many different first parts there are
+		want  int    // position of the key
+	}{
+		{"three first parts", 3, 1},
+		{"eighty first parts", 80, 0},
+	} {
+		s := NewSharing()
+		r := rand.New(rand.NewPCG(1, 2))
+		right, total := 0, 0
+		for i := range 400 {
+			first := 1 + r.Uint64N(c.first)
+			parts := []uint64{first, 1000*first + r.Uint64N(40), 1_000_000 + uint64(i)}
+			key := s.Key(c.name, parts, endpoints)
+			if i < 50 {
+				continue
+			}
+			total++
+			if key == parts[c.want] {
+				right++
+			}
+		}
+		if right < total*9/10 {
+			t.Errorf("%s: the part at position %d was the key for %d of %d prompts", c.name, c.want, right, total)
+		}
+	}
+}
+
+// TestKeyOfShortPrompts covers prompts that share nothing.
+func TestKeyOfShortPrompts(t *testing.T) {
+	s := NewSharing()
+	if key := s.Key("none", nil, 4); key != 0 {
+		t.Errorf("key %d for a prompt without parts", key)
+	}
+	if key := s.Key("one", []uint64{7}, 4); key != 7 {
+		t.Errorf("key %d for a prompt of one part, want that part", key)
+	}
+	if key := s.Key("two", []uint64{5, 9}, 4); key != 5 {
+		t.Errorf("key %d before anything is known, want the last shared part", key)
+	}
+}
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -19,7 +19,7 @@
 	// as a part of the time of a full call, and crossSlack is what it leaves
 	// of the time that it can wait without being late.
 	crossSlack = 40 * time.Millisecond
-	mostWait   = 0.8
+	mostWait   = 1.2
 	// elsewhere is the price of work outside of the home domain.
 	elsewhere = 1.5
 	// lostFactor and lostMargin tell when a call is given up as lost.
--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -5,21 +5,16 @@
 
 	"go.uber.org/zap"
 
-	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/wire"
 )
 
-// mostCells bounds the cells that a node can claim.
-const mostCells = 64
-
-func cellBit(cell int) uint64 { return 1 << (cell % mostCells) }
-
 // claim tells all nodes that this one leads a cell. A node that comes back
 // does not take its cell from the one that leads it by then: each change
 // leaves two leaders at the same endpoints for a while. A claim is no lease:
 // two leaders cost time only.
 func (n *Node) claim(cell int) {
-	leads := n.leads.Load() | cellBit(cell)
+	leads := n.leads.Load() | lead.Bit(cell)
 	if n.leads.Swap(leads) != leads {
 		n.log.Info("leads a cell", zap.Int("cell", cell))
 		n.leaders.contend(cell, time.Now())
@@ -33,7 +28,7 @@
 func (n *Node) watchCells() {
 	own := n.leads.Load()
 	for cell := 0; own>>cell != 0; cell++ {
-		if own&cellBit(cell) == 0 {
+		if own&lead.Bit(cell) == 0 {
 			continue
 		}
 		shared := n.otherLeads(cell)
@@ -48,7 +43,7 @@
 		}
 		if n.leaders.idle(cell) {
 			n.log.Info("leads a cell no more", zap.Int("cell", cell))
-			n.leads.Store(n.leads.Load() &^ cellBit(cell))
+			n.leads.Store(n.leads.Load() &^ lead.Bit(cell))
 			n.publishEntry()
 		}
 	}
@@ -63,7 +58,7 @@
 // end its work there.
 func (n *Node) otherLeads(cell int) bool {
 	for _, e := range *n.entries.Load() {
-		if e.Node != n.settings.Node && e.Leads&cellBit(cell) != 0 {
+		if e.Node != n.settings.Node && e.Leads&lead.Bit(cell) != 0 {
 			return true
 		}
 	}
@@ -79,25 +74,13 @@
 	n.entries.Store(&entries)
 }
 
-// leaderRank lists the nodes that may lead a cell, the first choice first:
-// those that claim it, then by rendezvous hashing. All nodes with the same
-// view agree on it without messages.
+// leaderRank lists the nodes that may lead a cell, the first choice first.
 func (n *Node) leaderRank(now time.Time, cell int) []wire.Entry {
-	byName := make(map[string]wire.Entry)
-	var names []string
+	var able []wire.Entry
 	for _, e := range *n.entries.Load() {
 		if !e.Leaving && !n.jobs.suspected(now, e.PeerAddress) {
-			byName[e.Node] = e
-			names = append(names, e.Node)
-		}
-	}
-	var claimed, others []wire.Entry
-	for _, name := range hash.Rank(hash.Mix(uint64(cell)+1), names) {
-		if e := byName[name]; e.Leads&cellBit(cell) != 0 {
-			claimed = append(claimed, e)
-		} else {
-			others = append(others, e)
+			able = append(able, e)
 		}
 	}
-	return append(claimed, others...)
+	return lead.Rank(cell, able)
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -42,11 +42,13 @@
 	arrived  time.Time
 	deadline time.Time
 	body     []byte
-	source   *http.Request
-	sent     int
-	ran      bool
-	worker   string
-	outcome  string
+	// prefix is the part of the prompt that decides the placement.
+	prefix  uint64
+	source  *http.Request
+	sent    int
+	ran     bool
+	worker  string
+	outcome string
 }
 
 // serveFront takes a client's request.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,7 @@
 	s := n.settings
 	return wire.Entry{
 		Node: s.Node, Incarnation: n.incarnation, Address: s.FrontAddress, PeerAddress: s.PeerAddress,
-		Domain: s.Domain, Region: s.Region, Leaving: leaving, Leads: n.leads.Load(),
+		Domain: s.Domain, Region: s.Region, Leaving: leaving, Leads: n.leads.Load(), Capacity: s.Capacity,
 	}
 }
 
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -19,10 +19,11 @@
 	mu        sync.Mutex
 	seed      uint64
 	byService map[string]*place.Pool
+	sharing   map[string]*place.Sharing
 }
 
 func newPools(seed uint64) *pools {
-	return &pools{seed: seed, byService: make(map[string]*place.Pool)}
+	return &pools{seed: seed, byService: make(map[string]*place.Pool), sharing: make(map[string]*place.Sharing)}
 }
 
 func (p *pools) update(v *view) {
@@ -78,6 +79,26 @@
 	return &placed{pools: p, pool: pool, index: i, endpoint: e, started: now}, true
 }
 
+// prefix returns the part of a request's prompt by which it is placed.
+func (p *pools) prefix(q *request) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, ok := p.byService[q.service]
+	if !ok {
+		return 0
+	}
+	shared, ok := p.sharing[q.service]
+	if !ok {
+		shared = place.NewSharing()
+		p.sharing[q.service] = shared
+	}
+	parts := make([]uint64, len(q.in.Prefix))
+	for i, part := range q.in.Prefix {
+		parts[i] = part.ID
+	}
+	return shared.Key(q.route.Name, parts, pool.Len())
+}
+
 // domain predicts where a call would go.
 func (p *pools) domain(now time.Time, service string, prefix uint64) string {
 	p.mu.Lock()
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -36,6 +36,7 @@
 // serveStream takes a request through its stages and passes its events on.
 func (n *Node) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
 	n.budget.Fresh(q.arrived, q.service, 1)
+	q.prefix = n.pools.prefix(q)
 	s := &stream{q: q, w: w, flush: http.NewResponseController(w)}
 	defer func() { s.release() }()
 	var tried []string
@@ -44,7 +45,7 @@
 			n.endUnprepared(ctx, s, err)
 			return
 		}
-		c, ok := n.pools.choose(time.Now(), q.service, q.prefix(), tried)
+		c, ok := n.pools.choose(time.Now(), q.service, q.prefix, tried)
 		if !ok {
 			n.endStream(ctx, s, attempt.AnswerNotRun, "no endpoint")
 			return
@@ -73,19 +74,6 @@
 	s.results = stageResults{}
 }
 
-// prefix is the part of the prompt that calls share: the last but one, since
-// the last belongs to the request itself.
-func (q *request) prefix() uint64 {
-	parts := q.in.Prefix
-	switch {
-	case len(parts) == 0:
-		return 0
-	case len(parts) == 1:
-		return parts[0].ID
-	}
-	return parts[len(parts)-2].ID
-}
-
 // prepare has the stages run unless their results are there.
 func (n *Node) prepare(ctx context.Context, s *stream) error {
 	q := s.q
@@ -94,7 +82,7 @@
 	}
 	work := stageWork{deadline: q.deadline, submit: wire.StagesSubmit{
 		RequestID: q.in.RequestID, Key: q.in.PieceKey, Priority: q.priority,
-		Domain: n.pools.domain(time.Now(), q.service, q.prefix()),
+		Domain: n.pools.domain(time.Now(), q.service, q.prefix),
 	}}
 	read := readTime(q.in.PromptTokens)
 	work.aim = q.arrived.Add(q.route.Objective - read)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/discovery"
+	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
 )
@@ -103,13 +104,22 @@
 
 // readers lists the nodes that read the store.
 func (n *Node) readers() []string {
-	var nodes []string
+	var able []wire.Entry
 	for _, e := range *n.entries.Load() {
 		if !e.Leaving || e.Node == n.settings.Node {
-			nodes = append(nodes, e.Node)
+			able = append(able, e)
 		}
 	}
-	return discovery.Readers(nodes)
+	strong, weak := lead.Split(able)
+	return discovery.Readers(nodeNames(strong), nodeNames(weak))
+}
+
+func nodeNames(entries []wire.Entry) []string {
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Node
+	}
+	return names
 }
 
 // askReader asks the reader of this node for what is new.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -78,6 +78,8 @@
 	Leaving     bool
 	// Leads has a bit for each cell of stage workers that the node leads.
 	Leads uint64
+	// Capacity is the node's processor share in thousandths of a core, or 0.
+	Capacity int
 }
 
 // Member is the record of one control process and its entries. Only its
