internal/node: the request's line tells when its stages ended and when its answer began

Cause: the log told how long a request took, not where; the cause of a late one could not be told apart between stages and the model. Change: fields staged and first.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -49,6 +49,10 @@
 	ran     bool
 	worker  string
 	outcome string
+	// staged and first are the times from the arrival to the last stage's
+	// results and to the answer's head, or 0.
+	staged time.Duration
+	first  time.Duration
 }
 
 // serveFront takes a client's request.
@@ -141,7 +145,7 @@
 	}
 	n.log.Info("request", zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
 		zap.String("outcome", q.outcome), zap.String("endpoint", q.worker), zap.Int("sent", q.sent),
-		zap.Uint64("config", q.view.version()), zap.Duration("took", time.Since(q.arrived)))
+		zap.Uint64("config", q.view.version()), zap.Duration("staged", q.staged), zap.Duration("first", q.first), zap.Duration("took", time.Since(q.arrived)))
 }
 
 // outbound is the request as it goes to an endpoint.
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -104,6 +104,7 @@
 		return err
 	}
 	s.results = results
+	q.staged = time.Since(q.arrived)
 	return nil
 }
 
@@ -223,6 +224,7 @@
 		return
 	}
 	s.started = true
+	s.q.first = time.Since(s.q.arrived)
 	platform.CopyAnswer(s.w, a.Header)
 	s.w.Header().Del("Content-Length")
 	s.w.WriteHeader(a.Status)
