internal/core/place, internal/node: the leader places the prompts of all nodes by what is left to read

Cause: a node knew the prompts of its own requests only, and the endpoints' load as counts of requests up to 2 s old; prompts of up to 54,600 tokens hold up all behind them. Ruled out: more weight on reported load, which all nodes read alike. Change: the node that leads a cell sees all its requests end their stages and begin their answers, so it counts the tokens still to be read at each endpoint and names the endpoint with the results (policy least_work: waiting tokens, shared parts read again, inputs from another domain). Owners take it if they can, and tell how it did with the release.

--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -27,10 +27,12 @@
 type Endpoint struct {
 	spec        Spec
 	outstanding int
-	load        Load
-	took        time.Duration
-	measured    time.Time // when took last changed
-	health      health
+	// work is the number of tokens that calls in flight have to read.
+	work     int
+	load     Load
+	took     time.Duration
+	measured time.Time // when took last changed
+	health   health
 	// removed endpoints are no longer in the configuration.
 	removed bool
 }
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -29,6 +29,9 @@
 // this size are looked at whole.
 const sampleSize = 12
 
+// Usable reports whether endpoint i can take a call now.
+func (p *Pool) Usable(now time.Time, i int, req Request) bool { return p.usable(now, i, req) }
+
 func (p *Pool) usable(now time.Time, i int, req Request) bool {
 	return i != req.Exclude && !slices.Contains(req.Tried, i) && p.endpoints[i].available(now, req.Version)
 }
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -19,6 +19,8 @@
 	Policy Policy
 	// Prefix is the hash of the prompt's prefix; 0 means none.
 	Prefix uint64
+	// Prompt is the zero value for calls to other than models.
+	Prompt Prompt
 	// Version is the model version wanted; "" means any.
 	Version string
 	// Exclude is an endpoint not to choose, or None.
@@ -40,6 +42,8 @@
 	// set aside at once.
 	Unreachable bool
 	Load        Load
+	// Work is what Start returned for the call.
+	Work int
 }
 
 // Pool holds the endpoints of one pool. It is not safe for concurrent use.
@@ -164,12 +168,16 @@
 	return sum
 }
 
-// Start counts a call that goes out to endpoint i.
-func (p *Pool) Start(i int, req Request) {
+// Start counts a call that goes out to endpoint i, and returns how many tokens
+// it has to read there.
+func (p *Pool) Start(i int, req Request) int {
+	work := p.work(i, req)
 	p.endpoints[i].outstanding++
+	p.endpoints[i].work += work
 	if req.Prefix != 0 {
 		p.prefixes.put(req.Prefix, i)
 	}
+	return work
 }
 
 // Finish counts the end of a call, and reports whether it set the endpoint
@@ -177,6 +185,7 @@
 func (p *Pool) Finish(now time.Time, i int, r Result) bool {
 	e := &p.endpoints[i]
 	e.outstanding--
+	e.work -= r.Work
 	if !r.Load.At.IsZero() {
 		e.load = r.Load
 	}
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -208,13 +208,14 @@
 	t.complete = true
 	p.counters.Completed++
 	c := Complete{Task: t.id}
-	var bytes int64
+	bytes := make(map[string]int64)
 	for _, i := range t.last() {
 		for _, r := range t.stages[i].results {
 			c.Handles = append(c.Handles, r.handle)
-			if r.bytes >= bytes {
-				bytes = r.bytes
-				c.Domain = r.maker.spec.Domain
+			domain := r.maker.spec.Domain
+			bytes[domain] += r.bytes
+			if bytes[domain] > c.Bytes {
+				c.Domain, c.Bytes = domain, bytes[domain]
 			}
 		}
 	}
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -125,8 +125,10 @@
 type Complete struct {
 	Task    TaskID
 	Handles []string
-	// Domains lists where the results lie.
+	// Domain is where the largest result lies, Bytes the size of all results
+	// there.
 	Domain string
+	Bytes  int64
 }
 
 // Fail tells that a task is given up.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -161,7 +161,7 @@
 	n.budget.Fresh(q.arrived, q.service, 1)
 	var tried []string
 	for range mostSends {
-		c, ok := n.pools.choose(time.Now(), q.service, 0, tried)
+		c, ok := n.pools.choose(time.Now(), need{service: q.service, tried: tried})
 		if !ok {
 			n.endNotRun(w, q, "no endpoint")
 			return
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -159,8 +159,11 @@
 // stageResults are the results of a request's last stages.
 type stageResults struct {
 	handles []string
-	// release gives them up; it may be called more than once.
-	release func()
+	// endpoint is where the leader wants the request to run, or "".
+	endpoint string
+	// release gives them up and tells how the endpoint did; it may be called
+	// more than once.
+	release func(wire.Placement)
 }
 
 // runStages has a request's stages run by a leader. An error is a *refusal
@@ -198,10 +201,10 @@
 	w.submit.Deadline = w.deadline.Sub(now).Milliseconds()
 	n.toLeader(to, &w.submit)
 	var once sync.Once
-	release := func() {
+	release := func(how wire.Placement) {
 		once.Do(func() {
 			n.jobs.remove(b)
-			n.toLeader(to, &wire.StagesRelease{ID: b.id})
+			n.toLeader(to, &wire.StagesRelease{ID: b.id, Placement: how})
 		})
 	}
 	done, err := b.await(ctx)
@@ -209,18 +212,18 @@
 		done, err = b.awaitDone(ctx, func() { n.toLeader(to, &wire.StagesPing{ID: b.id}) })
 	}
 	if err != nil {
-		release()
+		release(wire.PlacementUnused)
 		return stageResults{}, err
 	}
 	if done.Failed == stagepool.MoveReason {
-		release()
+		release(wire.PlacementUnused)
 		return stageResults{}, errLeaderMoved
 	}
 	if done.Failed != "" {
-		release()
+		release(wire.PlacementUnused)
 		return stageResults{}, &refusal{"stages: " + done.Failed, time.Duration(done.Again) * time.Millisecond}
 	}
-	return stageResults{handles: done.Handles, release: release}, nil
+	return stageResults{handles: done.Handles, endpoint: done.Endpoint, release: release}, nil
 }
 
 // await waits for the leader's verdict; a result that comes first counts too.
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
@@ -47,6 +48,7 @@
 	log     *zap.Logger
 	workers *platform.Workers
 	meters  *meters
+	models  *pools
 	budget  func() stagepool.Budget
 	mu      sync.Mutex
 	view    *view
@@ -61,13 +63,17 @@
 	pool   *stagepool.Pool
 	owners map[stagepool.TaskID]owner
 	tasks  map[ownerKey]stagepool.TaskID
+	// needs are what the requests ask of their models, placed where they were
+	// sent until their answers begin.
+	needs  map[stagepool.TaskID]need
+	placed map[stagepool.TaskID]*placed
 	logged time.Time
 	// ticking tells whether the ticker runs; it does while there are tasks.
 	ticking bool
 }
 
-func newLeaders(log *zap.Logger, workers *platform.Workers, budget func() stagepool.Budget) *leaders {
-	return &leaders{log: log, workers: workers, budget: budget, cells: make(map[int]*leader)}
+func newLeaders(log *zap.Logger, workers *platform.Workers, models *pools, budget func() stagepool.Budget) *leaders {
+	return &leaders{log: log, workers: workers, models: models, budget: budget, cells: make(map[int]*leader)}
 }
 
 // cellCount is the number of cells for the endpoints of a view.
@@ -106,6 +112,7 @@
 	l.mu.Lock()
 	l.view = v
 	l.mu.Unlock()
+	l.models.update(v)
 	for _, c := range l.all() {
 		c.configure(now, v)
 	}
@@ -121,6 +128,7 @@
 	c = &leader{
 		group: l, cell: cell, pool: stagepool.New(stagepool.WithBudget(l.budget())),
 		owners: make(map[stagepool.TaskID]owner), tasks: make(map[ownerKey]stagepool.TaskID),
+		needs: make(map[stagepool.TaskID]need), placed: make(map[stagepool.TaskID]*placed),
 	}
 	l.cells[cell] = c
 	c.configure(time.Now(), l.view)
@@ -174,8 +182,9 @@
 		return
 	}
 	now := time.Now()
+	wants := need{service: m.Model, prefix: m.Prefix, prompt: place.Prompt{Tokens: m.Tokens, Shared: m.Shared}}
 	t := stagepool.Task{
-		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: m.Domain,
+		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: l.models.domain(now, wants),
 		Aim:       now.Add(time.Duration(m.Aim) * time.Millisecond),
 		Allowance: time.Duration(m.Allowance) * time.Millisecond,
 		Deadline:  now.Add(time.Duration(m.Deadline) * time.Millisecond),
@@ -189,6 +198,7 @@
 	if verdict.Accepted {
 		c.owners[verdict.ID] = o
 		c.tasks[o.key] = verdict.ID
+		c.needs[verdict.ID] = wants
 		c.tick()
 	}
 	_ = o.answer(wire.StagesVerdict{ID: m.ID, Accepted: verdict.Accepted, Finish: verdict.Finish.Milliseconds(), Again: verdict.Again.Milliseconds()})
@@ -220,10 +230,11 @@
 }
 
 // release ends a task for its owner.
-func (l *leaders) release(key ownerKey) {
+func (l *leaders) release(key ownerKey, how wire.Placement) {
 	for _, c := range l.all() {
 		c.mu.Lock()
 		if id, ok := c.tasks[key]; ok {
+			c.endPlaced(id, how)
 			c.forget(id)
 			c.carryOut(c.pool.Release(time.Now(), id))
 		}
@@ -231,7 +242,37 @@
 	}
 }
 
+// place chooses the endpoint at which a request runs; the lock is held.
+func (c *leader) place(done stagepool.Complete) string {
+	wants, ok := c.needs[done.Task]
+	if !ok {
+		return ""
+	}
+	wants.prompt.InputDomain = done.Domain
+	wants.prompt.InputBytes = done.Bytes
+	at, ok := c.group.models.choose(time.Now(), wants)
+	if !ok {
+		return ""
+	}
+	c.placed[done.Task] = at
+	return at.endpoint.ID
+}
+
+// endPlaced counts the end of a placement; the lock is held.
+func (c *leader) endPlaced(id stagepool.TaskID, how wire.Placement) {
+	at, ok := c.placed[id]
+	if !ok {
+		return
+	}
+	delete(c.placed, id)
+	at.end(time.Now(), place.Result{
+		OK: how == wire.PlacementServed, Neutral: how == wire.PlacementUnused, Unreachable: how == wire.PlacementUnreachable,
+	})
+}
+
 func (c *leader) forget(id stagepool.TaskID) {
+	c.endPlaced(id, wire.PlacementUnused)
+	delete(c.needs, id)
 	delete(c.tasks, c.owners[id].key)
 	delete(c.owners, id)
 }
@@ -278,7 +319,7 @@
 		case stagepool.Free:
 			go c.free(a)
 		case stagepool.Complete:
-			c.tell(a.Task, wire.StagesDone{Handles: a.Handles, Domain: a.Domain})
+			c.tell(a.Task, wire.StagesDone{Handles: a.Handles, Endpoint: c.place(a)})
 		case stagepool.Fail:
 			c.tell(a.Task, wire.StagesDone{Failed: a.Reason, Again: a.Again.Milliseconds()})
 			c.forget(a.Task)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,10 +96,10 @@
 	}
 	n.store = platform.NewStore(s.StoreAddress)
 	n.workers = platform.NewWorkers()
-	n.pools = newPools(hash.Of(s.Node))
+	n.pools = newPools(hash.Of(s.Node), modelPolicy)
 	n.budget = n.newBudget()
 	n.stageBudget = n.newBudget()
-	n.leaders = newLeaders(n.log, n.workers, func() stagepool.Budget { return n.stageBudget })
+	n.leaders = newLeaders(n.log, n.workers, newPools(hash.Of(s.Node), leaderPolicy), func() stagepool.Budget { return n.stageBudget })
 	n.meters = newMeters(n)
 	n.leaders.meters = n.meters
 	n.view.Store(&view{})
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -172,7 +172,7 @@
 		n.claim(m.Cell)
 		n.leaders.submit(owner{key: ownerKey{from.Node, from.Incarnation, m.ID}, answer: answer}, m)
 	case *wire.StagesRelease:
-		n.leaders.release(ownerKey{from.Node, from.Incarnation, m.ID})
+		n.leaders.release(ownerKey{from.Node, from.Incarnation, m.ID}, m.Placement)
 	case *wire.StagesPing:
 		known := n.leaders.knows(ownerKey{from.Node, from.Incarnation, m.ID})
 		_ = answer(wire.StagesVerdict{ID: m.ID, Accepted: known})
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -8,22 +8,26 @@
 	"gradetiller.example/internal/core/place"
 )
 
-// The placement policies of the two kinds of service.
+// The placement policies of the two kinds of service. A leader places the
+// prompts of all nodes by what is left to read at each endpoint; a node that
+// places its own alone can't know that.
 const (
-	plainPolicy = "predicted_finish"
-	modelPolicy = "prefix_affinity"
+	plainPolicy  = "predicted_finish"
+	modelPolicy  = "prefix_affinity"
+	leaderPolicy = place.LeastWork
 )
 
 // pools holds the endpoints of the services that requests go to.
 type pools struct {
 	mu        sync.Mutex
 	seed      uint64
+	models    string // the policy for models
 	byService map[string]*place.Pool
 	sharing   map[string]*place.Sharing
 }
 
-func newPools(seed uint64) *pools {
-	return &pools{seed: seed, byService: make(map[string]*place.Pool), sharing: make(map[string]*place.Sharing)}
+func newPools(seed uint64, models string) *pools {
+	return &pools{seed: seed, models: models, byService: make(map[string]*place.Pool), sharing: make(map[string]*place.Sharing)}
 }
 
 func (p *pools) update(v *view) {
@@ -35,17 +39,17 @@
 		}
 		pool, ok := p.byService[name]
 		if !ok {
-			pool = newPool(service, p.seed)
+			pool = newPool(service, p.models, p.seed)
 			p.byService[name] = pool
 		}
 		pool.Update(v.specs(service))
 	}
 }
 
-func newPool(service catalog.Service, seed uint64) *place.Pool {
+func newPool(service catalog.Service, models string, seed uint64) *place.Pool {
 	policy := plainPolicy
 	if service.Model {
-		policy = modelPolicy
+		policy = models
 	}
 	pool, err := place.NewPool(policy, seed)
 	if err != nil {
@@ -63,20 +67,70 @@
 	index    int
 	endpoint catalog.Endpoint
 	started  time.Time
+	work     int
+}
+
+// need is what a call asks of its endpoint.
+type need struct {
+	service string
+	prefix  uint64
+	prompt  place.Prompt
+	tried   []string
+	// wanted is an endpoint that is taken if it can be, or "".
+	wanted string
 }
 
 // choose picks an endpoint that was not tried yet and counts a call there.
-func (p *pools) choose(now time.Time, service string, prefix uint64, tried []string) (*placed, bool) {
+func (p *pools) choose(now time.Time, n need) (*placed, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pool, req, i, ok := p.pick(now, service, prefix, tried)
+	pool, req, i, ok := p.pick(now, n)
 	if !ok {
 		return nil, false
 	}
-	pool.Start(i, req)
+	work := pool.Start(i, req)
 	spec := pool.At(i).Spec()
-	e := catalog.Endpoint{ID: spec.Name, Service: service, Address: spec.Address, Domain: spec.Domain, Slots: spec.Slots}
-	return &placed{pools: p, pool: pool, index: i, endpoint: e, started: now}, true
+	e := catalog.Endpoint{ID: spec.Name, Service: n.service, Address: spec.Address, Domain: spec.Domain, Slots: spec.Slots}
+	return &placed{pools: p, pool: pool, index: i, endpoint: e, started: now, work: work}, true
+}
+
+// domain predicts where a call would go.
+func (p *pools) domain(now time.Time, n need) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, _, i, ok := p.pick(now, n)
+	if !ok {
+		return ""
+	}
+	return pool.At(i).Spec().Domain
+}
+
+func (p *pools) pick(now time.Time, n need) (*place.Pool, place.Request, int, bool) {
+	pool, ok := p.byService[n.service]
+	if !ok {
+		return nil, place.Request{}, place.None, false
+	}
+	req := place.Request{Prefix: n.prefix, Prompt: n.prompt, Exclude: place.None}
+	for _, id := range n.tried {
+		req.Tried = append(req.Tried, pool.Find(id))
+	}
+	if i := pool.Find(n.wanted); i != place.None && pool.Usable(now, i, req) {
+		return pool, req, i, true
+	}
+	i, ok := pool.Choose(now, req)
+	return pool, req, i, ok
+}
+
+// sharedTokens is the length of a prompt up to the part by which it is placed.
+func (q *request) sharedTokens() int {
+	sum := 0
+	for _, part := range q.in.Prefix {
+		sum += part.Tokens
+		if part.ID == q.prefix {
+			return sum
+		}
+	}
+	return 0
 }
 
 // prefix returns the part of a request's prompt by which it is placed.
@@ -99,30 +153,6 @@
 	return shared.Key(q.route.Name, parts, pool.Len())
 }
 
-// domain predicts where a call would go.
-func (p *pools) domain(now time.Time, service string, prefix uint64) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pool, _, i, ok := p.pick(now, service, prefix, nil)
-	if !ok {
-		return ""
-	}
-	return pool.At(i).Spec().Domain
-}
-
-func (p *pools) pick(now time.Time, service string, prefix uint64, tried []string) (*place.Pool, place.Request, int, bool) {
-	pool, ok := p.byService[service]
-	if !ok {
-		return nil, place.Request{}, place.None, false
-	}
-	req := place.Request{Prefix: prefix, Exclude: place.None}
-	for _, id := range tried {
-		req.Tried = append(req.Tried, pool.Find(id))
-	}
-	i, ok := pool.Choose(now, req)
-	return pool, req, i, ok
-}
-
 // end counts the end of the call.
 func (c *placed) end(now time.Time, r place.Result) {
 	c.pools.mu.Lock()
@@ -130,5 +160,6 @@
 	if r.Took == 0 {
 		r.Took = now.Sub(c.started)
 	}
+	r.Work = c.work
 	c.pool.Finish(now, c.index, r)
 }
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -30,7 +30,9 @@
 	started bool
 	last    string
 	results stageResults
-	events  int
+	// placement is how the endpoint that the leader chose did.
+	placement wire.Placement
+	events    int
 }
 
 // serveStream takes a request through its stages and passes its events on.
@@ -45,7 +47,10 @@
 			n.endUnprepared(ctx, s, err)
 			return
 		}
-		c, ok := n.pools.choose(time.Now(), q.service, q.prefix, tried)
+		c, ok := n.pools.choose(time.Now(), need{
+			service: q.service, prefix: q.prefix, tried: tried, wanted: s.results.endpoint,
+			prompt: place.Prompt{Tokens: q.in.PromptTokens, Shared: q.sharedTokens()},
+		})
 		if !ok {
 			n.endStream(ctx, s, attempt.AnswerNotRun, "no endpoint")
 			return
@@ -69,9 +74,17 @@
 
 func (s *stream) release() {
 	if s.results.release != nil {
-		s.results.release()
+		s.results.release(s.placement)
 	}
 	s.results = stageResults{}
+	s.placement = wire.PlacementUnused
+}
+
+// note keeps how the endpoint that the leader chose did.
+func (s *stream) note(c *placed, how wire.Placement) {
+	if c.endpoint.ID == s.results.endpoint {
+		s.placement = how
+	}
 }
 
 // prepare has the stages run unless their results are there.
@@ -82,7 +95,7 @@
 	}
 	work := stageWork{deadline: q.deadline, submit: wire.StagesSubmit{
 		RequestID: q.in.RequestID, Key: q.in.PieceKey, Priority: q.priority,
-		Domain: n.pools.domain(time.Now(), q.service, q.prefix),
+		Model: q.service, Prefix: q.prefix, Tokens: q.in.PromptTokens, Shared: q.sharedTokens(),
 	}}
 	read := readTime(q.in.PromptTokens)
 	work.aim = q.arrived.Add(q.route.Objective - read)
@@ -148,9 +161,18 @@
 	a, err := n.workers.Send(ctx, out)
 	hung.Stop()
 	if err != nil {
-		return nil, n.faulted(parent, q, c, err)
+		event := n.faulted(parent, q, c, err)
+		switch {
+		case parent.Err() != nil:
+		case event == attempt.RefuseUnsent:
+			s.note(c, wire.PlacementUnreachable)
+		default:
+			s.note(c, wire.PlacementFailed)
+		}
+		return nil, event
 	}
 	defer a.Body.Close()
+	s.note(c, wire.PlacementServed)
 	if !a.Elsewhere {
 		q.sent++
 	}
@@ -171,6 +193,9 @@
 // made again.
 func (n *Node) declined(s *stream, c *placed, a *platform.Answer) attempt.Event {
 	now := time.Now()
+	if a.Status != http.StatusConflict {
+		s.note(c, wire.PlacementFailed)
+	}
 	if a.Event == attempt.RefuseByEndpoint {
 		n.log.Info("endpoint declined", zap.String("id", s.q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("status", a.Status))
 		c.end(now, place.Result{Neutral: a.Status == http.StatusConflict, Load: load(a, now)})
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -20,7 +20,13 @@
 	Allowance int64
 	Deadline  int64
 	Priority  int
-	Domain    string
+	// Model is the service that the request goes to; Prefix is the part of
+	// its prompt by which it is placed, Tokens the prompt's length and Shared
+	// that of the parts up to Prefix.
+	Model  string
+	Prefix uint64
+	Tokens int
+	Shared int
 }
 
 // StagesVerdict answers a StagesSubmit at once.
@@ -38,14 +44,32 @@
 type StagesDone struct {
 	ID      uint64
 	Handles []string
-	Domain  string
-	Failed  string
-	Again   int64
+	// Endpoint is where the request should run, or "" when the leader knows
+	// none.
+	Endpoint string
+	Failed   string
+	Again    int64
 }
 
+// Placement is how the leader's choice of an endpoint turned out.
+type Placement int
+
+// The outcomes of a placement.
+const (
+	// PlacementUnused says nothing about the endpoint.
+	PlacementUnused Placement = iota
+	// PlacementServed endpoints began to answer.
+	PlacementServed
+	// PlacementFailed endpoints failed or declined.
+	PlacementFailed
+	// PlacementUnreachable endpoints could not be connected to.
+	PlacementUnreachable
+)
+
 // StagesRelease tells that the results are not needed any more.
 type StagesRelease struct {
-	ID uint64
+	ID        uint64
+	Placement Placement
 }
 
 // StagesPing asks whether the leader still works on a request. The answer is
