--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -90,7 +90,7 @@
 // prepare has the stages run unless their results are there.
 func (n *Node) prepare(ctx context.Context, s *stream) error {
 	q := s.q
-	if s.results.handles != nil || len(q.route.Stages) == 0 {
+	if s.results.release != nil || len(q.route.Stages) == 0 {
 		return nil
 	}
 	work := stageWork{deadline: q.deadline, submit: wire.StagesSubmit{
@@ -109,10 +109,12 @@
 		any = any || out.Pieces > 0
 		work.submit.Stages = append(work.submit.Stages, out)
 	}
-	if !any {
+	results, err := n.runStages(ctx, work)
+	if err != nil && !any && ctx.Err() == nil {
+		// Nothing is to be made; only the leader's choice of an endpoint is
+		// missing.
 		return nil
 	}
-	results, err := n.runStages(ctx, work)
 	if err != nil {
 		return err
 	}
