internal/soak: a randomized soak of the real nodes behind proxies

Change: nodes as processes, a proxy before each front, peer, worker and store (delay, reset, cut either way, silent), SIGKILL, SIGSTOP, SIGTERM, SIGHUP, the store down, spoilt answers, workers that crash or drain, configurations in quick succession, in series and overlapping; at the end all nodes are stopped in turn while clients send. Checked: whole and own answers, at most once, true refusals, nothing refused that is allowed, drains, planned stops, no older version after a newer one, repeats within the budget, no process that ends by itself. Ruled out: clock steps; no node uses the time of day (internal/core/attempt). Conclusion: kept.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 PROGRAMS := gradetiller gradetiller-entry gradetiller-control gradetiller-load gradetiller-standin
 
-.PHONY: all build run pwani test capacity measure faults bench
+.PHONY: all build run pwani test capacity measure faults soak
 
 all: build
 
@@ -30,3 +30,11 @@
 # the tables of docs/CAPACITY.md, from benchmarks run now
 capacity:
 	scripts/capacity.sh
+
+# random faults on real processes, checked from outside while they run
+SEEDS ?= 50
+FIRST ?= 1
+SECONDS_EACH ?= 6
+PROCESSES ?= 4
+soak:
+	go test ./internal/soak -count=1 -timeout 120m -v -args -first $(FIRST) -seeds $(SEEDS) -seconds $(SECONDS_EACH) -processes $(PROCESSES)
--- a/cmd/gradetiller-node/cmd/main.go
+++ b/cmd/gradetiller-node/cmd/main.go
@@ -27,6 +27,8 @@
 type cli struct {
 	Check    bool   `help:"Check the settings file and exit."`
 	LogLevel string `help:"debug, info, warn or error." default:"info"`
+	// PeerAddress differs from the settings file's where ports are mapped.
+	PeerAddress string `help:"IP address and port at which other nodes reach this one, where they differ from those that it listens on." env:"GRADETILLER_PEER_ADDRESS"`
 }
 
 // Main runs the program.
@@ -49,7 +51,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	go reload(log)
 	stop, _ := settings.Signals()
-	return node.New(s, node.WithLog(log), node.WithMetrics(s.MetricsAddress)).Run(stop)
+	return node.New(s, node.WithLog(log), node.WithMetrics(s.MetricsAddress), node.WithPeerAddress(c.PeerAddress)).Run(stop)
 }
 
 // reload checks the settings file again at each SIGHUP. Addresses and names
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,8 +55,10 @@
 	meters      *meters
 	// metricsAddress serves the metrics; it may be empty.
 	metricsAddress string
-	budget         *lockedBudget
-	stageBudget    *lockedBudget
+	// peerAddress is where other nodes reach this one.
+	peerAddress string
+	budget      *lockedBudget
+	stageBudget *lockedBudget
 
 	// viewMu is held by changes of the view and the list.
 	viewMu sync.Mutex
@@ -88,9 +90,19 @@
 // WithMetrics serves the metrics at an IP address and port.
 func WithMetrics(address string) Option { return func(n *Node) { n.metricsAddress = address } }
 
+// WithPeerAddress tells other nodes an address other than the one that this
+// node listens on, where ports are mapped; "" changes nothing.
+func WithPeerAddress(address string) Option {
+	return func(n *Node) {
+		if address != "" {
+			n.peerAddress = address
+		}
+	}
+}
+
 // New returns a node that serves nothing until Run.
 func New(s platform.Settings, options ...Option) *Node {
-	n := &Node{settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(), jobs: newJobs(), sizes: &sizes{usual: make(map[string]float64)}}
+	n := &Node{settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(), jobs: newJobs(), sizes: &sizes{usual: make(map[string]float64)}, peerAddress: s.PeerAddress}
 	for _, o := range options {
 		o(n)
 	}
@@ -105,7 +117,7 @@
 	n.view.Store(&view{})
 	n.list = discovery.NewList()
 	n.members = member.New(wire.Member{
-		Node: s.Node, Incarnation: n.incarnation, Address: s.PeerAddress, Domain: s.Domain, Region: s.Region,
+		Node: s.Node, Incarnation: n.incarnation, Address: n.peerAddress, Domain: s.Domain, Region: s.Region,
 		Entries: []wire.Entry{n.entry(false)},
 	}, hash.Of(s.Node))
 	entries := n.members.Entries()
@@ -133,7 +145,7 @@
 func (n *Node) entry(leaving bool) wire.Entry {
 	s := n.settings
 	return wire.Entry{
-		Node: s.Node, Incarnation: n.incarnation, Address: s.FrontAddress, PeerAddress: s.PeerAddress,
+		Node: s.Node, Incarnation: n.incarnation, Address: s.FrontAddress, PeerAddress: n.peerAddress,
 		Domain: s.Domain, Region: s.Region, Leaving: leaving, Leads: n.leads.Load(), Capacity: s.Capacity,
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -70,7 +70,7 @@
 func (n *Node) strangers() []member.Seed {
 	var list []member.Seed
 	for _, address := range n.settings.Seeds {
-		if address != n.settings.PeerAddress && !n.members.LiveAt(address) {
+		if address != n.peerAddress && !n.members.LiveAt(address) {
 			list = append(list, member.Seed{Node: address, Address: address})
 		}
 	}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,185 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// mode is what a proxy does with the connections through it.
+type mode int
+
+const (
+	// pass hands all bytes on.
+	pass mode = iota
+	// delay hands bytes on late.
+	delay
+	// reset ends connections, open and new ones.
+	reset
+	// cutForward loses what the caller sends, cutBack what it would receive.
+	cutForward
+	cutBack
+	// silent loses the bytes of both sides.
+	silent
+)
+
+// modes are the harmful modes.
+var modes = []mode{delay, reset, cutForward, cutBack, silent}
+
+func (m mode) String() string {
+	return [...]string{"pass", "delay", "reset", "cut forward", "cut back", "silent"}[m]
+}
+
+const (
+	delayed   = 250 * time.Millisecond
+	chunkSize = 32 << 10
+)
+
+// proxy stands between callers and one address.
+type proxy struct {
+	address string
+	target  string
+	mu      sync.Mutex
+	mode    mode
+	open    map[*link]struct{}
+}
+
+// link is one connection through a proxy. Bytes that were lost can't be made up
+// for, so a link that lost any is ended when its proxy is healed.
+type link struct {
+	caller, callee net.Conn
+	lost           bool
+}
+
+// proxies are all proxies of a run, by the address behind them.
+type proxies struct {
+	t    testing.TB
+	mu   sync.Mutex
+	list map[string]*proxy
+}
+
+// through returns the address of the proxy before an address.
+func (p *proxies) through(target string) string { return p.before(target).address }
+
+// before returns the proxy before an address, which is started at its first use.
+func (p *proxies) before(target string) *proxy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, ok := p.list[target]; ok {
+		return known
+	}
+	host, _, err := net.SplitHostPort(target)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = listener.Close() })
+	x := &proxy{address: listener.Addr().String(), target: target, open: make(map[*link]struct{})}
+	p.list[target] = x
+	go x.serve(listener)
+	return x
+}
+
+// set changes the mode. A link that lost bytes ends, as does every link when
+// connections are reset.
+func (x *proxy) set(m mode) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.mode = m
+	for l := range x.open {
+		if m == reset || m == pass && l.lost {
+			l.end()
+		}
+	}
+}
+
+func (x *proxy) current() mode {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.mode
+}
+
+func (x *proxy) serve(listener net.Listener) {
+	for {
+		caller, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go x.connect(caller)
+	}
+}
+
+func (x *proxy) connect(caller net.Conn) {
+	if x.current() == reset {
+		(&link{caller: caller}).end()
+		return
+	}
+	callee, err := net.Dial("tcp", x.target)
+	if err != nil {
+		(&link{caller: caller}).end()
+		return
+	}
+	l := &link{caller: caller, callee: callee}
+	x.mu.Lock()
+	x.open[l] = struct{}{}
+	x.mu.Unlock()
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() { defer both.Done(); x.copy(l, callee, caller, cutForward) }()
+	go func() { defer both.Done(); x.copy(l, caller, callee, cutBack) }()
+	both.Wait()
+	x.mu.Lock()
+	delete(x.open, l)
+	x.mu.Unlock()
+	_ = caller.Close()
+	_ = callee.Close()
+}
+
+// copy hands bytes on in one direction, which the mode lost loses.
+func (x *proxy) copy(l *link, to, from net.Conn, lost mode) {
+	buffer := make([]byte, chunkSize)
+	for {
+		n, err := from.Read(buffer)
+		m := x.current()
+		if m == delay {
+			time.Sleep(delayed)
+		}
+		if m == lost || m == silent {
+			x.mu.Lock()
+			l.lost = l.lost || n > 0
+			x.mu.Unlock()
+			n = 0
+		}
+		if n > 0 {
+			if _, failed := to.Write(buffer[:n]); failed != nil {
+				l.end()
+				return
+			}
+		}
+		switch {
+		case err == io.EOF:
+			if half, ok := to.(*net.TCPConn); ok && m != lost && m != silent {
+				_ = half.CloseWrite()
+			}
+			return
+		case err != nil:
+			l.end()
+			return
+		}
+	}
+}
+
+// end resets both sides.
+func (l *link) end() {
+	for _, c := range []net.Conn{l.caller, l.callee} {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+			_ = t.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,299 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gradetiller.example/platform/platformtest"
+)
+
+var (
+	firstSeed    = flag.Uint64("first", 1, "first seed")
+	seeds        = flag.Int("seeds", 1, "how many seeds in a row")
+	secondsEach  = flag.Float64("seconds", 5, "how long faults come, in seconds a seed")
+	processCount = flag.Int("processes", 3, "nodes that run at once")
+	clientCount  = flag.Int("clients", 12, "clients that send at once")
+	logFolder    = flag.String("logs", "", "folder that keeps the nodes' logs; empty keeps them only of seeds that fail")
+)
+
+// regressions are the seeds that ever failed, with the cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// run is one seed's whole system.
+type run struct {
+	t       *testing.T
+	rand    *rand.Rand
+	site    *platformtest.Site
+	proxies *proxies
+	nodes   []*process
+	record  record
+	config  platformtest.Config
+	workers map[string][]*platformtest.Worker
+	retired []retired
+	// unplanned counts the faults in force that are no planned work, and
+	// lastUnplanned is when the last one ended.
+	unplanned     atomic.Int64
+	lastUnplanned atomic.Int64
+	probes        atomic.Int64
+	failures      []string
+	// afterwards ends the trouble that is being started, or is nil.
+	afterwards func()
+	// found are failures that were seen while troubles came.
+	foundMu sync.Mutex
+	found   []string
+}
+
+// retired is a worker that has said it leaves.
+type retired struct {
+	worker *platformtest.Worker
+	at     time.Time
+}
+
+const (
+	// settled is how long after the last unplanned fault only planned work
+	// counts as under way.
+	settled = 4 * time.Second
+	// drained is how long after a worker has said that it leaves nothing may
+	// reach it any more; it is generous, since the machine may be busy.
+	drained  = 8 * time.Second
+	healTime = 5 * time.Second
+)
+
+// TestSoak runs the seeds asked for, and each seed that ever failed.
+func TestSoak(t *testing.T) {
+	program := build(t, t.TempDir())
+	var list []uint64
+	for _, r := range regressions {
+		list = append(list, r.seed)
+	}
+	for i := range *seeds {
+		list = append(list, *firstSeed+uint64(i))
+	}
+	for _, seed := range list {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, program, seed) })
+	}
+}
+
+func soak(t *testing.T, program string, seed uint64) {
+	r := newRun(t, program, seed)
+	clients, stop := context.WithCancel(context.Background())
+	var sending sync.WaitGroup
+	for i := range *clientCount {
+		c := &client{
+			run: r, number: i, rand: rand.New(rand.NewPCG(seed, uint64(i)+1)),
+			transport: &http.Transport{DisableCompression: true},
+		}
+		sending.Add(1)
+		go func() { defer sending.Done(); c.loop(clients) }()
+	}
+	r.trouble(time.Duration(*secondsEach * float64(time.Second)))
+	time.Sleep(healTime)
+	r.awaitConfig()
+	r.rollAll()
+	stop()
+	sending.Wait()
+	r.check()
+	if len(r.failures) > 0 {
+		t.Errorf("seed %d, logs in %s:\n%s", seed, r.nodes[0].logs, strings.Join(r.failures, "\n"))
+	}
+}
+
+func newRun(t *testing.T, program string, seed uint64) *run {
+	r := &run{t: t, rand: rand.New(rand.NewPCG(seed, 0)), workers: make(map[string][]*platformtest.Worker)}
+	r.proxies = &proxies{t: t, list: make(map[string]*proxy)}
+	r.site = platformtest.NewSite(t)
+	r.site.Through = r.proxies.through
+	r.config = platformtest.Config{
+		Version: 1, Keys: map[string]string{apiKey: account}, Models: []string{"model"}, Stages: []string{"encode", "rank"},
+		Routes: []platformtest.Route{
+			{Prefix: "/read/", Kind: "safe", Service: "desk", Attempts: 2},
+			{Prefix: "/book/", Kind: "unsafe", Service: "desk"},
+			{Prefix: "/plain/", Kind: "streaming", Service: "model", Resumable: true, Attempts: 2},
+			{Prefix: "/once/", Kind: "streaming", Service: "model"},
+			{Prefix: "/staged/", Kind: "streaming", Service: "model", Resumable: true, Attempts: 2, Stages: []platformtest.RouteStage{
+				{Service: "encode", Bytes: 8000}, {Service: "rank", After: []int{0}, Bytes: 6000},
+			}},
+			{Prefix: versionPath(1), Kind: "safe", Service: "desk"},
+		},
+	}
+	r.site.Publish(r.config)
+	for _, service := range []string{"desk", "model", "encode", "rank"} {
+		r.workers[service] = r.site.AddWorkers(service, 3)
+	}
+	r.startNodes(program, seed)
+	return r
+}
+
+func versionPath(version uint64) string { return fmt.Sprintf("/v/%d/", version) }
+
+func (r *run) startNodes(program string, seed uint64) {
+	logs := *logFolder
+	if logs == "" {
+		logs = os.TempDir()
+	}
+	logs = filepath.Join(logs, fmt.Sprintf("gradetiller-soak-%d-%d", os.Getpid(), seed))
+	if err := os.MkdirAll(logs, 0o700); err != nil {
+		r.t.Fatal(err)
+	}
+	var known []string
+	for i := range *processCount {
+		text, addresses := r.site.Settings(known...)
+		p := &process{
+			Addresses: addresses, t: r.t, name: fmt.Sprintf("node-%d", i+1), program: program, logs: logs,
+			settings: r.site.WriteSettings(text), peer: r.proxies.through(addresses.Peer),
+		}
+		known = append(known, p.peer)
+		r.nodes = append(r.nodes, p)
+		p.start()
+	}
+	r.t.Cleanup(func() {
+		for _, p := range r.nodes {
+			p.end(syscall.SIGKILL)
+		}
+		if *logFolder == "" && !r.t.Failed() {
+			_ = os.RemoveAll(logs)
+		}
+	})
+	for _, p := range r.nodes {
+		r.awaitReady(p)
+	}
+}
+
+// awaitReady waits until a node serves; the bound is generous because no
+// verdict depends on speed.
+func (r *run) awaitReady(p *process) {
+	for range 3000 {
+		if platformtest.Ready(p.Ready) == http.StatusOK {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.t.Fatalf("%s does not become ready, logs in %s", p.name, p.logs)
+}
+
+func (r *run) fail(format string, values ...any) {
+	r.failures = append(r.failures, fmt.Sprintf(format, values...))
+}
+
+// failLater notes a failure from any goroutine.
+func (r *run) failLater(text string) {
+	r.foundMu.Lock()
+	defer r.foundMu.Unlock()
+	r.found = append(r.found, text)
+}
+
+// onlyPlanned reports whether no unplanned fault is in force or was lately.
+func (r *run) onlyPlanned() bool {
+	return r.unplanned.Load() == 0 && time.Since(time.UnixMilli(r.lastUnplanned.Load())) > settled
+}
+
+func (r *run) beginUnplanned() { r.unplanned.Add(1) }
+
+func (r *run) endUnplanned() {
+	r.lastUnplanned.Store(time.Now().UnixMilli())
+	r.unplanned.Add(-1)
+}
+
+// check holds all that clients and workers saw against the promises.
+func (r *run) check() {
+	asked := make(map[string]sent)
+	served := 0
+	for _, s := range r.record.list {
+		asked[s.id] = s
+		if s.response.Status == http.StatusOK && s.response.Err == nil {
+			served++
+		}
+	}
+	runs := r.runs(asked)
+	for _, s := range r.record.list {
+		r.checkAnswer(s, runs[s.id])
+	}
+	if served < len(r.record.list)/4 {
+		r.fail("%d of %d requests were served", served, len(r.record.list))
+	}
+	for _, p := range r.nodes {
+		r.failures = append(r.failures, p.ownEnds()...)
+	}
+	for _, gone := range r.retired {
+		if late := gone.worker.LastRun().Sub(gone.at); late > drained {
+			r.fail("%s of %s got a request %v after it had said that it leaves", gone.worker.ID, gone.worker.Service, late)
+		}
+	}
+	r.checkBudget(asked, runs)
+	r.foundMu.Lock()
+	r.failures = append(r.failures, r.found...)
+	r.foundMu.Unlock()
+	r.t.Logf("%d requests, %d served, %d workers retired", len(r.record.list), served, len(r.retired))
+}
+
+// runs counts how often each request ran at its last service, and checks that
+// nothing ran that no client sent.
+func (r *run) runs(asked map[string]sent) map[string]int {
+	runs := make(map[string]int)
+	for service, list := range r.workers {
+		for _, w := range list {
+			for id, n := range w.Ran() {
+				s, ok := asked[id]
+				if !ok && !strings.HasPrefix(id, probeID) {
+					r.fail("%s of %s ran %q, which no client sent", w.ID, service, id)
+				}
+				if service == "desk" || service == "model" {
+					runs[id] += n
+				}
+				if tenant := w.Tenant(id); ok && tenant != account && (service == "desk" || service == "model") {
+					r.fail("%s ran at %s for account %q", s.id, w.ID, tenant)
+				}
+			}
+		}
+	}
+	return runs
+}
+
+func (r *run) checkAnswer(s sent, runs int) {
+	a := s.response
+	whole := a.Err == nil && a.Status == http.StatusOK
+	switch {
+	case whole && a.Body != s.expected():
+		r.fail("%s%s at %s: 200 with another body %q", s.kind.path, s.id, s.node, a.Body)
+	case whole && !strings.HasSuffix(a.Stamp, "."+s.id):
+		r.fail("%s%s at %s: 200 with the signature %q", s.kind.path, s.id, s.node, a.Stamp)
+	case a.Err == nil && a.Status == http.StatusServiceUnavailable && s.kind.once && runs > 0:
+		r.fail("%s%s at %s: 503, and ran %d times", s.kind.path, s.id, s.node, runs)
+	case a.Err == nil && slices.Contains([]int{http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusBadRequest}, a.Status):
+		r.fail("%s%s at %s: %d", s.kind.path, s.id, s.node, a.Status)
+	case a.Err != nil && s.planned && runs > 0:
+		r.fail("%s%s at %s: cut off by planned work: %v", s.kind.path, s.id, s.node, a.Err)
+	}
+	if s.kind.once && runs > 1 {
+		r.fail("%s%s at %s ran %d times", s.kind.path, s.id, s.node, runs)
+	}
+}
+
+// checkBudget compares the repeats of all nodes with what is allowed, over the
+// whole run.
+func (r *run) checkBudget(asked map[string]sent, runs map[string]int) {
+	const ratio, slack, window = 0.2, 54, 10
+	again := 0
+	for _, n := range runs {
+		again += max(n-1, 0)
+	}
+	windows := 1 + (*secondsEach+healTime.Seconds())/window
+	if allowed := ratio*float64(len(asked)) + slack*windows; float64(again) > allowed {
+		r.fail("%d requests were sent again, %.0f are allowed", again, allowed)
+	}
+}
--- /dev/null
+++ b/internal/soak/trouble_test.go
@@ -0,0 +1,234 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"gradetiller.example/platform/platformtest"
+)
+
+// probeID begins the ids of the requests that only show which configuration a
+// node has in force.
+const probeID = "probe-"
+
+const (
+	shortestGap   = 150
+	longestGap    = 600 // milliseconds between troubles
+	shortestFault = 300
+	longestFault  = 2500 // milliseconds that a trouble lasts
+)
+
+// trouble brings troubles in series, overlapping, for a while, and waits until
+// all of them have ended.
+func (r *run) trouble(lasts time.Duration) {
+	kinds := []func(time.Duration){
+		r.kill, r.pause, r.terminate, r.hangUp, r.harmFront, r.harmPeers, r.harmWorker, r.harmStore,
+		r.storeDown, r.badAnswers, r.crashWorker, r.drainWorker, r.changeConfig, r.changeConfig,
+	}
+	end := time.Now().Add(lasts)
+	var open sync.WaitGroup
+	for time.Now().Before(end) {
+		do := kinds[r.rand.IntN(len(kinds))]
+		length := r.between(shortestFault, longestFault)
+		gap := r.between(shortestGap, longestGap)
+		open.Add(1)
+		r.start(&open, do, length)
+		time.Sleep(gap)
+	}
+	open.Wait()
+}
+
+// start begins a trouble; what it draws by chance is drawn before it returns.
+func (r *run) start(open *sync.WaitGroup, do func(time.Duration), length time.Duration) {
+	r.afterwards = nil
+	do(length)
+	later := r.afterwards
+	go func() {
+		defer open.Done()
+		if later != nil {
+			later()
+		}
+	}()
+}
+
+func (r *run) between(low, high int) time.Duration {
+	return time.Duration(low+r.rand.IntN(high-low)) * time.Millisecond
+}
+
+func (r *run) anyNode() *process { return r.nodes[r.rand.IntN(len(r.nodes))] }
+
+func (r *run) anyWorker() *platformtest.Worker {
+	list := r.workers[[]string{"desk", "model", "encode", "rank"}[r.rand.IntN(4)]]
+	return list[r.rand.IntN(len(list))]
+}
+
+// unplannedFor has a fault begin now, and end after a while.
+func (r *run) unplannedFor(length time.Duration, begin, end func()) {
+	r.beginUnplanned()
+	begin()
+	r.afterwards = func() {
+		time.Sleep(length)
+		end()
+		r.endUnplanned()
+	}
+}
+
+func (r *run) kill(length time.Duration) {
+	p := r.anyNode()
+	if !p.take() {
+		return
+	}
+	r.unplannedFor(length, func() { p.end(syscall.SIGKILL) }, func() { p.start(); p.give() })
+}
+
+func (r *run) pause(length time.Duration) {
+	p := r.anyNode()
+	if !p.take() {
+		return
+	}
+	r.unplannedFor(length, func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT); p.give() })
+}
+
+// terminate is planned work.
+func (r *run) terminate(time.Duration) {
+	p := r.anyNode()
+	if !p.take() {
+		return
+	}
+	r.afterwards = func() { p.end(syscall.SIGTERM); p.start(); p.give() }
+}
+
+// hangUp is planned work.
+func (r *run) hangUp(time.Duration) { r.anyNode().signal(syscall.SIGHUP) }
+
+func (r *run) harm(x *proxy, length time.Duration) {
+	m := modes[r.rand.IntN(len(modes))]
+	r.unplannedFor(length, func() { x.set(m) }, func() { x.set(pass) })
+}
+
+func (r *run) harmFront(length time.Duration) {
+	r.harm(r.proxies.before(r.anyNode().Front), length)
+}
+
+func (r *run) harmPeers(length time.Duration) {
+	r.harm(r.proxies.before(r.anyNode().Peer), length)
+}
+
+func (r *run) harmWorker(length time.Duration) {
+	r.harm(r.proxies.before(r.anyWorker().Address()), length)
+}
+
+func (r *run) harmStore(length time.Duration) {
+	r.harm(r.proxies.before(r.site.StoreAddress()), length)
+}
+
+func (r *run) storeDown(length time.Duration) {
+	r.unplannedFor(length, func() { r.site.Store.SetDown(true) }, func() { r.site.Store.SetDown(false) })
+}
+
+// badAnswers has a worker spoil its next answers.
+func (r *run) badAnswers(length time.Duration) {
+	w := r.anyWorker()
+	faults := []platformtest.Fault{
+		platformtest.Reset, platformtest.OtherID, platformtest.NoStamp, platformtest.Shed,
+		platformtest.Fail, platformtest.CutShort, platformtest.Torn, platformtest.Silent,
+	}
+	f := faults[r.rand.IntN(len(faults))]
+	r.unplannedFor(length, func() { w.Inject(f, f, f) }, w.Heal)
+}
+
+// crashWorker crashes a worker for good; another takes its place, and later its
+// entry goes.
+func (r *run) crashWorker(length time.Duration) {
+	w := r.anyWorker()
+	r.workers[w.Service] = append(r.workers[w.Service], r.site.AddWorkers(w.Service, 1)...)
+	r.unplannedFor(length, w.Crash, w.Leave)
+}
+
+// drainWorker is planned work: another worker takes the place of one that says
+// that it leaves.
+func (r *run) drainWorker(time.Duration) {
+	w := r.anyWorker()
+	for _, gone := range r.retired {
+		if gone.worker == w {
+			return
+		}
+	}
+	r.workers[w.Service] = append(r.workers[w.Service], r.site.AddWorkers(w.Service, 1)...)
+	w.Drain()
+	r.retired = append(r.retired, retired{worker: w, at: time.Now()})
+}
+
+// changeConfig is planned work: the route that only the present version has
+// gives way to that of the next one.
+func (r *run) changeConfig(time.Duration) {
+	next := r.config
+	next.Version += 1 + uint64(r.rand.IntN(5))
+	next.Routes = append([]platformtest.Route{}, r.config.Routes[:len(r.config.Routes)-1]...)
+	next.Routes = append(next.Routes, platformtest.Route{Prefix: versionPath(next.Version), Kind: "safe", Service: "desk"})
+	previous := r.config.Version
+	r.config = next
+	r.site.Publish(next)
+	p := r.anyNode()
+	r.afterwards = func() { r.watchVersions(p, previous, next.Version) }
+}
+
+// watchVersions asks a node for the routes of two versions in a row for a while:
+// once it has served the newer one it must not serve the older one in the same
+// life.
+func (r *run) watchVersions(p *process, older, newer uint64) {
+	const questions = 20
+	life, seen := p.lifeNumber(), false
+	for range questions {
+		newerStatus := r.probe(p, newer)
+		olderStatus := r.probe(p, older)
+		if p.lifeNumber() != life {
+			return
+		}
+		if seen && olderStatus == http.StatusOK {
+			r.failLater(fmt.Sprintf("%s served version %d after version %d", p.name, older, newer))
+			return
+		}
+		seen = seen || newerStatus == http.StatusOK
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (r *run) probe(p *process, version uint64) int {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	q := platformtest.Request{ID: fmt.Sprintf("%s%d", probeID, r.probes.Add(1)), Path: versionPath(version), Key: apiKey, Deadline: time.Second}
+	return platformtest.Do(ctx, p.Front, q).Status
+}
+
+// awaitConfig waits until every node serves the newest version.
+func (r *run) awaitConfig() {
+	for _, p := range r.nodes {
+		r.awaitReady(p)
+		reached := false
+		for range 1500 {
+			if r.probe(p, r.config.Version) == http.StatusOK {
+				reached = true
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if !reached {
+			r.fail("%s does not serve version %d", p.name, r.config.Version)
+		}
+	}
+}
+
+// rollAll stops and starts all nodes in turn while clients send and nothing
+// else is wrong.
+func (r *run) rollAll() {
+	for _, p := range r.nodes {
+		p.end(syscall.SIGTERM)
+		p.start()
+		r.awaitReady(p)
+	}
+}
