internal/core/member, internal/core/discovery, internal/node: nodes that start together know each other before they lead or read

The bound on records a second, 192, was made for single changes; links change while the ring grows, and what was owed over them was only repaired after three beats with another view. Each of them also read the store's whole list at its start. Change: for 4 s after its start a member beats every 200 ms, sends a listing at the first mismatch and up to 1,024 records a beat. A node counts itself as joined when the number of known nodes has stood still for 250 ms, at the latest after 2 s. Without a list it leaves the first read to readers; those that none answers read one after the other from 1.2 s on.

--- a/internal/core/discovery/list_test.go
+++ b/internal/core/discovery/list_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -114,3 +115,30 @@
 		t.Errorf("three strong nodes are there, %v read", readers)
 	}
 }
+
+// TestFirstReadsAreSpread starts 300 nodes at once that each know a few others:
+// those that no reader answers read the store one after the other, and none
+// waits for ever.
+func TestFirstReadsAreSpread(t *testing.T) {
+	const nodes, step = 300, 100 * time.Millisecond
+	before := 0
+	for at := time.Duration(0); at <= 3200*time.Millisecond; at += step {
+		reading := 0
+		for i := range nodes {
+			name := fmt.Sprintf("node-%d", i)
+			if ReadsFirst(name, []string{name}, at) {
+				reading++
+			}
+		}
+		if reading-before > nodes/8 {
+			t.Errorf("%d nodes begin to read within %v at %v", reading-before, step, at)
+		}
+		before = reading
+	}
+	if before != nodes {
+		t.Errorf("%d of %d nodes read in the end", before, nodes)
+	}
+	if ReadsFirst("a", []string{"a", "b"}, 0) || !ReadsFirst("a", []string{"a", "b"}, 300*time.Millisecond) {
+		t.Error("a reader reads once the others had time to greet")
+	}
+}
--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -20,19 +20,35 @@
 	suspicion      = 1500 * time.Millisecond
 	courtesyPeriod = 3 * time.Second
 	probeInterval  = time.Second
-	listingGap     = 5 * time.Second
-	mismatchBeats  = 3
 	forgetAfter    = 2 * time.Hour
 )
 
-const (
-	// maxRecords bounds the member records of one message, and recordsPerBeat
-	// those that a node sends in one beat to all links, which bounds a storm.
-	maxRecords      = 32
-	recordsPerBeat  = 192
-	listingsPerBeat = 2
+// maxRecords bounds the member records of one message.
+const maxRecords = 32
+
+// pace is how fast a member tells what it knows.
+type pace struct {
+	// beat is the time between signs of life to a link.
+	beat time.Duration
+	// records and listings bound what is sent in one beat to all links.
+	records  int
+	listings int
+	// mismatches is after how many beats with another view the link is sent a
+	// listing, and listingGap how often at most.
+	mismatches int
+	listingGap time.Duration
+}
+
+// usualPace bounds the bytes of a storm. A member that was just started is at
+// startPace for startTime: after a loss of all power every member has to learn
+// of every other, and until then they don't agree on who leads what.
+var (
+	usualPace = pace{beat: BeatInterval, records: 192, listings: 2, mismatches: 3, listingGap: 5 * time.Second}
+	startPace = pace{beat: 200 * time.Millisecond, records: 1024, listings: 8, mismatches: 1, listingGap: 400 * time.Millisecond}
 )
 
+const startTime = 4 * time.Second
+
 // Send asks the shell to send a message to a node.
 type Send struct {
 	Node    string
@@ -59,8 +75,10 @@
 	ring      []string // names of the live members in ring order
 	ringStale bool
 	hash      uint64
+	started   time.Time // the first tick
 	nextBeat  time.Time
 	nextProbe time.Time
+	pace      pace
 	allowance int // records left in this beat
 	listings  int // listings left in this beat
 	higher    map[string]uint64
@@ -99,7 +117,7 @@
 		rand:      rand.New(rand.NewPCG(seed, self.Incarnation)),
 		higher:    make(map[string]uint64),
 		ringStale: true,
-		allowance: recordsPerBeat,
+		allowance: startPace.records,
 	}
 	n.hash = recordHash(self)
 	return n
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -14,9 +14,10 @@
 	n.watch(now)
 	beat := !now.Before(n.nextBeat)
 	if beat {
-		n.nextBeat = now.Add(BeatInterval)
-		n.allowance = recordsPerBeat
-		n.listings = listingsPerBeat
+		n.pace = n.paceAt(now)
+		n.nextBeat = now.Add(n.pace.beat)
+		n.allowance = n.pace.records
+		n.listings = n.pace.listings
 	}
 	var sends []Send
 	for _, name := range n.linkNames() {
@@ -32,6 +33,16 @@
 	return sends
 }
 
+func (n *Node) paceAt(now time.Time) pace {
+	if n.started.IsZero() {
+		n.started = now
+	}
+	if now.Sub(n.started) < startTime {
+		return startPace
+	}
+	return usualPace
+}
+
 func (n *Node) linkNames() []string {
 	names := make([]string, 0, len(n.links))
 	for name := range n.links {
@@ -120,7 +131,7 @@
 		g.Endpoints = append(g.Endpoints, n.endpoints[key])
 	}
 	l.endpoints = nil
-	if beat && n.listings > 0 && l.mismatches >= mismatchBeats && now.Sub(l.listed) > listingGap {
+	if beat && n.listings > 0 && l.mismatches >= n.pace.mismatches && now.Sub(l.listed) > n.pace.listingGap {
 		l.listed = now
 		l.mismatches = 0
 		n.listings--
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,11 @@
 	greeted   time.Time
 	asked     int
 
+	// grownAt is the time from the start to the last node that became known;
+	// hasJoined stays true once the others are known.
+	grownAt   atomic.Int64
+	hasJoined atomic.Bool
+
 	storeLost atomic.Bool
 	draining  atomic.Bool
 	inFlight  atomic.Int64
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -92,7 +92,11 @@
 			live++
 		}
 	}
-	if n.liveNodes.Swap(int64(live)) != int64(live) {
+	before := n.liveNodes.Swap(int64(live))
+	if int64(live) > before {
+		n.grownAt.Store(int64(time.Since(n.started)))
+	}
+	if before != int64(live) {
 		n.log.Info("members changed", zap.Int("live", live), zap.Int("listed", len(entries)))
 		n.shareBudgets(max(live, 1))
 	}
@@ -194,8 +198,11 @@
 const (
 	// joinTime is how long a node that was just started waits for others
 	// before it takes itself for the only one.
-	joinTime = 1500 * time.Millisecond
+	joinTime = 2 * time.Second
 	joinPoll = 20 * time.Millisecond
+	// settleTime is how long the number of known nodes must have stood still
+	// before a node that was just started counts itself as one of them.
+	settleTime = 250 * time.Millisecond
 	// greetGap is how often a node that is alone greets its seeds: after a
 	// loss of power they may start later than it does.
 	greetGap = 200 * time.Millisecond
@@ -205,9 +212,20 @@
 func (n *Node) alone() bool { return len(*n.entries.Load()) < 2 }
 
 // joined reports whether this node knows the others. Before, it would take
-// itself for the leader of all cells.
+// itself, or any of the few it knows, for the leader of a cell, and after a loss
+// of all power many leaders would work at the same endpoints.
 func (n *Node) joined() bool {
-	return !n.alone() || len(n.settings.Seeds) == 0 || time.Since(n.started) > joinTime
+	if n.hasJoined.Load() {
+		return true
+	}
+	grown := time.Duration(n.grownAt.Load())
+	sinceStart := time.Since(n.started)
+	settled := !n.alone() && sinceStart-grown >= settleTime
+	if len(n.settings.Seeds) > 0 && !settled && sinceStart <= joinTime {
+		return false
+	}
+	n.hasJoined.Store(true)
+	return true
 }
 
 // awaitJoined waits until the node has joined.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -28,6 +28,9 @@
 	askEvery = 350 * time.Millisecond
 	askStale = 1000 * time.Millisecond
 	readAge  = 1600 * time.Millisecond
+	// firstPoll is how often a node that knows nothing yet looks whether it
+	// reads the store.
+	firstPoll = 50 * time.Millisecond
 )
 
 // watchConfig keeps the configuration current until ctx ends. A node that is
@@ -37,7 +40,7 @@
 	for ctx.Err() == nil {
 		if !n.reads(time.Now()) {
 			revision = 0
-			pause(ctx, askEvery)
+			pause(ctx, n.untilAsked())
 			continue
 		}
 		asked := time.Now()
@@ -60,6 +63,15 @@
 	}
 }
 
+// untilAsked is how long a node that is no reader waits before it looks again
+// whether it is one.
+func (n *Node) untilAsked() time.Duration {
+	if n.view.Load().config == nil {
+		return firstPoll
+	}
+	return askEvery
+}
+
 func (n *Node) nextConfig(ctx context.Context, after uint64) (platform.ConfigRevision, error) {
 	if after == 0 {
 		return n.store.ReadConfig(ctx, storeLimit)
@@ -81,6 +93,11 @@
 			pause(ctx, endpointsEvery-time.Since(asked))
 			continue
 		}
+		if n.view.Load().readAt.IsZero() {
+			// The first list is also asked for with each beat, of any node.
+			pause(ctx, firstPoll)
+			continue
+		}
 		n.askReader(failed)
 		pause(ctx, askEvery)
 		if n.view.Load().readAt.Before(asked.Add(-askStale)) {
@@ -92,14 +109,12 @@
 // reads reports whether this node reads the store: it is a reader, or knows
 // nothing recent, so that readers that are gone or cut off leave no one behind.
 func (n *Node) reads(now time.Time) bool {
+	readers := n.readers()
 	known := n.view.Load().readAt
 	if known.IsZero() {
-		known = n.started
-	}
-	if now.Sub(known) > readAge {
-		return true
+		return len(n.settings.Seeds) == 0 || discovery.ReadsFirst(n.settings.Node, readers, now.Sub(n.started))
 	}
-	return slices.Contains(n.readers(), n.settings.Node)
+	return now.Sub(known) > readAge || slices.Contains(readers, n.settings.Node)
 }
 
 // readers lists the nodes that read the store.
