internal/node: events are a closed list; the request's line names its leader and the prediction

Cause: events were literals in eleven files, and a request refused as late did not tell by whose prediction. Fields leader and predicted.

--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -16,7 +16,7 @@
 func (n *Node) claim(cell int) {
 	leads := n.leads.Load() | lead.Bit(cell)
 	if n.leads.Swap(leads) != leads {
-		n.log.Info("leads a cell", zap.Int("cell", cell))
+		n.log.Info(eventLeadsACell, zap.Int("cell", cell))
 		n.leaders.contend(cell, time.Now())
 		n.publishEntry()
 	}
@@ -42,7 +42,7 @@
 			n.leaders.giveBack(cell, time.Now())
 		}
 		if n.leaders.idle(cell) {
-			n.log.Info("leads a cell no more", zap.Int("cell", cell))
+			n.log.Info(eventLeadsACellNoMore, zap.Int("cell", cell))
 			n.leads.Store(n.leads.Load() &^ lead.Bit(cell))
 			n.publishEntry()
 		}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -23,14 +23,14 @@
 	started := time.Now()
 	n.draining.Store(true)
 	n.publishEntry()
-	n.log.Info("stopping", zap.Int64("in_flight", n.inFlight.Load()))
+	n.log.Info(eventStopping, zap.Int64("in_flight", n.inFlight.Load()))
 	time.Sleep(min(acceptAfter, n.settings.Grace/2))
 	bounded, cancel := context.WithDeadline(context.Background(), started.Add(n.settings.Grace-lastMoment))
 	defer cancel()
 	front := servers[len(servers)-1]
 	front.SetKeepAlivesEnabled(false)
 	if err := front.Shutdown(bounded); err != nil {
-		n.log.Warn("stopped with requests in flight", zap.Int64("in_flight", n.inFlight.Load()))
+		n.log.Warn(eventStoppedWithRequestsInFlight, zap.Int64("in_flight", n.inFlight.Load()))
 	}
 	for n.leading() && bounded.Err() == nil {
 		time.Sleep(50 * time.Millisecond)
@@ -41,7 +41,7 @@
 	n.membersMu.Unlock()
 	n.sendGossip(sends)
 	time.Sleep(50 * time.Millisecond)
-	n.log.Info("stopped")
+	n.log.Info(eventStopped)
 }
 
 // leading reports whether this node still runs stages for others.
--- /dev/null
+++ b/internal/node/events.go
@@ -0,0 +1,62 @@
+package node
+
+// The names of all events in this process's log. Each event is one line; its
+// fields are the inputs of the decision and its outcome (docs/OPERATIONS.md).
+const (
+	// The end of a client's request.
+	eventRequest = "request"
+	// An attempt at an endpoint without a usable answer.
+	eventAttemptFailed = "attempt failed"
+	// An answer that broke off.
+	eventAnswerBroke = "answer broke"
+	// An endpoint said that it has not run a request.
+	eventEndpointDeclined = "endpoint declined"
+	// A stream that broke off.
+	eventStreamBroke = "stream broke"
+	// A leader did not answer and is passed over for a while.
+	eventLeaderLost = "leader lost"
+	// A call of a stage service that made all its pieces.
+	eventStageCall = "stage call"
+	// A call of a stage service without an answer.
+	eventStageCallLost = "stage call lost"
+	// A call of a stage service that left pieces unmade, by reason.
+	eventStageCallWithUnmadePieces = "stage call with unmade pieces"
+	// The state of a stage service at its leader, once a second while it is in use.
+	eventStageService = "stage service"
+	// Results that could not be freed at their maker.
+	eventResultsNotFreed = "results not freed"
+	// This node claims a cell of stage endpoints.
+	eventLeadsACell = "leads a cell"
+	// This node gives its claim back.
+	eventLeadsACellNoMore = "leads a cell no more"
+	// A configuration takes the place of the one before.
+	eventConfigurationInForce = "configuration in force"
+	// A configuration that can't be read.
+	eventConfigurationRefused = "configuration refused"
+	// An endpoint is new in the list, or began or ended to leave.
+	eventEndpointListed = "endpoint listed"
+	// An endpoint left the list.
+	eventEndpointGone = "endpoint gone"
+	// The number of known nodes changed.
+	eventMembersChanged = "members changed"
+	// The platform's store does not answer this node.
+	eventStoreLost = "store lost"
+	// The store answers again.
+	eventStoreReached = "store reached"
+	// A connection to a node broke or could not be opened.
+	eventPeerLost = "peer lost"
+	// A connection from a process that is no node of this system.
+	eventPeerRefused = "peer refused"
+	// A message that nodes don't send each other.
+	eventMessageNotExpected = "message not expected"
+	// The metrics address can't be opened.
+	eventNoMetrics = "no metrics"
+	// The process serves from here on.
+	eventStarted = "started"
+	// A planned stop begins.
+	eventStopping = "stopping"
+	// A planned stop has ended with nothing in flight.
+	eventStopped = "stopped"
+	// A planned stop ran out of time.
+	eventStoppedWithRequestsInFlight = "stopped with requests in flight"
+)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -49,6 +49,10 @@
 	ran     bool
 	worker  string
 	outcome string
+	// leader ran the stages, and predicted was its prediction of their time
+	// when it took or refused them.
+	leader    string
+	predicted time.Duration
 	// staged and first are the times from the arrival to the last stage's
 	// results and to the answer's head, or 0.
 	staged time.Duration
@@ -143,9 +147,10 @@
 	if q.route != nil {
 		route = q.route.Name
 	}
-	n.log.Info("request", zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
+	n.log.Info(eventRequest, zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
 		zap.String("outcome", q.outcome), zap.String("endpoint", q.worker), zap.Int("sent", q.sent),
-		zap.Uint64("config", q.view.version()), zap.Duration("staged", q.staged), zap.Duration("first", q.first), zap.Duration("took", time.Since(q.arrived)))
+		zap.Uint64("config", q.view.version()), zap.String("leader", q.leader), zap.Duration("predicted", q.predicted),
+		zap.Duration("staged", q.staged), zap.Duration("first", q.first), zap.Duration("took", time.Since(q.arrived)))
 }
 
 // outbound is the request as it goes to an endpoint.
@@ -220,7 +225,7 @@
 	}
 	body, err := io.ReadAll(a.Body)
 	if err != nil {
-		n.log.Info("answer broke", zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Error(err))
+		n.log.Info(eventAnswerBroke, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Error(err))
 		if event != attempt.RefuseByEndpoint {
 			event = attempt.Lose
 		}
@@ -260,7 +265,7 @@
 	// endpoint; one that waited longer than the objective does.
 	left := ctx.Err() != nil && time.Since(c.started) < q.route.Objective
 	c.end(time.Now(), place.Result{Neutral: left, Unreachable: !sent})
-	n.log.Info("attempt failed", zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Bool("sent", sent), zap.Error(err))
+	n.log.Info(eventAttemptFailed, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Bool("sent", sent), zap.Error(err))
 	if !sent {
 		return attempt.RefuseUnsent
 	}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -28,6 +28,8 @@
 type refusal struct {
 	reason string
 	again  time.Duration
+	// predicted is how long the work would have taken, or 0.
+	predicted time.Duration
 }
 
 // Error implements error.
@@ -161,6 +163,9 @@
 	handles []string
 	// endpoint is where the leader wants the request to run, or "".
 	endpoint string
+	// leader ran the stages and predicted how long they would take.
+	leader    string
+	predicted time.Duration
 	// release gives them up and tells how the endpoint did; it may be called
 	// more than once.
 	release func(wire.Placement)
@@ -175,7 +180,7 @@
 	for range mostJobs {
 		rank := n.leaderRank(time.Now(), w.submit.Cell)
 		if len(rank) == 0 {
-			return stageResults{}, &refusal{"no node leads the stage pool", time.Second}
+			return stageResults{}, &refusal{reason: "no node leads the stage pool", again: time.Second}
 		}
 		var results stageResults
 		results, err = n.tryLeader(ctx, rank[0], w)
@@ -185,12 +190,12 @@
 		if !errors.Is(err, errLeaderLost) {
 			return results, err
 		}
-		n.log.Warn("leader lost", zap.String("request", w.submit.RequestID), zap.String("leader", rank[0].Node))
+		n.log.Warn(eventLeaderLost, zap.String("request", w.submit.RequestID), zap.String("leader", rank[0].Node))
 		if rank[0].Node != n.settings.Node {
 			n.jobs.suspect(time.Now(), rank[0].PeerAddress)
 		}
 	}
-	return stageResults{}, &refusal{"no leader of the stage pool answers", time.Second}
+	return stageResults{}, &refusal{reason: "no leader of the stage pool answers", again: time.Second}
 }
 
 func (n *Node) tryLeader(ctx context.Context, to wire.Entry, w stageWork) (stageResults, error) {
@@ -207,7 +212,7 @@
 			n.toLeader(to, &wire.StagesRelease{ID: b.id, Placement: how})
 		})
 	}
-	done, err := b.await(ctx)
+	done, predicted, err := b.await(ctx)
 	if err == nil && done == nil {
 		done, err = b.awaitDone(ctx, func() { n.toLeader(to, &wire.StagesPing{ID: b.id}) })
 	}
@@ -221,29 +226,30 @@
 	}
 	if done.Failed != "" {
 		release(wire.PlacementUnused)
-		return stageResults{}, &refusal{"stages: " + done.Failed, time.Duration(done.Again) * time.Millisecond}
+		return stageResults{}, &refusal{reason: "stages: " + done.Failed, again: time.Duration(done.Again) * time.Millisecond, predicted: predicted}
 	}
-	return stageResults{handles: done.Handles, endpoint: done.Endpoint, release: release}, nil
+	return stageResults{handles: done.Handles, endpoint: done.Endpoint, leader: to.Node, predicted: predicted, release: release}, nil
 }
 
 // await waits for the leader's verdict; a result that comes first counts too.
-func (b *job) await(ctx context.Context) (*wire.StagesDone, error) {
+// It returns the leader's prediction too.
+func (b *job) await(ctx context.Context) (*wire.StagesDone, time.Duration, error) {
 	timer := time.NewTimer(verdictTimeout)
 	defer timer.Stop()
 	select {
 	case v := <-b.verdicts:
 		if !v.Accepted {
-			return nil, &refusal{"stages would be late", time.Duration(v.Again) * time.Millisecond}
+			return nil, 0, &refusal{reason: "stages would be late", again: time.Duration(v.Again) * time.Millisecond, predicted: time.Duration(v.Finish) * time.Millisecond}
 		}
-		return nil, nil
+		return nil, time.Duration(v.Finish) * time.Millisecond, nil
 	case d := <-b.dones:
-		return d, nil
+		return d, 0, nil
 	case <-b.broken:
 	case <-timer.C:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, 0, ctx.Err()
 	}
-	return nil, errLeaderLost
+	return nil, 0, errLeaderLost
 }
 
 // awaitDone waits for the results as long as the leader answers that it works
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -302,7 +302,7 @@
 	}
 	c.logged = now
 	for _, s := range c.pool.Stats(now) {
-		c.group.log.Info("stage service", zap.Int("cell", c.cell), zap.String("service", s.Service),
+		c.group.log.Info(eventStageService, zap.Int("cell", c.cell), zap.String("service", s.Service),
 			zap.Int("workers", s.Workers), zap.Int("busy", s.Busy), zap.Int("queued", s.Queued), zap.Int("backlog", s.Backlog),
 			zap.Uint64("calls", s.Calls), zap.Uint64("pieces", s.Pieces), zap.Float64("room", s.Room))
 		c.group.meters.stageState(s.Service, s.Queued, s.Backlog, s.Busy, s.Room)
@@ -349,11 +349,11 @@
 	}
 	switch {
 	case err != nil:
-		c.group.log.Warn("stage call lost", append(fields, zap.Error(err))...)
+		c.group.log.Warn(eventStageCallLost, append(fields, zap.Error(err))...)
 	case len(unmade) > 0:
-		c.group.log.Info("stage call with unmade pieces", append(fields, unmade...)...)
+		c.group.log.Info(eventStageCallWithUnmadePieces, append(fields, unmade...)...)
 	default:
-		c.group.log.Debug("stage call", fields...)
+		c.group.log.Debug(eventStageCall, fields...)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -380,6 +380,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	if err := c.group.workers.FreeResults(ctx, a); err != nil {
-		c.group.log.Debug("results not freed", zap.String("endpoint", a.Endpoint), zap.Error(err))
+		c.group.log.Debug(eventResultsNotFreed, zap.String("endpoint", a.Endpoint), zap.Error(err))
 	}
 }
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -109,7 +109,7 @@
 	}
 	l, err := net.Listen("tcp", n.metricsAddress)
 	if err != nil {
-		n.log.Warn("no metrics", zap.String("address", n.metricsAddress), zap.Error(err))
+		n.log.Warn(eventNoMetrics, zap.String("address", n.metricsAddress), zap.Error(err))
 		return
 	}
 	mux := http.NewServeMux()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,7 @@
 	go n.runMembers(background)
 	go n.watchConfig(background)
 	go n.watchEndpoints(background)
-	n.log.Info("started", zap.String("node", n.settings.Node), zap.String("front", n.settings.FrontAddress))
+	n.log.Info(eventStarted, zap.String("node", n.settings.Node), zap.String("front", n.settings.FrontAddress))
 	<-ctx.Done()
 	n.drain(servers)
 	return nil
@@ -181,7 +181,7 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	server := peer.NewServer(peers, n.hello(), &peer.Security{}, []wire.Role{wire.RoleNode}, n.servePeer, func(err error) {
-		n.log.Info("peer refused", zap.Error(err))
+		n.log.Info(eventPeerRefused, zap.Error(err))
 	})
 	go func() { _ = server.Serve(context.Background()) }()
 	ready := http.NewServeMux()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -97,7 +97,7 @@
 		n.grownAt.Store(int64(time.Since(n.started)))
 	}
 	if before != int64(live) {
-		n.log.Info("members changed", zap.Int("live", live), zap.Int("listed", len(entries)))
+		n.log.Info(eventMembersChanged, zap.Int("live", live), zap.Int("listed", len(entries)))
 		n.shareBudgets(max(live, 1))
 	}
 }
@@ -185,13 +185,13 @@
 	case *wire.StagesDone:
 		n.jobs.done(m)
 	default:
-		n.log.Warn("message not expected", zap.String("node", from.Node))
+		n.log.Warn(eventMessageNotExpected, zap.String("node", from.Node))
 	}
 }
 
 // peerLost tells that a connection to a node broke or could not be opened.
 func (n *Node) peerLost(address string, err error) {
-	n.log.Info("peer lost", zap.String("address", address), zap.Error(err))
+	n.log.Info(eventPeerLost, zap.String("address", address), zap.Error(err))
 	n.jobs.lost(address)
 }
 
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -120,13 +120,18 @@
 	}
 	s.results = results
 	q.staged = time.Since(q.arrived)
+	q.leader = results.leader
+	q.predicted = results.predicted
 	return nil
 }
 
 // endUnprepared ends a request whose stages were not run.
 func (n *Node) endUnprepared(ctx context.Context, s *stream, err error) {
 	var refused *refusal
-	if errors.As(err, &refused) && !s.started && !s.q.ran {
+	if errors.As(err, &refused) {
+		s.q.predicted = refused.predicted
+	}
+	if refused != nil && !s.started && !s.q.ran {
 		n.refuse(s.w, s.q, http.StatusServiceUnavailable, refused.reason, max(refused.again, againSoon))
 		return
 	}
@@ -185,7 +190,7 @@
 	now := time.Now()
 	c.end(now, place.Result{OK: err == nil, Neutral: parent.Err() != nil, Load: load(a, now)})
 	if err != nil {
-		n.log.Info("stream broke", zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("events", s.events), zap.Error(err))
+		n.log.Info(eventStreamBroke, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("events", s.events), zap.Error(err))
 		return a, attempt.Lose
 	}
 	return a, attempt.Complete
@@ -199,7 +204,7 @@
 		s.note(c, wire.PlacementFailed)
 	}
 	if a.Event == attempt.RefuseByEndpoint {
-		n.log.Info("endpoint declined", zap.String("id", s.q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("status", a.Status))
+		n.log.Info(eventEndpointDeclined, zap.String("id", s.q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("status", a.Status))
 		c.end(now, place.Result{Neutral: a.Status == http.StatusConflict, Load: load(a, now)})
 		if a.Status == http.StatusConflict {
 			s.release()
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -36,7 +36,7 @@
 func (n *Node) takeConfig(data []byte, source string) {
 	cfg, err := platform.ParseConfig(data)
 	if err != nil {
-		n.log.Error("configuration refused", zap.String("source", source), zap.Error(err))
+		n.log.Error(eventConfigurationRefused, zap.String("source", source), zap.Error(err))
 		return
 	}
 	n.viewMu.Lock()
@@ -50,7 +50,7 @@
 	next.configData = data
 	n.view.Store(&next)
 	n.viewMu.Unlock()
-	n.log.Info("configuration in force", zap.Uint64("version", cfg.Version), zap.String("source", source), zap.Int("routes", len(cfg.Routes)))
+	n.log.Info(eventConfigurationInForce, zap.Uint64("version", cfg.Version), zap.String("source", source), zap.Int("routes", len(cfg.Routes)))
 	n.membersMu.Lock()
 	n.members.SetConfigVersion(cfg.Version)
 	n.membersMu.Unlock()
@@ -92,11 +92,11 @@
 		old, ok := known[e.ID]
 		delete(known, e.ID)
 		if !ok || old.Draining != e.Draining {
-			n.log.Info("endpoint listed", zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Bool("draining", e.Draining))
+			n.log.Info(eventEndpointListed, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Bool("draining", e.Draining))
 		}
 	}
 	for id, e := range known {
-		n.log.Info("endpoint gone", zap.String("endpoint", id), zap.String("service", e.Service))
+		n.log.Info(eventEndpointGone, zap.String("endpoint", id), zap.String("service", e.Service))
 	}
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -155,10 +155,10 @@
 		return
 	}
 	if lost {
-		n.log.Warn("store lost", zap.Error(err))
+		n.log.Warn(eventStoreLost, zap.Error(err))
 		return
 	}
-	n.log.Info("store reached")
+	n.log.Info(eventStoreReached)
 }
 
 func pause(ctx context.Context, d time.Duration) {
