internal/explain, cmd/gradetiller: explain-logs tells a request's story from the nodes' logs

Cause: on-call engineers have logs of many nodes and an id; until now they had to search by hand and to know which node led. Change: gradetiller explain-logs SUBJECT FILES; a request's lines, its leader's stage services, its endpoint's fate and what the nodes concerned believed, in the order of time.

--- a/cmd/gradetiller/cmd/main.go
+++ b/cmd/gradetiller/cmd/main.go
@@ -33,8 +33,10 @@
 	History historyCmd `cmd:"" help:"List the latest versions of the configuration."`
 	Status  statusCmd  `cmd:"" help:"Show the nodes, what is impaired, and what the system does about it."`
 	Explain explainCmd `cmd:"" help:"Tell the decisions about a request, endpoint or version."`
-	Compare compareCmd `cmd:"" help:"Show attainment and cost by stage of an experiment's arms, and whether they differ by more than noise."`
-	HashKey hashKeyCmd `cmd:"" help:"Print the key_sha256 of an account's key read from standard input."`
+
+	ExplainLogs explainLogsCmd `cmd:"" help:"Tell the story of a request, endpoint, node or version from the logs of gradetiller-node."`
+	Compare     compareCmd     `cmd:"" help:"Show attainment and cost by stage of an experiment's arms, and whether they differ by more than noise."`
+	HashKey     hashKeyCmd     `cmd:"" help:"Print the key_sha256 of an account's key read from standard input."`
 }
 
 // Main runs the command.
