internal/core/stagepool: a recovered stage worker takes its share at once

Change: a call that takes less than half of what the worker's speed says is believed at once. Measured: TestRecoveredWorkerIsUsedAtOnce failed (3.4 after one call), passes.

--- a/internal/core/stagepool/worker.go
+++ b/internal/core/stagepool/worker.go
@@ -77,8 +77,13 @@
 
 func (w *worker) took(now time.Time, actual, expected time.Duration) {
 	ratio := float64(actual) / float64(max(expected, time.Millisecond))
-	w.speed += speedWeight * (ratio - w.speed)
 	w.measured = now
+	if slowFactor*ratio < w.speed {
+		// A call can be late by chance, but not early: the worker has recovered.
+		w.speed = ratio
+		return
+	}
+	w.speed += speedWeight * (ratio - w.speed)
 }
 
 // rest sets the worker aside after a failure, longer each time.
