--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -87,8 +87,8 @@
 	Batching *Batching
 }
 
-// Tenant is a client account.
-type Tenant struct {
+// Account is a client account.
+type Account struct {
 	Name string
 	// Priority takes precedence over the route's when HasPriority is true.
 	Priority    int
@@ -109,9 +109,9 @@
 	Version  uint64
 	Routes   []Route
 	Services map[string]Service
-	Tenants  []Tenant
+	Accounts []Account
 	Limits   Limits
-	// Keys finds a tenant's index by its key.
+	// Keys finds a client account's index by its key.
 	Keys   map[string]int
 	byHost map[string][]int
 }
@@ -138,13 +138,13 @@
 	return best
 }
 
-// Tenant finds the tenant that holds a key, or nil.
-func (c *Config) Tenant(key string) *Tenant {
+// Account finds the client account that holds a key, or nil.
+func (c *Config) Account(key string) *Account {
 	i, ok := c.Keys[key]
 	if !ok || key == "" {
 		return nil
 	}
-	return &c.Tenants[i]
+	return &c.Accounts[i]
 }
 
 // Choose picks a backend by its weight; draw is any well-spread number.
--- a/internal/core/stagepool/admit.go
+++ b/internal/core/stagepool/admit.go
@@ -43,7 +43,7 @@
 }
 
 // predict returns the time until a task's last result, and false when a
-// service has no worker.
+// service has no endpoint.
 func (p *Pool) predict(now time.Time, t Task) (time.Duration, bool) {
 	finish := make([]time.Duration, len(t.Stages))
 	longest := time.Duration(0)
@@ -67,12 +67,12 @@
 		if ready == 0 {
 			wait = max(wait, s.free(now))
 		} else if queue > 0 {
-			wait = max(wait, s.expected(1)/time.Duration(2*max(len(s.workers), 1)))
+			wait = max(wait, s.expected(1)/time.Duration(2*max(len(s.endpoints), 1)))
 		}
 		calls := (st.Pieces + s.conf.Batch - 1) / s.conf.Batch
-		share := st.Pieces + min(s.ahead(t.Priority)/max(len(s.workers), 1), s.conf.Batch)
+		share := st.Pieces + min(s.ahead(t.Priority)/max(len(s.endpoints), 1), s.conf.Batch)
 		work := s.expected(min(share, s.conf.Batch))
-		rounds := (calls + len(s.workers) - 1) / max(len(s.workers), 1)
+		rounds := (calls + len(s.endpoints) - 1) / max(len(s.endpoints), 1)
 		finish[i] = ready + wait + time.Duration(rounds)*time.Duration(s.best()*float64(work))
 		longest = max(longest, finish[i])
 	}
--- a/internal/core/stagepool/alone_test.go
+++ b/internal/core/stagepool/alone_test.go
@@ -7,7 +7,7 @@
 )
 
 // alone is the naive way: several nodes each run a pool of their own, and
-// send their calls to the same workers without knowing of each other.
+// send their calls to the same endpoints without knowing of each other.
 type alone struct {
 	*world
 	pools []*Pool
@@ -17,14 +17,14 @@
 // callShift keeps the call ids of the pools apart.
 const callShift = 32
 
-func newAlone(t testing.TB, seed uint64, workers, nodes int) *alone {
-	a := &alone{world: newWorld(t, seed, workers), of: make(map[CallID]*Pool)}
+func newAlone(t testing.TB, seed uint64, endpoints, nodes int) *alone {
+	a := &alone{world: newWorld(t, seed, endpoints), of: make(map[CallID]*Pool)}
 	a.queue = nil
 	for i := range nodes {
 		p := New()
 		p.lastCall = CallID(i+1) << callShift
 		p.lastTask = TaskID(i+1) << callShift
-		p.Configure(a.now, testServices, a.endpoints())
+		p.Configure(a.now, testServices, a.listed())
 		a.pools = append(a.pools, p)
 	}
 	return a
@@ -87,7 +87,7 @@
 
 func (a *alone) send(c StartCall) {
 	p := a.poolOf(uint64(c.Call))
-	s := a.workers[c.Endpoint]
+	s := a.endpoints[c.Endpoint]
 	a.after(time.Millisecond, func() {
 		if len(s.waiting) > 2 {
 			a.play(p.Done(a.now, c.Call, Outcome{Ending: NotRun}))
@@ -99,7 +99,7 @@
 }
 
 // begin is world.work with the answer going to the call's own pool.
-func (a *alone) begin(s *simWorker) {
+func (a *alone) begin(s *simEndpoint) {
 	if s.busy || len(s.waiting) == 0 {
 		return
 	}
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -15,7 +15,7 @@
 	// bigTransfer is the size in bytes from which on it counts whether a
 	// transfer crosses failure domains.
 	bigTransfer = 300_000
-	// mostWait bounds how long a stage waits for a worker of its home domain,
+	// mostWait bounds how long a stage waits for an endpoint of its home domain,
 	// as a part of the time of a full call, and crossSlack is what it leaves
 	// of the time that it can wait without being late.
 	crossSlack = 40 * time.Millisecond
@@ -38,17 +38,17 @@
 	}
 }
 
-// dispatch forms calls while there are both waiting pieces and idle workers.
+// dispatch forms calls while there are both waiting pieces and idle endpoints.
 func (p *Pool) dispatch(now time.Time, s *service) {
 	if len(s.queue) == 0 {
 		return
 	}
 	p.order(now, s)
 	s.predictHomes(now)
-	idle := s.idleWorkers(now)
+	idle := s.idleEndpoints(now)
 	for len(idle) > 0 && len(s.queue) > 0 {
 		w := s.fastest(idle, s.queue[0])
-		idle = slices.DeleteFunc(idle, func(x *worker) bool { return x == w })
+		idle = slices.DeleteFunc(idle, func(x *endpoint) bool { return x == w })
 		if items := p.pick(now, s, w, len(idle)+1); len(items) > 0 {
 			p.start(now, w, items)
 		}
@@ -81,10 +81,10 @@
 	})
 }
 
-func (s *service) idleWorkers(now time.Time) []*worker {
+func (s *service) idleEndpoints(now time.Time) []*endpoint {
 	best := s.best()
-	var idle []*worker
-	for _, w := range s.workers {
+	var idle []*endpoint
+	for _, w := range s.endpoints {
 		w.expire(now)
 		if w.idle(now) && w.usable(now, best) {
 			idle = append(idle, w)
@@ -93,19 +93,19 @@
 	return idle
 }
 
-// fastest picks the worker that suits the first waiting stage best.
-func (s *service) fastest(idle []*worker, first *entry) *worker {
-	score := func(w *worker) float64 {
+// fastest picks the endpoint that suits the first waiting stage best.
+func (s *service) fastest(idle []*endpoint, first *entry) *endpoint {
+	score := func(w *endpoint) float64 {
 		v := w.speed + float64(w.used)/float64(max(w.limit(), 1))/2
 		if first.home != "" && w.spec.Domain != first.home {
 			v *= elsewhere
 		}
 		return v
 	}
-	return slices.MinFunc(idle, func(a, b *worker) int { return cmp.Compare(score(a), score(b)) })
+	return slices.MinFunc(idle, func(a, b *endpoint) int { return cmp.Compare(score(a), score(b)) })
 }
 
-// predictHomes decides for each waiting stage whether it stays for a worker of
+// predictHomes decides for each waiting stage whether it stays for an endpoint of
 // its home domain: as long as one is predicted to come free within the
 // stage's patience, the stages before it in the queue included.
 func (s *service) predictHomes(now time.Time) {
@@ -125,12 +125,12 @@
 	}
 }
 
-// freeTimes lists for each domain when its workers come free, the first ones
-// first. Workers that are down or far slower than the fastest are left out.
+// freeTimes lists for each domain when its endpoints come free, the first ones
+// first. Endpoints that are down or far slower than the fastest are left out.
 func (s *service) freeTimes(now time.Time) map[string][]time.Time {
 	best := s.best()
 	free := make(map[string][]time.Time)
-	for _, w := range s.workers {
+	for _, w := range s.endpoints {
 		if w.leaving || now.Before(w.asideTo) || w.speed > slowFactor*best {
 			continue
 		}
@@ -148,7 +148,7 @@
 	return free
 }
 
-// mayGoTo reports whether a stage may go to a worker of a domain.
+// mayGoTo reports whether a stage may go to an endpoint of a domain.
 func (e *entry) mayGoTo(domain string) bool {
 	return !e.stays || e.home == domain
 }
@@ -178,9 +178,9 @@
 }
 
 // pick takes pieces from the queue for one call. Waiting pieces are spread
-// over the idle workers; the pieces of one stage of a task stay together
+// over the idle endpoints; the pieces of one stage of a task stay together
 // where they fit.
-func (p *Pool) pick(now time.Time, s *service, w *worker, idle int) []itemRef {
+func (p *Pool) pick(now time.Time, s *service, w *endpoint, idle int) []itemRef {
 	waiting := 0
 	for _, e := range s.queue {
 		waiting += len(e.task.stages[e.stage].waiting)
@@ -221,9 +221,9 @@
 	return items
 }
 
-func (p *Pool) start(now time.Time, w *worker, items []itemRef) {
+func (p *Pool) start(now time.Time, w *endpoint, items []itemRef) {
 	p.lastCall++
-	c := &call{id: p.lastCall, worker: w, items: items, sent: now, expected: w.service.expected(len(items))}
+	c := &call{id: p.lastCall, endpoint: w, items: items, sent: now, expected: w.service.expected(len(items))}
 	out := StartCall{Call: c.id, Service: w.service.name, Endpoint: w.spec.ID, Address: w.spec.Address}
 	out.Limit = time.Duration(lostFactor*float64(c.expected)) + lostMargin
 	for _, ref := range items {
@@ -260,7 +260,7 @@
 	return it
 }
 
-// fetchTime is how long after its start a call of an idle worker has surely
+// fetchTime is how long after its start a call of an idle endpoint has surely
 // fetched its inputs.
 const fetchTime = 60 * time.Millisecond
 
@@ -269,7 +269,7 @@
 // so that a call that fails can be sent again.
 const crowded = 0.4
 
-// contention is how long a worker that declined a call, or took far too long,
+// contention is how long an endpoint that declined a call, or took far too long,
 // is taken to work for another leader as well.
 const contention = 3 * time.Second
 
--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -26,7 +26,7 @@
 		return p.take()
 	}
 	delete(p.calls, id)
-	w := c.worker
+	w := c.endpoint
 	delete(w.calls, id)
 	w.used -= c.reserved
 	switch o.Ending {
@@ -60,7 +60,7 @@
 }
 
 func (p *Pool) itemDone(now time.Time, c *call, ref itemRef, r ItemResult, answered bool) {
-	w := c.worker
+	w := c.endpoint
 	st := &ref.task.stages[ref.stage]
 	if r.Reason == Made {
 		made := &result{maker: w, handle: r.Handle, bytes: ref.bytes, expires: now.Add(w.service.conf.ResultLife)}
@@ -219,7 +219,7 @@
 
 // watch has the pieces of a call queued again when it takes far too long.
 func (p *Pool) watch(now time.Time, c *call) {
-	w := c.worker
+	w := c.endpoint
 	usual := time.Duration(max(w.speed, 1) * float64(c.expected))
 	if c.overdue || now.Sub(c.sent) < time.Duration(overdueFactor*float64(usual))+overdueMargin {
 		return
--- a/internal/core/stagepool/worker.go
+++ b/internal/core/stagepool/endpoint.go
@@ -7,26 +7,26 @@
 )
 
 const (
-	// speedWeight is the weight of the newest call in a worker's speed.
+	// speedWeight is the weight of the newest call in an endpoint's speed.
 	speedWeight = 0.4
-	// slowFactor is how much slower than the fastest a worker is when it
+	// slowFactor is how much slower than the fastest an endpoint is when it
 	// gets pieces only now and then.
 	slowFactor = 2.0
 	slowProbe  = 2 * time.Second
-	// firstAside and longestAside bound how long a failed worker rests.
+	// firstAside and longestAside bound how long a failed endpoint rests.
 	firstAside   = 300 * time.Millisecond
 	longestAside = 3 * time.Second
-	// declinedRest is the rest after a call that the worker did not run.
+	// declinedRest is the rest after a call that the endpoint did not run.
 	declinedRest = 40 * time.Millisecond
-	// foreignLife is how long a worker without room is taken to hold another
+	// foreignLife is how long an endpoint without room is taken to hold another
 	// leader's results.
 	foreignLife = 500 * time.Millisecond
 	// roomShare of the configured room is used; sizes are approximate.
 	roomShare = 0.97
 )
 
-// worker is one endpoint of a stage service.
-type worker struct {
+// endpoint is one endpoint of a stage service.
+type endpoint struct {
 	spec    catalog.Endpoint
 	service *service
 	calls   map[CallID]*call
@@ -46,12 +46,12 @@
 	leaving   bool
 }
 
-func (w *worker) limit() int64 {
+func (w *endpoint) limit() int64 {
 	return int64(roomShare * float64(w.service.conf.Room))
 }
 
-// room is how many bytes of results the worker can take.
-func (w *worker) room(now time.Time) int64 {
+// room is how many bytes of results the endpoint can take.
+func (w *endpoint) room(now time.Time) int64 {
 	room := w.limit() - w.used
 	if now.Before(w.foreignTo) {
 		room -= w.foreign
@@ -61,44 +61,44 @@
 
 // full notes that a piece found no room: what this pool does not hold there
 // is another's, and stays for a while.
-func (w *worker) full(now time.Time) {
+func (w *endpoint) full(now time.Time) {
 	w.foreign = max(w.limit()-w.used, 0)
 	w.foreignTo = now.Add(foreignLife)
 }
 
-func (w *worker) idle(now time.Time) bool {
+func (w *endpoint) idle(now time.Time) bool {
 	return !w.leaving && len(w.calls) < w.service.conf.Slots && !now.Before(w.asideTo)
 }
 
-// usable reports whether the worker is fast enough, or due for a trial.
-func (w *worker) usable(now time.Time, best float64) bool {
+// usable reports whether the endpoint is fast enough, or due for a trial.
+func (w *endpoint) usable(now time.Time, best float64) bool {
 	return w.speed <= slowFactor*best || now.Sub(w.measured) > slowProbe
 }
 
-func (w *worker) took(now time.Time, actual, expected time.Duration) {
+func (w *endpoint) took(now time.Time, actual, expected time.Duration) {
 	ratio := float64(actual) / float64(max(expected, time.Millisecond))
 	w.measured = now
 	if slowFactor*ratio < w.speed {
-		// A call can be late by chance, but not early: the worker has recovered.
+		// A call can be late by chance, but not early: the endpoint has recovered.
 		w.speed = ratio
 		return
 	}
 	w.speed += speedWeight * (ratio - w.speed)
 }
 
-// rest sets the worker aside after a failure, longer each time.
-func (w *worker) rest(now time.Time) {
+// rest sets the endpoint aside after a failure, longer each time.
+func (w *endpoint) rest(now time.Time) {
 	w.failures++
 	d := firstAside << min(w.failures-1, 4)
 	w.asideTo = now.Add(min(d, longestAside))
 }
 
-func (w *worker) add(r *result) {
+func (w *endpoint) add(r *result) {
 	w.results[r] = struct{}{}
 	w.used += r.bytes
 }
 
-func (w *worker) drop(r *result) bool {
+func (w *endpoint) drop(r *result) bool {
 	if _, ok := w.results[r]; !ok {
 		return false
 	}
@@ -108,7 +108,7 @@
 }
 
 // expire forgets results whose life is over.
-func (w *worker) expire(now time.Time) {
+func (w *endpoint) expire(now time.Time) {
 	for r := range w.results {
 		if !r.expires.IsZero() && now.After(r.expires) {
 			w.drop(r)
@@ -118,10 +118,10 @@
 
 // service is one stage service.
 type service struct {
-	name    string
-	conf    catalog.Batching
-	workers []*worker
-	queue   []*entry
+	name      string
+	conf      catalog.Batching
+	endpoints []*endpoint
+	queue     []*entry
 	// backlog counts the pieces that are in no call, by priority, those of
 	// stages that are not ready included.
 	backlog map[int]int
@@ -138,7 +138,7 @@
 	due  time.Time
 	late bool
 	// home is the domain where its big transfers stay inside, or "". The
-	// stage waits for a worker there while stays is true, which is until
+	// stage waits for an endpoint there while stays is true, which is until
 	// patience at the latest.
 	home     string
 	since    time.Time
@@ -149,7 +149,7 @@
 // call is one call at work.
 type call struct {
 	id       CallID
-	worker   *worker
+	endpoint *endpoint
 	items    []itemRef
 	sent     time.Time
 	expected time.Duration
@@ -165,15 +165,15 @@
 	live  bool
 }
 
-// expected is the time that a call of n pieces takes at an average worker.
+// expected is the time that a call of n pieces takes at an average endpoint.
 func (s *service) expected(n int) time.Duration {
 	return s.conf.CallTime + time.Duration(n)*s.conf.ItemTime
 }
 
-// best is the speed of the fastest worker that can be used.
+// best is the speed of the fastest endpoint that can be used.
 func (s *service) best() float64 {
 	best := 0.0
-	for _, w := range s.workers {
+	for _, w := range s.endpoints {
 		if w.leaving {
 			continue
 		}
@@ -190,7 +190,7 @@
 // rate is how many pieces a second the service makes in full batches.
 func (s *service) rate(now time.Time) float64 {
 	sum := 0.0
-	for _, w := range s.workers {
+	for _, w := range s.endpoints {
 		if w.leaving || now.Before(w.asideTo) {
 			continue
 		}
@@ -199,10 +199,10 @@
 	return sum
 }
 
-// free is the time until the first worker can take a call.
+// free is the time until the first endpoint can take a call.
 func (s *service) free(now time.Time) time.Duration {
 	first := time.Duration(-1)
-	for _, w := range s.workers {
+	for _, w := range s.endpoints {
 		if w.leaving {
 			continue
 		}
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -89,8 +89,8 @@
 		listed[e.ID] = e
 	}
 	for _, s := range p.services {
-		kept := s.workers[:0]
-		for _, w := range s.workers {
+		kept := s.endpoints[:0]
+		for _, w := range s.endpoints {
 			e, ok := listed[w.spec.ID]
 			w.leaving = !ok || e.Draining
 			if ok {
@@ -100,14 +100,14 @@
 				kept = append(kept, w)
 			}
 		}
-		s.workers = kept
+		s.endpoints = kept
 	}
 	for _, e := range endpoints {
 		s, ok := p.services[e.Service]
 		if _, fresh := listed[e.ID]; !ok || !fresh || e.Draining {
 			continue
 		}
-		s.workers = append(s.workers, &worker{
+		s.endpoints = append(s.endpoints, &endpoint{
 			spec: e, service: s, speed: 1, measured: now,
 			calls: make(map[CallID]*call), results: make(map[*result]struct{}),
 		})
@@ -311,8 +311,8 @@
 func (p *Pool) freeStage(t *task, i int) {
 	s := &t.stages[i]
 	s.freed = true
-	byMaker := make(map[*worker][]string)
-	var order []*worker
+	byMaker := make(map[*endpoint][]string)
+	var order []*endpoint
 	for _, r := range s.results {
 		if r == nil || !r.maker.drop(r) {
 			continue
--- a/internal/core/stagepool/pool_test.go
+++ b/internal/core/stagepool/pool_test.go
@@ -34,13 +34,13 @@
 // is over.
 func TestBacklogsEndEmpty(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(t, rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "workers"))
+		w := newWorld(t, rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "endpoints"))
 		for k := range rapid.IntRange(0, 4).Draw(rt, "kills") {
 			id := fmt.Sprintf("%s-0", []string{"tag", "bill", "print"}[rapid.IntRange(0, 2).Draw(rt, "service")])
 			w.after(time.Duration(500*(k+1))*time.Millisecond, func() { w.kill(id, time.Second) })
 		}
-		for _, e := range w.endpoints() {
-			w.workers[e.ID].speed = rapid.Float64Range(0.8, 5).Draw(rt, "speed")
+		for _, e := range w.listed() {
+			w.endpoints[e.ID].speed = rapid.Float64Range(0.8, 5).Draw(rt, "speed")
 		}
 		w.load(rapid.Float64Range(2, 60).Draw(rt, "rate"), 4*time.Second, 1900*time.Millisecond)
 		for _, s := range w.pool.Stats(w.now) {
@@ -78,7 +78,7 @@
 	})
 }
 
-// TestDeadWorkerCostsTimeOnly kills one of two workers of the middle stage in
+// TestDeadWorkerCostsTimeOnly kills one of two endpoints of the middle stage in
 // the middle of its calls: all tasks end with whole results.
 func TestDeadWorkerCostsTimeOnly(t *testing.T) {
 	w := newWorld(t, 3, 2)
@@ -91,11 +91,11 @@
 	}
 }
 
-// TestSlowWorkerIsAvoided makes one worker five times slower: within a few
+// TestSlowWorkerIsAvoided makes one endpoint five times slower: within a few
 // calls it hardly gets work.
 func TestSlowWorkerIsAvoided(t *testing.T) {
 	w := newWorld(t, 4, 4)
-	w.workers["bill-1"].speed = 5
+	w.endpoints["bill-1"].speed = 5
 	taken := w.load(12, 15*time.Second, 2200*time.Millisecond)
 	late := 0
 	for _, id := range taken {
@@ -104,20 +104,20 @@
 		}
 	}
 	if late*5 > len(taken) {
-		t.Errorf("%d of %d tasks are late with one of four workers slow", late, len(taken))
+		t.Errorf("%d of %d tasks are late with one of four endpoints slow", late, len(taken))
 	}
-	slow, all := w.workers["bill-1"].calls, 0
-	for _, worker := range w.workers {
-		if worker.spec.Service == "bill" {
-			all += worker.calls
+	slow, all := w.endpoints["bill-1"].calls, 0
+	for _, endpoint := range w.endpoints {
+		if endpoint.spec.Service == "bill" {
+			all += endpoint.calls
 		}
 	}
 	if slow*20 > all {
-		t.Errorf("%d of %d calls went to the slow worker", slow, all)
+		t.Errorf("%d of %d calls went to the slow endpoint", slow, all)
 	}
 }
 
-// TestOverloadKeepsGoodput offers three times what the workers can do: those
+// TestOverloadKeepsGoodput offers three times what the endpoints can do: those
 // that are taken are on time, and what is refused is told when to come back.
 func TestOverloadKeepsGoodput(t *testing.T) {
 	calm := newWorld(t, 5, 3)
@@ -153,7 +153,7 @@
 }
 
 // TestPooledAgainstAlone compares one pool over all requests with each of
-// seven nodes batching its own requests at the same workers: the naive way.
+// seven nodes batching its own requests at the same endpoints: the naive way.
 func TestPooledAgainstAlone(t *testing.T) {
 	pooled := newWorld(t, 6, 5)
 	taken := pooled.load(19, 10*time.Second, 1900*time.Millisecond)
@@ -194,11 +194,11 @@
 	}
 }
 
-// TestFullWorkerIsSpared fills a worker's room with results that the pool does
+// TestFullWorkerIsSpared fills an endpoint's room with results that the pool does
 // not know of: after the first pieces found no room, few more are sent there.
 func TestFullWorkerIsSpared(t *testing.T) {
 	w := newWorld(t, 9, 2)
-	s := w.workers["bill-0"]
+	s := w.endpoints["bill-0"]
 	s.used = s.conf.Room
 	w.after(3*time.Second, func() { s.used -= s.conf.Room })
 	taken := w.load(6, 5*time.Second, 3*time.Second)
--- a/internal/core/stagepool/stats.go
+++ b/internal/core/stagepool/stats.go
@@ -9,9 +9,9 @@
 // ServiceStats is the state of one stage service at its leader.
 type ServiceStats struct {
 	Service string
-	// Workers counts the endpoints that may get calls, Busy those at work.
-	Workers int
-	Busy    int
+	// Endpoints counts the endpoints that may get calls, Busy those at work.
+	Endpoints int
+	Busy      int
 	// Queued counts the pieces that are ready, Backlog also those of stages
 	// whose inputs are not there yet.
 	Queued  int
@@ -36,11 +36,11 @@
 func (s *service) stats(now time.Time) ServiceStats {
 	st := ServiceStats{Service: s.name, Calls: s.calls, Pieces: s.pieces}
 	var used, limit int64
-	for _, w := range s.workers {
+	for _, w := range s.endpoints {
 		if w.leaving || now.Before(w.asideTo) {
 			continue
 		}
-		st.Workers++
+		st.Endpoints++
 		if len(w.calls) > 0 {
 			st.Busy++
 		}
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -166,7 +166,7 @@
 
 // result lies at its maker until it is freed.
 type result struct {
-	maker   *worker
+	maker   *endpoint
 	handle  string
 	bytes   int64
 	expires time.Time
--- a/internal/core/stagepool/world_test.go
+++ b/internal/core/stagepool/world_test.go
@@ -11,18 +11,18 @@
 	"gradetiller.example/internal/core/catalog"
 )
 
-// world is a small stand-in of stage workers in simulated time: one slot and
+// world is a small stand-in of stage endpoints in simulated time: one slot and
 // a queue each, batches, limited room, results that live for a while. It
 // checks the promises of a pool while it carries its actions out.
 type world struct {
-	t       testing.TB
-	pool    *Pool
-	now     time.Time
-	rand    *rand.Rand
-	queue   []event
-	workers map[string]*simWorker
-	handles map[string]*simResult
-	next    int
+	t         testing.TB
+	pool      *Pool
+	now       time.Time
+	rand      *rand.Rand
+	queue     []event
+	endpoints map[string]*simEndpoint
+	handles   map[string]*simResult
+	next      int
 	// release holds how long a finished task's results are needed.
 	release time.Duration
 	done    map[TaskID]time.Time
@@ -39,7 +39,7 @@
 	do func()
 }
 
-type simWorker struct {
+type simEndpoint struct {
 	spec    catalog.Endpoint
 	conf    catalog.Batching
 	speed   float64
@@ -52,10 +52,10 @@
 }
 
 type simResult struct {
-	worker *simWorker
-	owner  string
-	bytes  int64
-	life   time.Time
+	endpoint *simEndpoint
+	owner    string
+	bytes    int64
+	life     time.Time
 }
 
 var testServices = map[string]catalog.Service{
@@ -74,24 +74,24 @@
 func newWorld(t testing.TB, seed uint64, perService int) *world {
 	w := &world{
 		t: t, pool: New(), now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
-		workers: make(map[string]*simWorker), handles: make(map[string]*simResult),
+		endpoints: make(map[string]*simEndpoint), handles: make(map[string]*simResult),
 		done: make(map[TaskID]time.Time), failed: make(map[TaskID]string), tasks: make(map[TaskID]Task),
 		release: 150 * time.Millisecond,
 	}
 	for _, name := range []string{"tag", "bill", "print"} {
 		for i := range perService {
 			e := catalog.Endpoint{ID: fmt.Sprintf("%s-%d", name, i), Service: name, Address: fmt.Sprintf("%s-%d", name, i), Domain: fmt.Sprintf("d%d", i%3), Slots: 1}
-			w.workers[e.ID] = &simWorker{spec: e, conf: *testServices[name].Batching, speed: 1}
+			w.endpoints[e.ID] = &simEndpoint{spec: e, conf: *testServices[name].Batching, speed: 1}
 		}
 	}
-	w.carryOut(w.pool.Configure(w.now, testServices, w.endpoints()))
+	w.carryOut(w.pool.Configure(w.now, testServices, w.listed()))
 	w.tick()
 	return w
 }
 
-func (w *world) endpoints() []catalog.Endpoint {
+func (w *world) listed() []catalog.Endpoint {
 	var list []catalog.Endpoint
-	for _, s := range w.workers {
+	for _, s := range w.endpoints {
 		if !s.dead {
 			list = append(list, s.spec)
 		}
@@ -189,13 +189,13 @@
 
 func (w *world) drop(handle string) {
 	if r, ok := w.handles[handle]; ok {
-		r.worker.used -= r.bytes
+		r.endpoint.used -= r.bytes
 		delete(w.handles, handle)
 	}
 }
 
 func (w *world) startCall(c StartCall) {
-	s := w.workers[c.Endpoint]
+	s := w.endpoints[c.Endpoint]
 	if n := len(c.Items); n == 0 || n > s.conf.Batch {
 		w.t.Errorf("a call of %d pieces, the batch is %d", n, s.conf.Batch)
 	}
@@ -217,8 +217,8 @@
 	w.carryOut(w.pool.Done(w.now, c.Call, o))
 }
 
-// work begins the next call of a worker that is idle.
-func (w *world) work(s *simWorker) {
+// work begins the next call of an endpoint that is idle.
+func (w *world) work(s *simEndpoint) {
 	if s.busy || len(s.waiting) == 0 || s.dead {
 		return
 	}
@@ -255,7 +255,7 @@
 }
 
 // turn takes one item in at its call's turn.
-func (w *world) turn(s *simWorker, it Item) ItemResult {
+func (w *world) turn(s *simEndpoint, it Item) ItemResult {
 	for _, h := range it.Inputs {
 		r, ok := w.handles[h]
 		if !ok {
@@ -279,13 +279,13 @@
 	s.used += bytes
 	w.next++
 	handle := fmt.Sprintf("%s/%d", s.spec.ID, w.next)
-	w.handles[handle] = &simResult{worker: s, owner: it.RequestID, bytes: bytes}
+	w.handles[handle] = &simResult{endpoint: s, owner: it.RequestID, bytes: bytes}
 	return ItemResult{Handle: handle, Reason: Made}
 }
 
-// kill takes a worker down with its results; it comes back after a while.
+// kill takes an endpoint down with its results; it comes back after a while.
 func (w *world) kill(id string, down time.Duration) {
-	s := w.workers[id]
+	s := w.endpoints[id]
 	s.dead = true
 	s.lives++
 	s.busy = false
@@ -294,7 +294,7 @@
 	}
 	s.waiting = nil
 	for h, r := range w.handles {
-		if r.worker == s {
+		if r.endpoint == s {
 			delete(w.handles, h)
 		}
 	}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -37,18 +37,18 @@
 	route    *catalog.Route
 	view     *view
 	service  string
-	tenant   string
+	account  string
 	priority int
 	arrived  time.Time
 	deadline time.Time
 	body     []byte
 	// prefix is the part of the prompt that decides the placement.
-	prefix  uint64
-	source  *http.Request
-	sent    int
-	ran     bool
-	worker  string
-	outcome string
+	prefix   uint64
+	source   *http.Request
+	sent     int
+	ran      bool
+	endpoint string
+	outcome  string
 	// leader ran the stages, and predicted was its prediction of their time
 	// when it took or refused them.
 	leader    string
@@ -95,15 +95,15 @@
 	if q.route == nil {
 		return http.StatusNotFound
 	}
-	tenant := cfg.Tenant(q.in.Key)
-	if tenant == nil && !q.route.Public && len(cfg.Tenants) > 0 {
+	account := cfg.Account(q.in.Key)
+	if account == nil && !q.route.Public && len(cfg.Accounts) > 0 {
 		return http.StatusUnauthorized
 	}
 	q.priority = q.route.Priority
-	if tenant != nil {
-		q.tenant = tenant.Name
-		if tenant.HasPriority {
-			q.priority = tenant.Priority
+	if account != nil {
+		q.account = account.Name
+		if account.HasPriority {
+			q.priority = account.Priority
 		}
 	}
 	if q.in.RequestID == "" {
@@ -148,7 +148,7 @@
 		route = q.route.Name
 	}
 	n.log.Info(eventRequest, zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
-		zap.String("outcome", q.outcome), zap.String("endpoint", q.worker), zap.Int("sent", q.sent),
+		zap.String("outcome", q.outcome), zap.String("endpoint", q.endpoint), zap.Int("sent", q.sent),
 		zap.Uint64("config", q.view.version()), zap.String("leader", q.leader), zap.Duration("predicted", q.predicted),
 		zap.Duration("staged", q.staged), zap.Duration("first", q.first), zap.Duration("took", time.Since(q.arrived)))
 }
@@ -157,7 +157,7 @@
 func (q *request) outbound(e catalog.Endpoint, now time.Time) platform.Outbound {
 	return platform.Outbound{
 		Endpoint: e, Method: q.source.Method, Host: q.source.Host, Target: q.in.Target, Header: q.source.Header,
-		Body: q.body, Tenant: q.tenant, Left: q.deadline.Sub(now), Priority: q.priority, Once: !q.route.Repeatable(),
+		Body: q.body, Account: q.account, Left: q.deadline.Sub(now), Priority: q.priority, Once: !q.route.Repeatable(),
 	}
 }
 
@@ -211,7 +211,7 @@
 
 // tryPlain sends one attempt and reads its whole answer.
 func (n *Node) tryPlain(ctx context.Context, q *request, c *placed) (*platform.Answer, []byte, attempt.Event) {
-	q.worker = c.endpoint.ID
+	q.endpoint = c.endpoint.ID
 	limited, cancel := context.WithTimeout(ctx, q.patience(time.Now()))
 	defer cancel()
 	a, err := n.workers.Send(limited, q.outbound(c.endpoint, time.Now()))
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	// workersPerCell is how many stage workers one leader serves. More of
+	// endpointsPerCell is how many stage endpoints one leader serves. More of
 	// them are split into cells with a leader each.
-	workersPerCell = 160
-	leaderTick     = 20 * time.Millisecond
+	endpointsPerCell = 160
+	leaderTick       = 20 * time.Millisecond
 	// stateGap is how often the state of a pool is logged.
 	stateGap    = time.Second
 	freeTimeout = 2 * time.Second
@@ -84,7 +84,7 @@
 			n++
 		}
 	}
-	return max(1, (n+workersPerCell-1)/workersPerCell)
+	return max(1, (n+endpointsPerCell-1)/endpointsPerCell)
 }
 
 // cellEndpoints deals the endpoints of each stage service to the cells.
@@ -303,7 +303,7 @@
 	c.logged = now
 	for _, s := range c.pool.Stats(now) {
 		c.group.log.Info(eventStageService, zap.Int("cell", c.cell), zap.String("service", s.Service),
-			zap.Int("workers", s.Workers), zap.Int("busy", s.Busy), zap.Int("queued", s.Queued), zap.Int("backlog", s.Backlog),
+			zap.Int("endpoints", s.Endpoints), zap.Int("busy", s.Busy), zap.Int("queued", s.Queued), zap.Int("backlog", s.Backlog),
 			zap.Uint64("calls", s.Calls), zap.Uint64("pieces", s.Pieces), zap.Float64("room", s.Room))
 		c.group.meters.stageState(s.Service, s.Queued, s.Backlog, s.Busy, s.Room)
 	}
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -64,8 +64,8 @@
 	if q.route != nil {
 		route = m.label(q.route.Name)
 	}
-	if q.tenant != "" {
-		account = m.label(q.tenant)
+	if q.account != "" {
+		account = m.label(q.account)
 	}
 	took := time.Since(q.arrived).Seconds()
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_requests_total{route=%q,status="%d"}`, route, status)).Inc()
@@ -94,7 +94,7 @@
 	}{
 		{"queued_pieces", float64(queued)},
 		{"backlog_pieces", float64(backlog)},
-		{"busy_workers", float64(busy)},
+		{"busy_endpoints", float64(busy)},
 		{"room_used_ratio", room},
 	} {
 		m.set.GetOrCreateGauge(fmt.Sprintf(`gradetiller_stage_%s{service=%q}`, g.name, service), nil).Set(g.value)
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -157,7 +157,7 @@
 // tryStream sends one attempt and passes its events on.
 func (n *Node) tryStream(ctx context.Context, s *stream, c *placed) (*platform.Answer, attempt.Event) {
 	q := s.q
-	q.worker = c.endpoint.ID
+	q.endpoint = c.endpoint.ID
 	parent := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -68,15 +68,7 @@
 	c := platformtest.Config{
 		Version: 1, Keys: map[string]string{key: "barbers"},
 		Models: []string{"model"}, Stages: []string{"encode", "rank"},
-		Routes: []platformtest.Route{
-			{Prefix: "/read/", Kind: "safe", Service: "desk", Attempts: 2},
-			{Prefix: "/book/", Kind: "unsafe", Service: "desk"},
-			{Prefix: "/plain/", Kind: "streaming", Service: "model", Resumable: true, Attempts: 2},
-			{Prefix: "/once/", Kind: "streaming", Service: "model"},
-			{Prefix: "/staged/", Kind: "streaming", Service: "model", Resumable: true, Attempts: 2, Stages: []platformtest.RouteStage{
-				{Service: "encode", Bytes: 8000}, {Service: "rank", After: []int{0}, Bytes: 6000},
-			}},
-		},
+		Routes: platformtest.DeskRoutes(),
 	}
 	site.Publish(c)
 	return site, c
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -120,16 +120,7 @@
 	r.site.Through = r.proxies.through
 	r.config = platformtest.Config{
 		Version: 1, Keys: map[string]string{apiKey: account}, Models: []string{"model"}, Stages: []string{"encode", "rank"},
-		Routes: []platformtest.Route{
-			{Prefix: "/read/", Kind: "safe", Service: "desk", Attempts: 2},
-			{Prefix: "/book/", Kind: "unsafe", Service: "desk"},
-			{Prefix: "/plain/", Kind: "streaming", Service: "model", Resumable: true, Attempts: 2},
-			{Prefix: "/once/", Kind: "streaming", Service: "model"},
-			{Prefix: "/staged/", Kind: "streaming", Service: "model", Resumable: true, Attempts: 2, Stages: []platformtest.RouteStage{
-				{Service: "encode", Bytes: 8000}, {Service: "rank", After: []int{0}, Bytes: 6000},
-			}},
-			{Prefix: versionPath(1), Kind: "safe", Service: "desk"},
-		},
+		Routes: append(platformtest.DeskRoutes(), platformtest.Route{Prefix: versionPath(1), Kind: "safe", Service: "desk"}),
 	}
 	r.site.Publish(r.config)
 	for _, service := range []string{"desk", "model", "encode", "rank"} {
