--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -1,14 +1,55 @@
 package node
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/wire"
 )
 
+const (
+	// endpointsPerCell is how many stage endpoints one leader serves. More of
+	// them are split into cells with a leader each.
+	endpointsPerCell = 160
+)
+
+// cellCount is the number of cells for the endpoints of a view.
+func (v *view) cellCount() int {
+	n := 0
+	for _, e := range v.endpoints {
+		if s, ok := v.config.Services[e.Service]; ok && s.Batching != nil {
+			n++
+		}
+	}
+	return max(1, (n+endpointsPerCell-1)/endpointsPerCell)
+}
+
+// cellEndpoints deals the endpoints of each stage service to the cells.
+func (v *view) cellEndpoints(cell int) []catalog.Endpoint {
+	cells := v.cellCount()
+	sorted := slices.Clone(v.endpoints)
+	slices.SortFunc(sorted, func(a, b catalog.Endpoint) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	var list []catalog.Endpoint
+	at := make(map[string]int)
+	for _, e := range sorted {
+		if s, ok := v.config.Services[e.Service]; !ok || s.Batching == nil {
+			continue
+		}
+		if at[e.Service]%cells == cell {
+			list = append(list, e)
+		}
+		at[e.Service]++
+	}
+	return list
+}
+
 // claim tells all nodes that this one leads a cell. A node that comes back
 // does not take its cell from the one that leads it by then: each change
 // leaves two leaders at the same endpoints for a while. A claim is no lease:
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -1,16 +1,11 @@
 package node
 
 import (
-	"cmp"
-	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
-	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
@@ -18,13 +13,9 @@
 )
 
 const (
-	// endpointsPerCell is how many stage endpoints one leader serves. More of
-	// them are split into cells with a leader each.
-	endpointsPerCell = 160
-	leaderTick       = 20 * time.Millisecond
+	leaderTick = 20 * time.Millisecond
 	// stateGap is how often the state of a pool is logged.
-	stateGap    = time.Second
-	freeTimeout = 2 * time.Second
+	stateGap = time.Second
 	// contention is how long the calls of another leader may still wait at
 	// endpoints after the last sign of it.
 	contention = 2500 * time.Millisecond
@@ -76,38 +67,6 @@
 	return &leaders{log: log, workers: workers, models: models, budget: budget, cells: make(map[int]*leader)}
 }
 
-// cellCount is the number of cells for the endpoints of a view.
-func (v *view) cellCount() int {
-	n := 0
-	for _, e := range v.endpoints {
-		if s, ok := v.config.Services[e.Service]; ok && s.Batching != nil {
-			n++
-		}
-	}
-	return max(1, (n+endpointsPerCell-1)/endpointsPerCell)
-}
-
-// cellEndpoints deals the endpoints of each stage service to the cells.
-func (v *view) cellEndpoints(cell int) []catalog.Endpoint {
-	cells := v.cellCount()
-	sorted := slices.Clone(v.endpoints)
-	slices.SortFunc(sorted, func(a, b catalog.Endpoint) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
-	})
-	var list []catalog.Endpoint
-	at := make(map[string]int)
-	for _, e := range sorted {
-		if s, ok := v.config.Services[e.Service]; !ok || s.Batching == nil {
-			continue
-		}
-		if at[e.Service]%cells == cell {
-			list = append(list, e)
-		}
-		at[e.Service]++
-	}
-	return list
-}
-
 func (l *leaders) update(now time.Time, v *view) {
 	l.mu.Lock()
 	l.view = v
@@ -242,34 +201,6 @@
 	}
 }
 
-// place chooses the endpoint at which a request runs; the lock is held.
-func (c *leader) place(done stagepool.Complete) string {
-	wants, ok := c.needs[done.Task]
-	if !ok {
-		return ""
-	}
-	wants.prompt.InputDomain = done.Domain
-	wants.prompt.InputBytes = done.Bytes
-	at, ok := c.group.models.choose(time.Now(), wants)
-	if !ok {
-		return ""
-	}
-	c.placed[done.Task] = at
-	return at.endpoint.ID
-}
-
-// endPlaced counts the end of a placement; the lock is held.
-func (c *leader) endPlaced(id stagepool.TaskID, how wire.Placement) {
-	at, ok := c.placed[id]
-	if !ok {
-		return
-	}
-	delete(c.placed, id)
-	at.end(time.Now(), place.Result{
-		OK: how == wire.PlacementServed, Neutral: how == wire.PlacementUnused, Unreachable: how == wire.PlacementUnreachable,
-	})
-}
-
 func (c *leader) forget(id stagepool.TaskID) {
 	c.endPlaced(id, wire.PlacementUnused)
 	delete(c.needs, id)
@@ -335,51 +266,3 @@
 	m.ID = o.key.id
 	go func() { _ = o.answer(m) }()
 }
-
-func (c *leader) call(a stagepool.StartCall) {
-	ctx, cancel := context.WithTimeout(context.Background(), a.Limit)
-	defer cancel()
-	started := time.Now()
-	outcome, err := c.group.workers.RunStages(ctx, a)
-	lost, unmade := unmadePieces(outcome)
-	c.group.meters.stageCall(a.Service, len(a.Items), lost, time.Since(started))
-	fields := []zap.Field{
-		zap.String("endpoint", a.Endpoint), zap.String("service", a.Service), zap.Int("pieces", len(a.Items)),
-		zap.Int("ending", int(outcome.Ending)), zap.Duration("took", time.Since(started)),
-	}
-	switch {
-	case err != nil:
-		c.group.log.Warn(eventStageCallLost, append(fields, zap.Error(err))...)
-	case len(unmade) > 0:
-		c.group.log.Info(eventStageCallWithUnmadePieces, append(fields, unmade...)...)
-	default:
-		c.group.log.Debug(eventStageCall, fields...)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.carryOut(c.pool.Done(time.Now(), a.Call, outcome))
-}
-
-// unmadePieces counts the pieces without a result, and those of each reason.
-func unmadePieces(o stagepool.Outcome) (int, []zap.Field) {
-	counts := make(map[stagepool.Reason]int)
-	for _, r := range o.Items {
-		counts[r.Reason]++
-	}
-	delete(counts, stagepool.Made)
-	total := 0
-	var fields []zap.Field
-	for _, reason := range slices.Sorted(maps.Keys(counts)) {
-		total += counts[reason]
-		fields = append(fields, zap.Int(reason.String(), counts[reason]))
-	}
-	return total, fields
-}
-
-func (c *leader) free(a stagepool.Free) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	if err := c.group.workers.FreeResults(ctx, a); err != nil {
-		c.group.log.Debug(eventResultsNotFreed, zap.String("endpoint", a.Endpoint), zap.Error(err))
-	}
-}
--- /dev/null
+++ b/internal/node/stagecalls.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/stagepool"
+)
+
+const freeTimeout = 2 * time.Second
+
+// call sends a call to a stage endpoint and hands its end to the pool.
+func (c *leader) call(a stagepool.StartCall) {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Limit)
+	defer cancel()
+	started := time.Now()
+	outcome, err := c.group.workers.RunStages(ctx, a)
+	lost, unmade := unmadePieces(outcome)
+	c.group.meters.stageCall(a.Service, len(a.Items), lost, time.Since(started))
+	fields := []zap.Field{
+		zap.String("endpoint", a.Endpoint), zap.String("service", a.Service), zap.Int("pieces", len(a.Items)),
+		zap.Int("ending", int(outcome.Ending)), zap.Duration("took", time.Since(started)),
+	}
+	switch {
+	case err != nil:
+		c.group.log.Warn(eventStageCallLost, append(fields, zap.Error(err))...)
+	case len(unmade) > 0:
+		c.group.log.Info(eventStageCallWithUnmadePieces, append(fields, unmade...)...)
+	default:
+		c.group.log.Debug(eventStageCall, fields...)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carryOut(c.pool.Done(time.Now(), a.Call, outcome))
+}
+
+// unmadePieces counts the pieces without a result, and those of each reason.
+func unmadePieces(o stagepool.Outcome) (int, []zap.Field) {
+	counts := make(map[stagepool.Reason]int)
+	for _, r := range o.Items {
+		counts[r.Reason]++
+	}
+	delete(counts, stagepool.Made)
+	total := 0
+	var fields []zap.Field
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		total += counts[reason]
+		fields = append(fields, zap.Int(reason.String(), counts[reason]))
+	}
+	return total, fields
+}
+
+// free gives results up at their maker.
+func (c *leader) free(a stagepool.Free) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := c.group.workers.FreeResults(ctx, a); err != nil {
+		c.group.log.Debug(eventResultsNotFreed, zap.String("endpoint", a.Endpoint), zap.Error(err))
+	}
+}
