internal/core/member, internal/node: a node answers members that it does not know

Four of seven nodes, all seeds among them, were killed and started again 1.7 s later; the three survivors still knew their earlier lives, the four knew only each other, and for 2.2 s (5.9 to 8.1 s in the log) two groups each had a leader at the same endpoints. A beat from a sender that a node did not know was dropped. Ruled out: the seeds (all three were among the killed). Change: the beat of an unknown sender is answered with the own record and a listing, the way it came, within the bound of listings. Links between control processes carry no answers and leave it out. Measured: TestRestartedAmongSurvivors failed (not one group after 1.2 s), passes.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -54,6 +54,11 @@
 
 func (p *peers) send(sends []member.Send) {
 	for _, s := range sends {
+		if s.Address == "" {
+			// Links between control processes carry no answers but files; the
+			// sender hears of this process when it has given up its earlier life.
+			continue
+		}
 		p.message(s.Node, s.Address, s.Gossip)
 	}
 }
--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -49,7 +49,8 @@
 
 const startTime = 4 * time.Second
 
-// Send asks the shell to send a message to a node.
+// Send asks the shell to send a message to a node. Without an address it
+// answers the message that was just received.
 type Send struct {
 	Node    string
 	Address string
--- a/internal/core/member/receive.go
+++ b/internal/core/member/receive.go
@@ -23,7 +23,7 @@
 	}
 	r, ok := n.records[g.Node]
 	if !ok {
-		return nil
+		return n.answerStranger(g)
 	}
 	if ended(r.m.State) && g.Incarnation == r.m.Incarnation {
 		// The sender does not know that it was given up; told so, it comes
@@ -45,6 +45,19 @@
 	return n.answerListing(r, g)
 }
 
+// answerStranger makes this node known to a sender that it does not know. Such
+// a sender knew an earlier life of this node and would not hear of the present
+// one before it has given that up; the two could lead side by side until then.
+// The sender's address is not known, so the answer goes back the way the message
+// came.
+func (n *Node) answerStranger(g wire.Gossip) []Send {
+	if g.Courtesy || ended(n.self.State) || n.listings == 0 {
+		return nil
+	}
+	n.listings--
+	return []Send{n.greeting(Seed{Node: g.Node})}
+}
+
 // heard counts the message as a sign of life of the incarnation that sent it.
 func (n *Node) heard(now time.Time, r *record, g wire.Gossip) {
 	if g.Incarnation != r.m.Incarnation {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -77,6 +77,20 @@
 	return list
 }
 
+// answerInPlace sends the messages without an address back the way the message
+// that they answer came, and returns the others.
+func answerInPlace(sends []member.Send, answer peer.Answer) []member.Send {
+	var others []member.Send
+	for _, s := range sends {
+		if s.Address == "" {
+			_ = answer(s.Gossip)
+			continue
+		}
+		others = append(others, s)
+	}
+	return others
+}
+
 func (n *Node) sendGossip(sends []member.Send) {
 	for _, s := range sends {
 		n.links.Send(s.Address, s.Gossip)
@@ -164,7 +178,7 @@
 		changed := n.members.Changed()
 		entries := n.members.Entries()
 		n.membersMu.Unlock()
-		n.sendGossip(sends)
+		n.sendGossip(answerInPlace(sends, answer))
 		if changed {
 			n.takeEntries(entries)
 		}
