internal/node: suspicion lasts 4 s at most; the list of nodes is made only when it changed

Ruled out: dead leaders need no longer suspicion; the membership drops them after 4 s. Change: 4 s; the list and the readers are made when the membership changed. Measured: tests with the race detector.

--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -111,8 +111,7 @@
 	n.membersMu.Lock()
 	defer n.membersMu.Unlock()
 	n.members.SetEntries([]wire.Entry{n.entry(n.draining.Load())})
-	entries := n.members.Entries()
-	n.entries.Store(&entries)
+	n.setEntries(n.members.Entries())
 }
 
 // leaderRank lists the nodes that may lead a cell, the first choice first.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,7 +68,9 @@
 	membersMu sync.Mutex
 	members   *member.Node
 	entries   atomic.Pointer[[]wire.Entry]
-	liveNodes atomic.Int64
+	// readerNames are the nodes that read the store, by the entries.
+	readerNames atomic.Pointer[[]string]
+	liveNodes   atomic.Int64
 	// leads has a bit for each cell that this node claims.
 	leads atomic.Uint64
 	// askedView, greeted and asked belong to the goroutine that beats.
@@ -125,8 +127,7 @@
 		Node: s.Node, Incarnation: n.incarnation, Address: n.peerAddress, Domain: s.Domain, Region: s.Region,
 		Entries: []wire.Entry{n.entry(false)},
 	}, hash.Of(s.Node))
-	entries := n.members.Entries()
-	n.entries.Store(&entries)
+	n.setEntries(n.members.Entries())
 	n.links = peer.NewLinks(n.hello(), &peer.Security{}, func(m wire.Message, answer peer.Answer) {
 		n.receive(n.hello(), m, answer)
 	}, n.peerLost)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -20,7 +20,7 @@
 	askViewGap = 300 * time.Millisecond
 	// suspectFor is how long a node that did not answer leads nothing.
 	suspectFor  = 2 * time.Second
-	suspectMost = 16 * time.Second
+	suspectMost = 4 * time.Second
 )
 
 // system names the system towards peers.
@@ -55,17 +55,27 @@
 	}
 	ahead, version := n.members.HigherConfig()
 	address := n.members.Address(ahead)
-	changed := n.members.Changed()
-	entries := n.members.Entries()
+	entries, changed := n.changedEntries()
 	n.membersMu.Unlock()
 	n.sendGossip(sends)
-	if changed || n.liveNodes.Load() == 0 && n.joined() {
+	if changed {
 		n.takeEntries(entries)
 	}
 	n.askForView(now, address, version)
 	n.watchCells()
 }
 
+// changedEntries returns the entries of the live nodes if they may have changed,
+// or if none were taken yet; the lock is held. At hundreds of nodes, making the
+// list costs more than all else that a message does.
+func (n *Node) changedEntries() ([]wire.Entry, bool) {
+	first := n.liveNodes.Load() == 0 && n.joined()
+	if !n.members.Changed() && !first {
+		return nil, false
+	}
+	return n.members.Entries(), true
+}
+
 // strangers lists the seeds that are no known live member; the lock is held.
 func (n *Node) strangers() []member.Seed {
 	var list []member.Seed
@@ -99,7 +109,7 @@
 
 // takeEntries keeps the list of live nodes for look-ups and leaders.
 func (n *Node) takeEntries(entries []wire.Entry) {
-	n.entries.Store(&entries)
+	n.setEntries(entries)
 	live := 0
 	for _, e := range entries {
 		if !e.Leaving {
@@ -175,8 +185,7 @@
 		n.membersMu.Lock()
 		n.jobs.heard(n.members.Address(m.Node))
 		sends := n.members.Receive(time.Now(), *m)
-		changed := n.members.Changed()
-		entries := n.members.Entries()
+		entries, changed := n.changedEntries()
 		n.membersMu.Unlock()
 		n.sendGossip(answerInPlace(sends, answer))
 		if changed {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -117,10 +117,20 @@
 	return now.Sub(known) > readAge || slices.Contains(readers, n.settings.Node)
 }
 
+// setEntries puts a list of live nodes in force, and with it who reads the
+// store.
+func (n *Node) setEntries(entries []wire.Entry) {
+	n.entries.Store(&entries)
+	readers := n.readersOf(entries)
+	n.readerNames.Store(&readers)
+}
+
 // readers lists the nodes that read the store.
-func (n *Node) readers() []string {
+func (n *Node) readers() []string { return *n.readerNames.Load() }
+
+func (n *Node) readersOf(entries []wire.Entry) []string {
 	var able []wire.Entry
-	for _, e := range *n.entries.Load() {
+	for _, e := range entries {
 		if !e.Leaving || e.Node == n.settings.Node {
 			able = append(able, e)
 		}
