internal/core/discovery: endpoints whose entries lapsed while the store was away are kept for 2.2 s after its return

Ruled out: a longer silence of the store as the sign; lapses come with outages of 2.4 s. Change: a read after more than 1.5 s without a current list keeps what it lacks for 2.2 s. That is less than contactMs, so the store is not stable by then. Measured: TestLapsedEntriesComeBack failed to build against the old list, and with the mechanism off gives 0 endpoints at 5 s.

--- a/internal/core/discovery/doc.go
+++ b/internal/core/discovery/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	list.Read(endpoints, revision)      // at a reader of the store
+//	list.Read(at, endpoints, revision)  // at a reader of the store
 //	delta := list.Above(revision)       // for a node that asks
-//	list.Apply(delta)                   // at that node
+//	list.Apply(at, delta)               // at that node
 package discovery
--- a/internal/core/discovery/list.go
+++ b/internal/core/discovery/list.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"time"
 
 	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/hash"
@@ -22,8 +23,21 @@
 	floor uint64
 	// digest is the sum of the endpoints' hashes.
 	digest uint64
+	// current is when the list was last known to be the store's, and keepUntil
+	// until when endpoints that a read lacks are kept.
+	current   time.Time
+	keepUntil time.Time
 }
 
+const (
+	// storeAway is the time without a current list from which on the store is
+	// taken to have been away.
+	storeAway = 1500 * time.Millisecond
+	// returnTime is how long endpoints take to list themselves again after the
+	// store's return; their entries may have lapsed meanwhile.
+	returnTime = 2200 * time.Millisecond
+)
+
 type known struct {
 	endpoint catalog.Endpoint
 	changed  uint64
@@ -68,12 +82,31 @@
 	slices.SortFunc(list, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// Read takes a whole list as of a revision in, and reports whether anything
-// but the revision changed. An older list than the present one is ignored.
-func (l *List) Read(endpoints []catalog.Endpoint, revision uint64) bool {
+// Read takes the store's whole list as of a revision in, as read at a time, and
+// reports whether anything but the revision changed. An older list than the
+// present one is ignored. After the store was away, endpoints that the list
+// lacks are kept for returnTime: those that live and reach the store are listed
+// again by then.
+func (l *List) Read(at time.Time, endpoints []catalog.Endpoint, revision uint64) bool {
 	if revision < l.revision || revision == 0 {
 		return false
 	}
+	if !l.current.IsZero() && at.Sub(l.current) > storeAway {
+		l.keepUntil = at.Add(returnTime)
+	}
+	l.advance(at)
+	return l.replace(endpoints, revision, at.Before(l.keepUntil))
+}
+
+func (l *List) advance(at time.Time) {
+	if at.After(l.current) {
+		l.current = at
+	}
+}
+
+// replace puts a whole list in the place of the present one; endpoints that it
+// lacks stay if keep is true.
+func (l *List) replace(endpoints []catalog.Endpoint, revision uint64, keep bool) bool {
 	if l.revision == 0 {
 		l.floor = revision
 	}
@@ -85,7 +118,7 @@
 		changed = l.put(e) || changed
 	}
 	for id := range l.endpoints {
-		if !listed[id] {
+		if !listed[id] && !keep {
 			l.remove(id)
 			changed = true
 		}
@@ -143,17 +176,22 @@
 	return d
 }
 
-// Apply takes another node's answer in, and reports whether anything but the
-// revision changed. An answer that is not ahead is ignored. When the lists
+// Apply takes another node's answer in, whose list was current at a time, and
+// reports whether anything but the revision changed. An answer that is not ahead is ignored. When the lists
 // differ all the same, the revision becomes 0, so that the whole list is asked
 // for next.
-func (l *List) Apply(d Delta) bool {
+func (l *List) Apply(at time.Time, d Delta) bool {
 	if d.Whole {
-		return l.Read(d.Changed, d.Revision)
+		if d.Revision < l.revision || d.Revision == 0 {
+			return false
+		}
+		l.advance(at)
+		return l.replace(d.Changed, d.Revision, false)
 	}
 	if d.Revision <= l.revision {
 		return false
 	}
+	l.advance(at)
 	l.revision = d.Revision
 	changed := false
 	for _, e := range d.Changed {
--- a/internal/core/discovery/list_test.go
+++ b/internal/core/discovery/list_test.go
@@ -11,6 +11,9 @@
 	"gradetiller.example/internal/core/catalog"
 )
 
+// testTime stands for a store that is never away.
+var testTime = time.Unix(1000, 0)
+
 // TestNoChangeIsMissed lets some nodes read a store that changes, and the
 // others ask any of them at any moment: a node that reaches a revision holds
 // exactly the store's list of that revision, whomever it asked before.
@@ -43,11 +46,11 @@
 				revision++
 			case 2:
 				history[revision] = snapshot()
-				lists[rapid.IntRange(0, 1).Draw(rt, "reader")].Read(snapshot(), revision)
+				lists[rapid.IntRange(0, 1).Draw(rt, "reader")].Read(testTime, snapshot(), revision)
 			case 3:
 				to := lists[rapid.IntRange(0, nodes-1).Draw(rt, "to")]
 				from := lists[rapid.IntRange(0, nodes-1).Draw(rt, "from")]
-				to.Apply(from.Above(to.Revision()))
+				to.Apply(testTime, from.Above(to.Revision()))
 			}
 			for i, l := range lists {
 				if l.Revision() == 0 {
@@ -64,11 +67,11 @@
 // TestOldListIsIgnored checks that a list never goes back.
 func TestOldListIsIgnored(t *testing.T) {
 	l := NewList()
-	l.Read([]catalog.Endpoint{{ID: "a", Draining: true}}, 7)
-	if l.Read([]catalog.Endpoint{{ID: "a"}}, 6) {
+	l.Read(testTime, []catalog.Endpoint{{ID: "a", Draining: true}}, 7)
+	if l.Read(testTime, []catalog.Endpoint{{ID: "a"}}, 6) {
 		t.Error("an older list was taken")
 	}
-	if l.Apply(Delta{Revision: 7, Changed: []catalog.Endpoint{{ID: "a"}}}) {
+	if l.Apply(testTime, Delta{Revision: 7, Changed: []catalog.Endpoint{{ID: "a"}}}) {
 		t.Error("an answer that is not ahead was taken")
 	}
 }
@@ -142,3 +145,30 @@
 		t.Error("a reader reads once the others had time to greet")
 	}
 }
+
+// TestLapsedEntriesComeBack has the store away for a while, in which the entries
+// of two endpoints lapse: both stay in the list until they had time to list
+// themselves again, one does, and the other one is gone after that. Without an
+// absence of the store, a missing endpoint is gone at once.
+func TestLapsedEntriesComeBack(t *testing.T) {
+	a, b := catalog.Endpoint{ID: "a"}, catalog.Endpoint{ID: "b"}
+	l := NewList()
+	l.Read(testTime, []catalog.Endpoint{a, b}, 1)
+	for _, c := range []struct {
+		after  time.Duration
+		listed []catalog.Endpoint
+		want   int
+	}{
+		{700 * time.Millisecond, []catalog.Endpoint{a, b}, 2},
+		{5 * time.Second, nil, 2},
+		{5700 * time.Millisecond, []catalog.Endpoint{a}, 2},
+		{6400 * time.Millisecond, []catalog.Endpoint{a}, 2},
+		{7300 * time.Millisecond, []catalog.Endpoint{a}, 1},
+		{8 * time.Second, nil, 0},
+	} {
+		l.Read(testTime.Add(c.after), c.listed, 2+uint64(c.after))
+		if got := len(l.Endpoints()); got != c.want {
+			t.Errorf("after %v: %d endpoints, want %d", c.after, got, c.want)
+		}
+	}
+}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -59,7 +59,7 @@
 
 // readEndpoints takes a list in that was read from the store at a moment.
 func (n *Node) readEndpoints(list []catalog.Endpoint, revision uint64, at time.Time) {
-	n.changeEndpoints(at, func() bool { return n.list.Read(list, revision) })
+	n.changeEndpoints(at, func() bool { return n.list.Read(at, list, revision) })
 }
 
 // changeEndpoints changes the list and puts it in force if anything changed.
@@ -143,7 +143,7 @@
 		delta.Changed = append(delta.Changed, catalog.Endpoint(w))
 	}
 	at := time.Now().Add(-time.Duration(m.Age) * time.Millisecond)
-	n.changeEndpoints(at, func() bool { return n.list.Apply(delta) })
+	n.changeEndpoints(at, func() bool { return n.list.Apply(at, delta) })
 }
 
 // specs returns the endpoints of a service that take new work.
