internal/peer: a silent peer is dialled again after 0.12 s

Cause: after a loss of power the nodes that start first dial seeds that are still dark.

Change: within the second that a dial may take, attempts follow each other after 0.12 s, each 1.5 times as long as the one before, so that slow links connect too.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -14,7 +15,14 @@
 )
 
 const (
-	dialTimeout  = time.Second
+	// dialTimeout bounds the opening of a connection. Within it attempts follow
+	// each other, each with attemptGrowth times the time of the one before: a
+	// machine that is still without power drops the first packet, and TCP sends
+	// it again only after a second.
+	dialTimeout   = time.Second
+	firstAttempt  = 120 * time.Millisecond
+	attemptGrowth = 1.5
+
 	helloTimeout = 2 * time.Second
 	// writeTimeout bounds a write, so that a slow peer cannot hold the sender.
 	writeTimeout = 2 * time.Second
@@ -34,13 +42,42 @@
 func Dial(ctx context.Context, address string, self wire.Hello, s *Security) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{Control: socket.UserTimeout}).DialContext(ctx, "tcp", address)
+	conn, err := attemptDials(ctx, address, dialTCP)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer: %w", err)
 	}
 	return open(s.client(conn), self, s, nil)
 }
 
+// dialTCP opens a TCP connection within a time.
+func dialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Control: socket.UserTimeout, Timeout: timeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// dialFunc opens a connection within a time.
+type dialFunc func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+
+// attemptDials dials until an attempt succeeds or fails for another reason than
+// silence, or ctx ends.
+func attemptDials(ctx context.Context, address string, dial dialFunc) (net.Conn, error) {
+	for timeout := firstAttempt; ; timeout = time.Duration(attemptGrowth * float64(timeout)) {
+		started := time.Now()
+		conn, err := dial(ctx, address, timeout)
+		if err == nil {
+			return conn, nil
+		}
+		var silence net.Error
+		silent := errors.As(err, &silence) && silence.Timeout()
+		// An attempt that ended before its time failed for another reason, or
+		// ctx is over although its timer has not fired yet; to dial on at once
+		// would keep the processor busy.
+		if !silent || ctx.Err() != nil || time.Since(started) < timeout {
+			return nil, err
+		}
+	}
+}
+
 // open exchanges Hellos. roles lists the roles accepted; nil accepts all.
 func open(conn net.Conn, self wire.Hello, s *Security, roles []wire.Role) (*Conn, error) {
 	c := &Conn{conn: conn, in: bufio.NewReader(conn)}
