internal/core/place, internal/node: prompts are placed by what each engine holds, and copied between engines

Ruled out: memory that runs out (the engines hold several times what is shared).

Change: the leader keeps for each engine what it was sent, as far as its memory goes; the price of an engine is what it has to read, what it would read again and what it would copy. An engine copies what another one holds, from its own failure domain if that holds as much. A new leader asks each engine once what it holds; the list is one call an engine.

TestLeaderLearnsWhatEnginesHold fails without the lists.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -73,6 +73,15 @@
 	ResultLife time.Duration
 }
 
+// PromptCache describes the memory of prompts of a model engine.
+type PromptCache struct {
+	// Tokens is how many tokens an engine holds.
+	Tokens int
+	// Copies tells that an engine can copy what another one holds instead of
+	// reading it.
+	Copies bool
+}
+
 // Service is a set of endpoints.
 type Service struct {
 	Name     string
@@ -81,8 +90,8 @@
 	Model bool
 	// Slots is how many requests a model engine runs at once.
 	Slots int
-	// CacheTokens is the memory of a model engine in tokens.
-	CacheTokens int64
+	// PromptCache is the memory of each model engine.
+	PromptCache PromptCache
 	// Batching is nil for a service that is no stage.
 	Batching *Batching
 }
--- a/internal/core/place/doc.go
+++ b/internal/core/place/doc.go
@@ -13,5 +13,5 @@
 //	p, err := place.NewPool("predicted_finish", seed)
 //	p.Update(now, specs)
 //	i, ok := p.Choose(now, place.Request{Exclude: place.None})
-//	p.Start(now, i); p.Finish(now, i, place.Result{Took: d, OK: true})
+//	p.Start(now, i, req); p.Finish(now, i, place.Result{Took: d, OK: true})
 package place
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -11,6 +11,10 @@
 	Slots int
 	// Cost is the price of one second of processing.
 	Cost float64
+	// CacheTokens is how many tokens of prompts it holds; 0 means that it
+	// keeps none. Copies tells that it can copy parts from another one.
+	CacheTokens int
+	Copies      bool
 	// Versions lists the models or versions it holds; empty means any.
 	Versions []string
 }
@@ -28,7 +32,9 @@
 	spec        Spec
 	outstanding int
 	// work is the number of tokens that calls in flight have to read.
-	work     int
+	work int
+	// cache is what it is believed to hold of prompts.
+	cache    *promptCache
 	load     Load
 	took     time.Duration
 	measured time.Time // when took last changed
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -13,7 +13,7 @@
 func specs(n, slots int) []Spec {
 	list := make([]Spec, n)
 	for i := range list {
-		list[i] = Spec{Name: fmt.Sprint("e", i), Slots: slots, Cost: 1}
+		list[i] = Spec{Name: fmt.Sprint("e", i), Slots: slots, Cost: 1, CacheTokens: 100_000}
 	}
 	return list
 }
@@ -69,7 +69,7 @@
 	if i == req.Exclude || !p.At(i).available(now, req.Version) {
 		t.Fatalf("chose unusable endpoint %d", i)
 	}
-	p.Start(i, req)
+	p.Start(now, i, req)
 }
 
 // TestPredictedFinishMatchesScan compares small pools with a full scan: no
@@ -106,7 +106,7 @@
 	p.endpoints[0].spec.Slots = 8
 	now := time.Unix(1000, 0)
 	for k := range failuresToSetAside {
-		p.Start(0, Request{})
+		p.Start(now, 0, Request{})
 		if aside := p.Finish(now, 0, Result{}); aside != (k == failuresToSetAside-1) {
 			t.Fatalf("failure %d: set aside %v", k, aside)
 		}
@@ -119,7 +119,7 @@
 		if got := p.Capacity(now); got != limit {
 			t.Fatalf("capacity %d on the way back, want %d", got, limit)
 		}
-		p.Start(0, Request{})
+		p.Start(now, 0, Request{})
 		p.Finish(now, 0, Result{OK: true, Took: time.Millisecond})
 	}
 }
@@ -130,17 +130,17 @@
 	p := newPool(t, "predicted_finish", 3)
 	now := time.Unix(1000, 0)
 	for i := range 3 {
-		p.Start(i, Request{})
+		p.Start(now, i, Request{})
 		p.Finish(now, i, Result{OK: true, Took: 10 * time.Millisecond})
 	}
-	p.Start(1, Request{})
+	p.Start(now, 1, Request{})
 	p.Late(now, 1, 30*time.Millisecond)
 	for range 4 {
 		i, ok := p.Choose(now, Request{Exclude: None})
 		if !ok || i == 1 {
 			t.Fatalf("chose %d, %v", i, ok)
 		}
-		p.Start(i, Request{})
+		p.Start(now, i, Request{})
 	}
 }
 
@@ -148,7 +148,7 @@
 // the pool grow, and that calls in flight keep their endpoint.
 func TestUpdateReusesPlaces(t *testing.T) {
 	p := newPool(t, "round_robin", 2)
-	p.Start(0, Request{})
+	p.Start(time.Unix(1000, 0), 0, Request{})
 	for round := range 50 {
 		p.Update([]Spec{{Name: fmt.Sprint("new", round), Slots: 1}})
 	}
@@ -174,7 +174,7 @@
 					if !ok {
 						b.Fatal("no choice")
 					}
-					p.Start(i, Request{})
+					p.Start(now, i, Request{})
 					p.Finish(now, i, Result{OK: true, Took: time.Millisecond})
 				}
 			})
@@ -195,7 +195,7 @@
 		now := time.Unix(1000, 0)
 		req := Request{Prefix: 7, Exclude: None}
 		first, _ := p.Choose(now, req)
-		p.Start(first, req)
+		p.Start(now, first, req)
 		p.Finish(now, first, Result{Unreachable: unreachable})
 		second, _ := p.Choose(now, req)
 		if (second != first) != unreachable {
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -89,6 +89,7 @@
 		e.removed = !ok
 		if ok {
 			e.spec = s
+			e.cache.resize(s.CacheTokens)
 			delete(wanted, s.Name)
 		}
 	}
@@ -103,11 +104,11 @@
 	for i := range p.endpoints {
 		if e := &p.endpoints[i]; e.removed && e.outstanding == 0 {
 			p.prefixes.forget(i)
-			*e = Endpoint{spec: s}
+			*e = Endpoint{spec: s, cache: newPromptCache(s.CacheTokens)}
 			return
 		}
 	}
-	p.endpoints = append(p.endpoints, Endpoint{spec: s})
+	p.endpoints = append(p.endpoints, Endpoint{spec: s, cache: newPromptCache(s.CacheTokens)})
 }
 
 // Choose picks an endpoint, or reports false when none can take the call now.
@@ -170,10 +171,11 @@
 
 // Start counts a call that goes out to endpoint i, and returns how many tokens
 // it has to read there.
-func (p *Pool) Start(i int, req Request) int {
-	work := p.work(i, req)
+func (p *Pool) Start(now time.Time, i int, req Request) int {
+	work := p.work(now, i, req)
 	p.endpoints[i].outstanding++
 	p.endpoints[i].work += work
+	p.endpoints[i].cache.use(req.Prompt.Parts)
 	if req.Prefix != 0 {
 		p.prefixes.put(req.Prefix, i)
 	}
@@ -193,6 +195,7 @@
 	case r.Neutral:
 		return false
 	case r.Unreachable:
+		e.cache.clear()
 		return e.health.unreachable(now)
 	case !r.OK:
 		return e.health.failed(now)
@@ -219,6 +222,16 @@
 	e.took = min(max(lateFactor*e.took, waited), longestTook)
 }
 
+// Hold takes in that an endpoint tells to hold parts of prompts.
+func (p *Pool) Hold(name string, parts []Part) {
+	if i := p.Find(name); i != None {
+		p.endpoints[i].cache.use(parts)
+	}
+}
+
 // Forget drops what is believed of endpoint i's prefix cache, as after a gap
 // in its cache events.
-func (p *Pool) Forget(i int) { p.prefixes.forget(i) }
+func (p *Pool) Forget(i int) {
+	p.prefixes.forget(i)
+	p.endpoints[i].cache.clear()
+}
--- a/internal/core/place/work.go
+++ b/internal/core/place/work.go
@@ -12,8 +12,18 @@
 const (
 	// rereadWeight is how many tokens of other prompts one token of a shared
 	// part is worth waiting for: reading it again costs every later prompt.
-	// Measured from 2.5 to 12 (docs/MEASUREMENTS.md).
-	rereadWeight = 7.0
+	// 7 was measured too, and without copies 2.5 to 12 (docs/DECISIONS.md).
+	rereadWeight = 3.0
+	// copyWeight is the same for a token that is copied from another endpoint,
+	// and copyTime the time of copying it as a part of that of reading it.
+	// Copies take 0.05 to 0.2 of the time of reading at the deployments of
+	// today; between failure domains they take twice as long.
+	copyWeight   = 1.0
+	copyTime     = 0.2
+	crossingCopy = 2.0
+	// leastCopied is the number of tokens from which on a copy is worth its
+	// fixed costs. 256 and 64 were measured (docs/DECISIONS.md).
+	leastCopied = 64
 	// crossTokens is how many tokens of waiting one megabyte of inputs from
 	// another failure domain is worth.
 	crossTokens = 8000.0
@@ -24,16 +34,20 @@
 
 // Prompt is what a policy may know of a request to a model.
 type Prompt struct {
-	// Tokens is the length of the prompt, Shared that of its parts up to the
-	// one that is the request's prefix.
+	// Tokens is the length of the prompt.
 	Tokens int
-	Shared int
+	// Parts are what it consists of, in order. All but the last one are shared
+	// with other prompts.
+	Parts []Part
 	// InputDomain is where most of its inputs lie, InputBytes how large they
 	// are.
 	InputDomain string
 	InputBytes  int64
 }
 
+// shared returns the parts that other prompts may have in common.
+func (m *Prompt) shared() []Part { return m.Parts[:max(len(m.Parts)-1, 0)] }
+
 // home returns the endpoint that rendezvous hashing gives a prefix, or None.
 // Any earlier leader sent the prefix there when nothing spoke against it.
 func (p *Pool) home(prefix uint64) int {
@@ -49,27 +63,118 @@
 	return home
 }
 
-// work is how many tokens endpoint i still has to read for a request.
-func (p *Pool) work(i int, req Request) int {
-	if req.Prefix != 0 && p.prefixes.get(req.Prefix) == i {
-		return max(req.Prompt.Tokens-req.Prompt.Shared, 0)
+// holdings tells what the endpoints hold of a prompt's shared parts.
+type holdings struct {
+	// held is how many tokens each endpoint holds, most the largest of them.
+	held []int
+	most int
+	// fullest is the endpoint of each failure domain that holds most and can
+	// be copied from; the one of anyDomain holds most of all.
+	fullest map[string]int
+	shared  int
+}
+
+// anyDomain stands for all failure domains together.
+const anyDomain = ""
+
+func (p *Pool) holdings(now time.Time, m Prompt) holdings {
+	chain := m.shared()
+	h := holdings{held: make([]int, len(p.endpoints)), fullest: make(map[string]int), shared: tokensOf(chain)}
+	if len(chain) == 0 {
+		return h
+	}
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		if e.removed {
+			continue
+		}
+		h.held[i] = e.cache.held(chain)
+		h.most = max(h.most, h.held[i])
+		if h.held[i] == 0 || !e.spec.Copies || e.health.state(now) != Good {
+			continue
+		}
+		for _, domain := range []string{e.spec.Domain, anyDomain} {
+			if best, ok := h.fullest[domain]; !ok || h.held[i] > h.held[best] {
+				h.fullest[domain] = i
+			}
+		}
+	}
+	return h
+}
+
+// copying is the beginning of a prompt that one endpoint copies from another.
+type copying struct {
+	// source is None when nothing is copied.
+	source int
+	tokens int
+	// share is the time of copying a token as a part of reading it, weight its
+	// price in tokens of waiting.
+	share  float64
+	weight float64
+}
+
+// copied returns what endpoint i should copy: from its own failure domain, or
+// from another one that holds so much more that the longer way is worth it.
+func (h *holdings) copied(p *Pool, i int) copying {
+	e := &p.endpoints[i]
+	best := copying{source: None}
+	if !e.spec.Copies {
+		return best
 	}
-	return req.Prompt.Tokens
+	lowest := rereadWeight * float64(h.most-h.held[i])
+	for _, domain := range []string{e.spec.Domain, anyDomain} {
+		source, ok := h.fullest[domain]
+		if !ok || h.held[source]-h.held[i] < leastCopied {
+			continue
+		}
+		c := copying{source: source, tokens: h.held[source] - h.held[i], share: copyTime, weight: copyWeight}
+		if p.endpoints[source].spec.Domain != e.spec.Domain {
+			c.share *= crossingCopy
+			c.weight *= crossingCopy
+		}
+		price := c.weight*float64(c.tokens) + rereadWeight*float64(h.most-h.held[source])
+		if price < lowest {
+			best, lowest = c, price
+		}
+	}
+	return best
+}
+
+// Source returns the endpoint from which endpoint i should copy the beginning
+// of a prompt, or None.
+func (p *Pool) Source(now time.Time, i int, req Request) int {
+	h := p.holdings(now, req.Prompt)
+	return h.copied(p, i).source
+}
+
+// work is how many tokens endpoint i still has to read for a request.
+func (p *Pool) work(now time.Time, i int, req Request) int {
+	h := p.holdings(now, req.Prompt)
+	c := h.copied(p, i)
+	left := req.Prompt.Tokens - h.held[i] - c.tokens
+	return max(left, 0) + int(c.share*float64(c.tokens))
 }
 
 // leastWork picks the endpoint at which the prompt waits for the fewest tokens
 // of others, where reading shared parts again and fetching inputs from another
-// failure domain count as waiting. Calls without a prefix that wait equally
-// long anywhere are spread by their number.
+// failure domain count as waiting. A prompt of which no endpoint holds anything
+// belongs to the home of its prefix. Calls that wait equally long anywhere are
+// spread by their number.
 func leastWork(p *Pool, now time.Time, req Request) int {
-	last, home := p.prefixes.get(req.Prefix), p.home(req.Prefix)
+	h := p.holdings(now, req.Prompt)
+	home := None
+	if h.most == 0 && req.Prefix != 0 {
+		home = p.home(req.Prefix)
+	}
 	chosen, lowest := None, 0.0
 	for i := range p.endpoints {
 		if !p.usable(now, i, req) {
 			continue
 		}
-		holds := req.Prefix != 0 && (i == last || i == home)
-		score := p.waitingTokens(i, req, holds)
+		score := p.waitingTokens(i, req, &h)
+		if home != None && i != home {
+			score += rereadWeight * float64(h.shared)
+		}
 		if chosen == None || score < lowest || score == lowest && p.endpoints[i].outstanding < p.endpoints[chosen].outstanding {
 			chosen, lowest = i, score
 		}
@@ -77,13 +182,20 @@
 	return chosen
 }
 
+func tokensOf(parts []Part) int {
+	sum := 0
+	for _, part := range parts {
+		sum += part.Tokens
+	}
+	return sum
+}
+
 // waitingTokens is the price of endpoint i for a request, in tokens.
-func (p *Pool) waitingTokens(i int, req Request, holds bool) float64 {
+func (p *Pool) waitingTokens(i int, req Request, h *holdings) float64 {
 	e := &p.endpoints[i]
-	score := float64(e.work)
-	if !holds {
-		score += rereadWeight * float64(req.Prompt.Shared)
-	}
+	c := h.copied(p, i)
+	score := float64(e.work) + c.weight*float64(c.tokens)
+	score += rereadWeight * float64(h.most-h.held[i]-c.tokens)
 	if req.Prompt.InputDomain != "" && e.spec.Domain != req.Prompt.InputDomain {
 		score += crossTokens * float64(req.Prompt.InputBytes) / megabyte
 	}
--- a/internal/core/place/work_test.go
+++ b/internal/core/place/work_test.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+// promptOf is a prompt of some tokens, of which the first ones are a shared part.
+func promptOf(tokens int, part uint64, shared int) Prompt {
+	return Prompt{Tokens: tokens, Parts: []Part{{ID: part, Tokens: shared}, {ID: ^part, Tokens: tokens - shared}}}
+}
+
 // TestLongPromptsAreSpread places prompts of which every tenth is long: no
 // prompt is sent behind a long one while another endpoint has less to read.
 func TestLongPromptsAreSpread(t *testing.T) {
@@ -16,7 +21,7 @@
 		if i%4 == 0 {
 			tokens = 50_000
 		}
-		req := Request{Exclude: None, Prefix: uint64(1000 + i), Prompt: Prompt{Tokens: tokens, Shared: 100}}
+		req := Request{Exclude: None, Prefix: uint64(1000 + i), Prompt: promptOf(tokens, uint64(1000+i), 100)}
 		at, ok := p.Choose(now, req)
 		if !ok {
 			t.Fatalf("prompt %d: no endpoint", i)
@@ -26,7 +31,7 @@
 				t.Errorf("prompt %d waits for %d tokens, endpoint %d has %d", i, p.endpoints[at].work, other, p.endpoints[other].work)
 			}
 		}
-		p.Start(at, req)
+		p.Start(now, at, req)
 	}
 }
 
@@ -36,9 +41,9 @@
 func TestSharedPartsMeet(t *testing.T) {
 	p := newPool(t, LeastWork, 8)
 	now := time.Unix(1000, 0)
-	req := Request{Exclude: None, Prefix: 7, Prompt: Prompt{Tokens: 6000, Shared: 5000}}
+	req := Request{Exclude: None, Prefix: 7, Prompt: promptOf(6000, 7, 5000)}
 	first, _ := p.Choose(now, req)
-	p.Start(first, req)
+	p.Start(now, first, req)
 	if work := p.endpoints[first].work; work != 6000 {
 		t.Errorf("%d tokens to read for the first prompt, want 6000", work)
 	}
@@ -61,7 +66,9 @@
 	p.Update(list)
 	for prefix := range 50 {
 		domain := fmt.Sprint("d", prefix%3)
-		req := Request{Exclude: None, Prefix: uint64(prefix), Prompt: Prompt{Tokens: 900, Shared: 300, InputDomain: domain, InputBytes: 1_600_000}}
+		prompt := promptOf(900, uint64(prefix), 300)
+		prompt.InputDomain, prompt.InputBytes = domain, 1_600_000
+		req := Request{Exclude: None, Prefix: uint64(prefix), Prompt: prompt}
 		if i, _ := p.Choose(time.Unix(1000, 0), req); p.At(i).Spec().Domain != domain {
 			t.Errorf("prefix %d: inputs in %s, placed in %s", prefix, domain, p.At(i).Spec().Domain)
 		}
@@ -72,11 +79,11 @@
 func TestWorkEndsAtZero(t *testing.T) {
 	p := newPool(t, LeastWork, 2)
 	now := time.Unix(1000, 0)
-	req := Request{Exclude: None, Prefix: 3, Prompt: Prompt{Tokens: 900, Shared: 300}}
+	req := Request{Exclude: None, Prefix: 3, Prompt: promptOf(900, 3, 300)}
 	work := 0
 	at, _ := p.Choose(now, req)
 	for range 2 {
-		work += p.Start(at, req)
+		work += p.Start(now, at, req)
 	}
 	if work != 900+600 || p.endpoints[at].work != work {
 		t.Errorf("%d tokens counted, %d told, want 1500", p.endpoints[at].work, work)
@@ -97,7 +104,7 @@
 		later.endpoints[i].work = 100 * i
 	}
 	for prefix := uint64(1); prefix <= 60; prefix++ {
-		req := Request{Exclude: None, Prefix: prefix, Prompt: Prompt{Tokens: 6000, Shared: 5000}}
+		req := Request{Exclude: None, Prefix: prefix, Prompt: promptOf(6000, prefix, 5000)}
 		before, _ := earlier.Choose(now, req)
 		after, _ := later.Choose(now, req)
 		if before != after {
--- a/internal/core/run/call.go
+++ b/internal/core/run/call.go
@@ -31,7 +31,7 @@
 	}
 	r.tries++
 	req := e.placeRequest(r)
-	p.place.Start(endpoint, req)
+	p.place.Start(now, endpoint, req)
 	spec := p.place.At(endpoint).Spec()
 	summary := &r.stages[len(r.stages)-1]
 	summary.Endpoint = spec.Name
--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -60,6 +60,7 @@
 		n.log.Info(eventLeadsACell, zap.Int("cell", cell))
 		n.leaders.contend(cell, time.Now())
 		n.publishEntry()
+		go n.leaders.learnCaches()
 	}
 }
 
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -25,6 +25,10 @@
 	eventStageService = "stage service"
 	// Results that could not be freed at their maker.
 	eventResultsNotFreed = "results not freed"
+	// A model engine told which parts of prompts it holds.
+	eventCacheLearned = "cache learned"
+	// A model engine did not tell which parts of prompts it holds.
+	eventCacheUnknown = "cache unknown"
 	// This node claims a cell of stage endpoints.
 	eventLeadsACell = "leads a cell"
 	// This node gives its claim back.
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -163,6 +163,8 @@
 	handles []string
 	// endpoint is where the leader wants the request to run, or "".
 	endpoint string
+	// copyFrom is the address of an endpoint that holds more of the prompt.
+	copyFrom string
 	// leader ran the stages and predicted how long they would take.
 	leader    string
 	predicted time.Duration
@@ -228,7 +230,7 @@
 		release(wire.PlacementUnused)
 		return stageResults{}, &refusal{reason: "stages: " + done.Failed, again: time.Duration(done.Again) * time.Millisecond, predicted: predicted}
 	}
-	return stageResults{handles: done.Handles, endpoint: done.Endpoint, leader: to.Node, predicted: predicted, release: release}, nil
+	return stageResults{handles: done.Handles, endpoint: done.Endpoint, copyFrom: done.CopyFrom, leader: to.Node, predicted: predicted, release: release}, nil
 }
 
 // await waits for the leader's verdict; a result that comes first counts too.
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -141,7 +141,10 @@
 		return
 	}
 	now := time.Now()
-	wants := need{service: m.Model, prefix: m.Prefix, prompt: place.Prompt{Tokens: m.Tokens, Shared: m.Shared}}
+	wants := need{service: m.Model, prefix: m.Prefix, prompt: place.Prompt{Tokens: m.Tokens}}
+	for _, part := range m.Parts {
+		wants.prompt.Parts = append(wants.prompt.Parts, place.Part(part))
+	}
 	t := stagepool.Task{
 		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: l.models.domain(now, wants),
 		Aim:       now.Add(time.Duration(m.Aim) * time.Millisecond),
@@ -250,7 +253,7 @@
 		case stagepool.Free:
 			go c.free(a)
 		case stagepool.Complete:
-			c.tell(a.Task, wire.StagesDone{Handles: a.Handles, Endpoint: c.place(a)})
+			c.tell(a.Task, c.placedDone(a))
 		case stagepool.Fail:
 			c.tell(a.Task, wire.StagesDone{Failed: a.Reason, Again: a.Again.Milliseconds()})
 			c.forget(a.Task)
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -1,27 +1,75 @@
 package node
 
 import (
+	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
 )
 
-// place chooses the endpoint at which a request runs; the lock is held.
-func (c *leader) place(done stagepool.Complete) string {
+// placedDone tells that a request's stages have ended, and where it should run;
+// the lock is held.
+func (c *leader) placedDone(done stagepool.Complete) wire.StagesDone {
+	m := wire.StagesDone{Handles: done.Handles}
 	wants, ok := c.needs[done.Task]
 	if !ok {
-		return ""
+		return m
 	}
 	wants.prompt.InputDomain = done.Domain
 	wants.prompt.InputBytes = done.Bytes
 	at, ok := c.group.models.choose(time.Now(), wants)
 	if !ok {
-		return ""
+		return m
 	}
 	c.placed[done.Task] = at
-	return at.endpoint.ID
+	m.Endpoint = at.endpoint.ID
+	m.CopyFrom = at.copyFrom
+	return m
+}
+
+const (
+	// listLimit is how long an engine may take to tell what it holds.
+	listLimit = 800 * time.Millisecond
+	// listsAtOnce bounds the engines that are asked at a time.
+	listsAtOnce = 32
+)
+
+// learnCaches asks all model engines which parts of prompts they hold. A node that
+// begins to lead knows nothing of what was sent there before, and would have
+// shared parts read again elsewhere.
+func (l *leaders) learnCaches() {
+	l.mu.Lock()
+	v := l.view
+	l.mu.Unlock()
+	turns := make(chan struct{}, listsAtOnce)
+	for _, e := range l.models.cachingEndpoints(v) {
+		turns <- struct{}{}
+		go func() {
+			defer func() { <-turns }()
+			l.learnCache(e)
+		}()
+	}
+}
+
+func (l *leaders) learnCache(e catalog.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), listLimit)
+	defer cancel()
+	held, err := l.workers.HeldParts(ctx, e.ID, e.Address)
+	if err != nil {
+		l.log.Info(eventCacheUnknown, zap.String("endpoint", e.ID), zap.Error(err))
+		return
+	}
+	parts := make([]place.Part, len(held))
+	for i, part := range held {
+		parts[i] = place.Part(part)
+	}
+	l.models.hold(e, parts)
+	l.log.Info(eventCacheLearned, zap.String("endpoint", e.ID), zap.Int("parts", len(parts)))
 }
 
 // endPlaced counts the end of a placement; the lock is held.
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -6,6 +6,7 @@
 
 	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/wire"
 )
 
 // The placement policies of the two kinds of service. A leader places the
@@ -68,6 +69,9 @@
 	endpoint catalog.Endpoint
 	started  time.Time
 	work     int
+	// copyFrom is the address of an endpoint that holds more of the prompt, or
+	// "".
+	copyFrom string
 }
 
 // need is what a call asks of its endpoint.
@@ -88,10 +92,14 @@
 	if !ok {
 		return nil, false
 	}
-	work := pool.Start(i, req)
+	copyFrom := ""
+	if source := pool.Source(now, i, req); source != place.None {
+		copyFrom = pool.At(source).Spec().Address
+	}
+	work := pool.Start(now, i, req)
 	spec := pool.At(i).Spec()
 	e := catalog.Endpoint{ID: spec.Name, Service: n.service, Address: spec.Address, Domain: spec.Domain, Slots: spec.Slots}
-	return &placed{pools: p, pool: pool, index: i, endpoint: e, started: now, work: work}, true
+	return &placed{pools: p, pool: pool, index: i, endpoint: e, started: now, work: work, copyFrom: copyFrom}, true
 }
 
 // domain predicts where a call would go.
@@ -121,16 +129,33 @@
 	return pool, req, i, ok
 }
 
-// sharedTokens is the length of a prompt up to the part by which it is placed.
-func (q *request) sharedTokens() int {
-	sum := 0
-	for _, part := range q.in.Prefix {
-		sum += part.Tokens
-		if part.ID == q.prefix {
-			return sum
+// promptParts are the parts of a request's prompt.
+func (q *request) promptParts() []wire.PromptPart {
+	parts := make([]wire.PromptPart, len(q.in.Prefix))
+	for i, part := range q.in.Prefix {
+		parts[i] = wire.PromptPart(part)
+	}
+	return parts
+}
+
+// models lists the endpoints of model engines that keep prompts.
+func (p *pools) cachingEndpoints(v *view) []catalog.Endpoint {
+	var list []catalog.Endpoint
+	for _, e := range v.endpoints {
+		if s, ok := v.config.Services[e.Service]; ok && s.PromptCache.Tokens > 0 && !e.Draining {
+			list = append(list, e)
 		}
 	}
-	return 0
+	return list
+}
+
+// hold takes in what an endpoint tells to hold.
+func (p *pools) hold(e catalog.Endpoint, parts []place.Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pool, ok := p.byService[e.Service]; ok {
+		pool.Hold(e.ID, parts)
+	}
 }
 
 // prefix returns the part of a request's prompt by which it is placed.
--- /dev/null
+++ b/internal/node/prompts_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"gradetiller.example/platform/platformtest"
+)
+
+// TestLeaderLearnsWhatEnginesHold has two engines hold parts of prompts from an
+// earlier time: requests with these parts go to their holders once the node
+// that leads has asked.
+func TestLeaderLearnsWhatEnginesHold(t *testing.T) {
+	const tries = 200
+	site, _ := desk(t)
+	models := site.AddWorkers("model", 2)
+	site.AddWorkers("encode", 1)
+	site.AddWorkers("rank", 1)
+	for k := range tries {
+		for i, m := range models {
+			m.Hold(fmt.Sprintf("part-%d-%d", i, k), 400)
+		}
+	}
+	n := startNode(t, site)
+	n.awaitReady(t)
+	// A row of 24 that go right is no chance; the first ones may come before
+	// the engines have answered.
+	const wanted = 24
+	row, last := 0, ""
+	for k := 0; k < tries && row < wanted; k++ {
+		for i, m := range models {
+			id := fmt.Sprintf("r-%d-%d", i, k)
+			last = id
+			do(n.Front, platformtest.Request{ID: id, Path: "/staged/x", Streaming: true, Pieces: []int{1, 1}, Prefix: fmt.Sprintf("part-%d-%d:400,own-%s:5", i, k, id)})
+			if m.Runs(id) == 1 {
+				row++
+			} else {
+				row = 0
+			}
+		}
+	}
+	if row < wanted {
+		t.Errorf("after %s: %d requests in a row at the engines that hold their prompts, want %d", last, row, wanted)
+	}
+}
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -49,7 +49,7 @@
 		}
 		c, ok := n.pools.choose(time.Now(), need{
 			service: q.service, prefix: q.prefix, tried: tried, wanted: s.results.endpoint,
-			prompt: place.Prompt{Tokens: q.in.PromptTokens, Shared: q.sharedTokens()},
+			prompt: place.Prompt{Tokens: q.in.PromptTokens},
 		})
 		if !ok {
 			n.endStream(ctx, s, attempt.AnswerNotRun, "no endpoint")
@@ -95,7 +95,7 @@
 	}
 	work := stageWork{deadline: q.deadline, submit: wire.StagesSubmit{
 		RequestID: q.in.RequestID, Key: q.in.PieceKey, Priority: q.priority,
-		Model: q.service, Prefix: q.prefix, Tokens: q.in.PromptTokens, Shared: q.sharedTokens(),
+		Model: q.service, Prefix: q.prefix, Tokens: q.in.PromptTokens, Parts: q.promptParts(),
 	}}
 	read := readTime(q.in.PromptTokens)
 	work.aim = q.arrived.Add(q.route.Objective - read)
@@ -165,6 +165,9 @@
 	out := q.outbound(c.endpoint, time.Now())
 	out.Inputs = s.results.handles
 	out.LastEvent = s.last
+	if c.endpoint.ID == s.results.endpoint {
+		out.CopyFrom = s.results.copyFrom
+	}
 	a, err := n.workers.Send(ctx, out)
 	hung.Stop()
 	if err != nil {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -153,7 +153,10 @@
 		if e.Service != service.Name || e.Draining {
 			continue
 		}
-		specs = append(specs, place.Spec{Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: max(e.Slots, 1)})
+		specs = append(specs, place.Spec{
+			Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: max(e.Slots, 1),
+			CacheTokens: service.PromptCache.Tokens, Copies: service.PromptCache.Copies,
+		})
 	}
 	return specs
 }
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -21,12 +21,18 @@
 	Deadline  int64
 	Priority  int
 	// Model is the service that the request goes to; Prefix is the part of
-	// its prompt by which it is placed, Tokens the prompt's length and Shared
-	// that of the parts up to Prefix.
+	// its prompt by which it is placed, Tokens the prompt's length and Parts
+	// what it consists of, in order.
 	Model  string
 	Prefix uint64
 	Tokens int
-	Shared int
+	Parts  []PromptPart
+}
+
+// PromptPart is a part of a prompt; the last one is the request's own.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
 }
 
 // StagesVerdict answers a StagesSubmit at once.
@@ -47,6 +53,9 @@
 	// Endpoint is where the request should run, or "" when the leader knows
 	// none.
 	Endpoint string
+	// CopyFrom is the address of an endpoint that holds more of the prompt, or
+	// "".
+	CopyFrom string
 	Failed   string
 	Again    int64
 }
