internal/core/place, internal/node: the time to read a prompt is learned

Cause: admission took every engine to read 45 tokens a ms after 50 ms, and every prompt to be read whole. That fits the first customer; the new one's engines read 38.4, and most of a prompt is held already.

Change: the leader learns a base and a rate from the time between placing a prompt and the beginning of its answer, and from the tokens the engine had to read until then. It predicts a prompt's reading from what the likely engine holds and has to read. Owners tell when the answer should begin, not when the stages should end.

--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -44,6 +44,9 @@
 	Load        Load
 	// Work is what Start returned for the call.
 	Work int
+	// Read is how many tokens the endpoint had to read until the answer began,
+	// those of earlier calls included, when Took is the time until then; else 0.
+	Read int
 }
 
 // Pool holds the endpoints of one pool. It is not safe for concurrent use.
@@ -53,6 +56,7 @@
 	rand      *rand.Rand
 	cursor    int
 	prefixes  *prefixes
+	reading   *Reading
 	// took is the moving average over all endpoints.
 	took time.Duration
 }
@@ -70,7 +74,7 @@
 
 // NewPool returns an empty pool under the named policy.
 func NewPool(policyName string, seed uint64) (*Pool, error) {
-	p := &Pool{rand: rand.New(rand.NewPCG(seed, seed)), prefixes: newPrefixes()}
+	p := &Pool{rand: rand.New(rand.NewPCG(seed, seed)), prefixes: newPrefixes(), reading: NewReading()}
 	return p, p.SetPolicy(policyName)
 }
 
@@ -201,6 +205,9 @@
 		return e.health.failed(now)
 	}
 	e.health.succeeded(e.spec.Slots)
+	if r.Read > 0 {
+		p.reading.Observe(r.Read, r.Took)
+	}
 	e.took = average(e.took, r.Took)
 	e.measured = now
 	p.took = average(p.took, r.Took)
--- a/internal/core/place/work.go
+++ b/internal/core/place/work.go
@@ -155,6 +155,18 @@
 	return max(left, 0) + int(c.share*float64(c.tokens))
 }
 
+// ReadTime predicts the time to the first event of a prompt at endpoint i, behind
+// what that has to read now.
+func (p *Pool) ReadTime(now time.Time, i int, req Request) time.Duration {
+	return p.reading.Time(p.endpoints[i].work + p.work(now, i, req))
+}
+
+// Work returns how many tokens the calls in flight at endpoint i have to read.
+func (p *Pool) Work(i int) int { return p.endpoints[i].work }
+
+// Reading returns what is known of the time that reading takes.
+func (p *Pool) Reading() *Reading { return p.reading }
+
 // leastWork picks the endpoint at which the prompt waits for the fewest tokens
 // of others, where reading shared parts again and fetching inputs from another
 // failure domain count as waiting. A prompt of which no endpoint holds anything
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -145,10 +145,11 @@
 	for _, part := range m.Parts {
 		wants.prompt.Parts = append(wants.prompt.Parts, place.Part(part))
 	}
+	f := l.models.predict(now, wants, m.Extra)
 	t := stagepool.Task{
-		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: l.models.domain(now, wants),
-		Aim:       now.Add(time.Duration(m.Aim) * time.Millisecond),
-		Allowance: time.Duration(m.Allowance) * time.Millisecond,
+		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: f.domain,
+		Aim:       now.Add(time.Duration(m.Aim)*time.Millisecond - f.read),
+		Allowance: f.rest,
 		Deadline:  now.Add(time.Duration(m.Deadline) * time.Millisecond),
 	}
 	for _, s := range m.Stages {
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -79,7 +79,11 @@
 		return
 	}
 	delete(c.placed, id)
+	read := 0
+	if how == wire.PlacementServed {
+		read = at.ahead + at.work
+	}
 	at.end(time.Now(), place.Result{
-		OK: how == wire.PlacementServed, Neutral: how == wire.PlacementUnused, Unreachable: how == wire.PlacementUnreachable,
+		Read: read, OK: how == wire.PlacementServed, Neutral: how == wire.PlacementUnused, Unreachable: how == wire.PlacementUnreachable,
 	})
 }
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -69,6 +69,8 @@
 	endpoint catalog.Endpoint
 	started  time.Time
 	work     int
+	// ahead is how many tokens of earlier calls the endpoint had to read.
+	ahead int
 	// copyFrom is the address of an endpoint that holds more of the prompt, or
 	// "".
 	copyFrom string
@@ -96,21 +98,34 @@
 	if source := pool.Source(now, i, req); source != place.None {
 		copyFrom = pool.At(source).Spec().Address
 	}
+	ahead := pool.Work(i)
 	work := pool.Start(now, i, req)
 	spec := pool.At(i).Spec()
 	e := catalog.Endpoint{ID: spec.Name, Service: n.service, Address: spec.Address, Domain: spec.Domain, Slots: spec.Slots}
-	return &placed{pools: p, pool: pool, index: i, endpoint: e, started: now, work: work, copyFrom: copyFrom}, true
+	return &placed{pools: p, pool: pool, index: i, endpoint: e, started: now, work: work, ahead: ahead, copyFrom: copyFrom}, true
 }
 
-// domain predicts where a call would go.
-func (p *pools) domain(now time.Time, n need) string {
+// forecast is where a prompt would go now.
+type forecast struct {
+	domain string
+	// read is the time that it would take to the first event.
+	read time.Duration
+	// rest is the time that reading some further tokens takes.
+	rest time.Duration
+}
+
+// predict tells where a call would go, and how long reading would take. extra
+// tokens of the prompt are counted apart.
+func (p *pools) predict(now time.Time, n need, extra int) forecast {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pool, _, i, ok := p.pick(now, n)
+	pool, req, i, ok := p.pick(now, n)
 	if !ok {
-		return ""
+		r := place.NewReading()
+		return forecast{read: r.Time(n.prompt.Tokens), rest: r.Time(extra) - r.Time(0)}
 	}
-	return pool.At(i).Spec().Domain
+	r := pool.Reading()
+	return forecast{domain: pool.At(i).Spec().Domain, read: pool.ReadTime(now, i, req), rest: r.Time(extra) - r.Time(0)}
 }
 
 func (p *pools) pick(now time.Time, n need) (*place.Pool, place.Request, int, bool) {
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -97,9 +97,8 @@
 		RequestID: q.in.RequestID, Key: q.in.PieceKey, Priority: q.priority,
 		Model: q.service, Prefix: q.prefix, Tokens: q.in.PromptTokens, Parts: q.promptParts(),
 	}}
-	read := readTime(q.in.PromptTokens)
-	work.aim = q.arrived.Add(q.route.Objective - read)
-	work.submit.Allowance = n.sizes.allowance(q.route.Name, q.in.PromptTokens).Milliseconds()
+	work.aim = q.arrived.Add(q.route.Objective)
+	work.submit.Extra = n.sizes.extra(q.route.Name, q.in.PromptTokens)
 	any := false
 	for i, st := range q.route.Stages {
 		out := wire.Stage{Service: st.Service, After: st.After, ResultBytes: st.ResultBytes}
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -9,7 +9,8 @@
 }
 
 // StagesSubmit asks the leader of a stage pool to run a request's stages. ID
-// is the sender's; times are milliseconds from sending.
+// is the sender's; times are milliseconds from sending. Aim is when the answer
+// should begin.
 type StagesSubmit struct {
 	ID        uint64
 	Cell      int
@@ -17,7 +18,6 @@
 	Key       string
 	Stages    []Stage
 	Aim       int64
-	Allowance int64
 	Deadline  int64
 	Priority  int
 	// Model is the service that the request goes to; Prefix is the part of
@@ -27,6 +27,9 @@
 	Prefix uint64
 	Tokens int
 	Parts  []PromptPart
+	// Extra is by how many tokens the prompt is longer than its route's usually
+	// are.
+	Extra int
 }
 
 // PromptPart is a part of a prompt; the last one is the request's own.
