internal/core/mechanism: parts of the decisions can be switched off one by one

Cause: the users ask what each mechanism is worth, and there was no way to do without one but to change the code.

With none off nothing changes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 PROGRAMS := gradetiller gradetiller-entry gradetiller-control gradetiller-load gradetiller-standin
 
-.PHONY: all build run pwani test capacity measure faults soak
+.PHONY: all build run pwani test capacity measure faults soak ablation
 
 all: build
 
@@ -31,6 +31,10 @@
 capacity:
 	scripts/capacity.sh
 
+# what each mechanism of the decisions is worth, with the bench beside it
+ablation:
+	scripts/ablation.sh
+
 # random faults on real processes, checked from outside while they run
 SEEDS ?= 50
 FIRST ?= 1
--- a/cmd/gradetiller-node/cmd/main.go
+++ b/cmd/gradetiller-node/cmd/main.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/logging"
 	"gradetiller.example/internal/node"
 	"gradetiller.example/internal/settings"
@@ -28,7 +29,9 @@
 	Check    bool   `help:"Check the settings file and exit."`
 	LogLevel string `help:"debug, info, warn or error." default:"info"`
 	// PeerAddress differs from the settings file's where ports are mapped.
-	PeerAddress string `help:"IP address and port at which other nodes reach this one, where they differ from those that it listens on." env:"GRADETILLER_PEER_ADDRESS"`
+	// Without takes names of package mechanism.
+	Without     []string `help:"Mechanisms of the decisions to switch off, by commas, to measure what they are worth (docs/DECISIONS.md)." env:"GRADETILLER_WITHOUT"`
+	PeerAddress string   `help:"IP address and port at which other nodes reach this one, where they differ from those that it listens on." env:"GRADETILLER_PEER_ADDRESS"`
 }
 
 // Main runs the program.
@@ -38,6 +41,10 @@
 }
 
 func (c *cli) run() error {
+	off, err := mechanism.Parse(c.Without)
+	if err != nil {
+		return err
+	}
 	s, err := platform.LoadSettings(platform.SettingsPath())
 	if err != nil || c.Check {
 		return err
@@ -51,7 +58,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	go reload(log)
 	stop, _ := settings.Signals()
-	return node.New(s, node.WithLog(log), node.WithMetrics(s.MetricsAddress), node.WithPeerAddress(c.PeerAddress)).Run(stop)
+	return node.New(s, node.WithLog(log), node.WithMetrics(s.MetricsAddress), node.WithPeerAddress(c.PeerAddress), node.Without(off)).Run(stop)
 }
 
 // reload checks the settings file again at each SIGHUP. Addresses and names
--- a/internal/core/stagepool/admit.go
+++ b/internal/core/stagepool/admit.go
@@ -1,6 +1,10 @@
 package stagepool
 
-import "time"
+import (
+	"time"
+
+	"gradetiller.example/internal/core/mechanism"
+)
 
 const (
 	// deadlineShare is the part of the time left within which a task that
@@ -98,7 +102,7 @@
 // would be late even alone is taken as long as its deadline is safe.
 func (p *Pool) admit(now time.Time, t Task, finish time.Duration) (Verdict, bool) {
 	aim := t.Aim.Sub(now)
-	if finish+finish/spareShare <= aim+t.Allowance {
+	if p.off.Has(mechanism.Admission) || finish+finish/spareShare <= aim+t.Allowance {
 		return Verdict{}, false
 	}
 	alone := p.shortest(t)
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"gradetiller.example/internal/core/mechanism"
 )
 
 const (
@@ -65,7 +67,10 @@
 		if slack := latest.Add(-crossSlack); !e.late && slack.Before(e.patience) {
 			e.patience = slack
 		}
-		e.due = latest.Add(time.Duration(e.task.Priority) * priorityStep)
+		e.due = latest
+		if !p.off.Has(mechanism.Priorities) {
+			e.due = e.due.Add(time.Duration(e.task.Priority) * priorityStep)
+		}
 		if e.task.worked {
 			e.due = e.due.Add(-workedStep)
 		}
@@ -153,6 +158,14 @@
 	return !e.stays || e.home == domain
 }
 
+// home is the domain where a stage's big transfers stay inside, or "".
+func (p *Pool) home(t *task, i int) string {
+	if p.off.Has(mechanism.Homes) {
+		return ""
+	}
+	return t.home(i)
+}
+
 // home is the domain that a stage's big transfers tie it to, or "": the
 // makers of its inputs, or where its own results are wanted.
 func (t *task) home(i int) string {
@@ -240,7 +253,7 @@
 	w.service.calls++
 	w.service.pieces += uint64(len(items))
 	p.emit(out)
-	if !now.Before(w.contended) && !now.Before(p.alone) {
+	if !now.Before(w.contended) && !now.Before(p.alone) && !p.off.Has(mechanism.EarlyFrees) {
 		p.freeInputs(now, items)
 	}
 }
--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"gradetiller.example/internal/core/mechanism"
 )
 
 const (
@@ -224,7 +226,7 @@
 func (p *Pool) watch(now time.Time, c *call) {
 	w := c.endpoint
 	usual := time.Duration(max(w.speed, 1) * float64(c.expected))
-	if c.overdue || now.Sub(c.sent) < time.Duration(overdueFactor*float64(usual))+overdueMargin {
+	if c.overdue || p.off.Has(mechanism.Overdue) || now.Sub(c.sent) < time.Duration(overdueFactor*float64(usual))+overdueMargin {
 		return
 	}
 	c.overdue = true
--- a/internal/core/stagepool/endpoint.go
+++ b/internal/core/stagepool/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/mechanism"
 )
 
 const (
@@ -47,6 +48,7 @@
 	// contended is until when others are taken to send it calls too.
 	contended time.Time
 	leaving   bool
+	off       mechanism.Off
 }
 
 func (w *endpoint) limit() int64 {
@@ -70,6 +72,9 @@
 // full notes that a result of some bytes found no room: what is taken there and
 // not held by this pool is another's. Smaller results may still find room.
 func (w *endpoint) full(now time.Time, bytes int64) {
+	if w.off.Has(mechanism.ForeignRoom) {
+		return
+	}
 	if !now.Before(w.foreignTo) {
 		w.foreignTo = now.Add(w.service.conf.ResultLife)
 	}
@@ -98,6 +103,9 @@
 func (w *endpoint) took(now time.Time, actual, expected time.Duration) {
 	ratio := float64(actual) / float64(max(expected, time.Millisecond))
 	w.measured = now
+	if w.off.Has(mechanism.Speeds) {
+		return
+	}
 	if slowFactor*ratio < w.speed {
 		// A call can be late by chance, but not early: the endpoint has recovered.
 		w.speed = ratio
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/mechanism"
 )
 
 // Counters count what the pool did since its start.
@@ -28,6 +29,9 @@
 // WithBudget bounds the pieces that are made again.
 func WithBudget(b Budget) Option { return func(p *Pool) { p.budget = b } }
 
+// Without switches mechanisms off.
+func Without(off mechanism.Off) Option { return func(p *Pool) { p.off = off } }
+
 // Pool is the state of all stage services at their leader. It is not safe for
 // concurrent use.
 type Pool struct {
@@ -39,6 +43,7 @@
 	lastCall CallID
 	budget   Budget
 	counters Counters
+	off      mechanism.Off
 	out      []Action
 	// alone is when an earlier leader's calls have surely ended.
 	alone time.Time
@@ -108,7 +113,7 @@
 			continue
 		}
 		s.endpoints = append(s.endpoints, &endpoint{
-			spec: e, service: s, speed: 1, measured: now,
+			spec: e, service: s, off: p.off, speed: 1, measured: now,
 			calls: make(map[CallID]*call), results: make(map[*result]struct{}),
 		})
 	}
@@ -255,7 +260,7 @@
 			return
 		}
 	}
-	s.queue = append(s.queue, &entry{task: t, stage: i, home: t.home(i), since: now})
+	s.queue = append(s.queue, &entry{task: t, stage: i, home: p.home(t, i), since: now})
 }
 
 // Release gives up a task and its results: its request has used them, or is
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
@@ -41,6 +42,7 @@
 	meters  *meters
 	models  *pools
 	budget  func() stagepool.Budget
+	off     mechanism.Off
 	mu      sync.Mutex
 	view    *view
 	cells   map[int]*leader
@@ -63,8 +65,8 @@
 	ticking bool
 }
 
-func newLeaders(log *zap.Logger, workers *platform.Workers, models *pools, budget func() stagepool.Budget) *leaders {
-	return &leaders{log: log, workers: workers, models: models, budget: budget, cells: make(map[int]*leader)}
+func newLeaders(log *zap.Logger, workers *platform.Workers, models *pools, budget func() stagepool.Budget, off mechanism.Off) *leaders {
+	return &leaders{log: log, workers: workers, models: models, budget: budget, off: off, cells: make(map[int]*leader)}
 }
 
 func (l *leaders) update(now time.Time, v *view) {
@@ -85,7 +87,7 @@
 		return c
 	}
 	c = &leader{
-		group: l, cell: cell, pool: stagepool.New(stagepool.WithBudget(l.budget())),
+		group: l, cell: cell, pool: stagepool.New(stagepool.WithBudget(l.budget()), stagepool.Without(l.off)),
 		owners: make(map[stagepool.TaskID]owner), tasks: make(map[ownerKey]stagepool.TaskID),
 		needs: make(map[stagepool.TaskID]need), placed: make(map[stagepool.TaskID]*placed),
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/member"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/peer"
@@ -57,6 +58,8 @@
 	metricsAddress string
 	// peerAddress is where other nodes reach this one.
 	peerAddress string
+	// off are the mechanisms that are switched off.
+	off         mechanism.Off
 	budget      *lockedBudget
 	stageBudget *lockedBudget
 
@@ -107,6 +110,9 @@
 	}
 }
 
+// Without switches mechanisms off, to measure what they are worth.
+func Without(off mechanism.Off) Option { return func(n *Node) { n.off = off } }
+
 // New returns a node that serves nothing until Run.
 func New(s platform.Settings, options ...Option) *Node {
 	n := &Node{settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(), jobs: newJobs(), sizes: &sizes{usual: make(map[string]float64)}, peerAddress: s.PeerAddress}
@@ -115,10 +121,10 @@
 	}
 	n.store = platform.NewStore(s.StoreAddress)
 	n.workers = platform.NewWorkers()
-	n.pools = newPools(hash.Of(s.Node), modelPolicy)
+	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.off)
 	n.budget = n.newBudget()
 	n.stageBudget = n.newBudget()
-	n.leaders = newLeaders(n.log, n.workers, newPools(hash.Of(s.Node), leaderPolicy), func() stagepool.Budget { return n.stageBudget })
+	n.leaders = newLeaders(n.log, n.workers, newPools(hash.Of(s.Node), leaderPolicy, n.off), func() stagepool.Budget { return n.stageBudget }, n.off)
 	n.meters = newMeters(n)
 	n.leaders.meters = n.meters
 	n.view.Store(&view{})
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/member"
 	"gradetiller.example/internal/peer"
 	"gradetiller.example/internal/wire"
@@ -238,7 +239,7 @@
 // itself, or any of the few it knows, for the leader of a cell, and after a loss
 // of all power many leaders would work at the same endpoints.
 func (n *Node) joined() bool {
-	if n.hasJoined.Load() {
+	if n.hasJoined.Load() || n.off.Has(mechanism.Join) {
 		return true
 	}
 	grown := time.Duration(n.grownAt.Load())
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
@@ -17,7 +18,7 @@
 func (c *leader) placedDone(done stagepool.Complete) wire.StagesDone {
 	m := wire.StagesDone{Handles: done.Handles}
 	wants, ok := c.needs[done.Task]
-	if !ok {
+	if !ok || c.group.off.Has(mechanism.Placement) {
 		return m
 	}
 	wants.prompt.InputDomain = done.Domain
@@ -43,6 +44,9 @@
 // begins to lead knows nothing of what was sent there before, and would have
 // shared parts read again elsewhere.
 func (l *leaders) learnCaches() {
+	if l.off.Has(mechanism.Lists) || l.off.Has(mechanism.Holdings) {
+		return
+	}
 	l.mu.Lock()
 	v := l.view
 	l.mu.Unlock()
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/wire"
 )
@@ -23,12 +24,13 @@
 	mu        sync.Mutex
 	seed      uint64
 	models    string // the policy for models
+	off       mechanism.Off
 	byService map[string]*place.Pool
 	sharing   map[string]*place.Sharing
 }
 
-func newPools(seed uint64, models string) *pools {
-	return &pools{seed: seed, models: models, byService: make(map[string]*place.Pool), sharing: make(map[string]*place.Sharing)}
+func newPools(seed uint64, models string, off mechanism.Off) *pools {
+	return &pools{seed: seed, models: models, off: off, byService: make(map[string]*place.Pool), sharing: make(map[string]*place.Sharing)}
 }
 
 func (p *pools) update(v *view) {
@@ -43,7 +45,7 @@
 			pool = newPool(service, p.models, p.seed)
 			p.byService[name] = pool
 		}
-		pool.Update(v.specs(service))
+		pool.Update(v.specs(service, p.off))
 	}
 }
 
@@ -201,5 +203,8 @@
 		r.Took = now.Sub(c.started)
 	}
 	r.Work = c.work
+	if c.pools.off.Has(mechanism.Reading) {
+		r.Read = 0
+	}
 	c.pool.Finish(now, c.index, r)
 }
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
@@ -98,7 +99,9 @@
 		Model: q.service, Prefix: q.prefix, Tokens: q.in.PromptTokens, Parts: q.promptParts(),
 	}}
 	work.aim = q.arrived.Add(q.route.Objective)
-	work.submit.Extra = n.sizes.extra(q.route.Name, q.in.PromptTokens)
+	if !n.off.Has(mechanism.Sizes) {
+		work.submit.Extra = n.sizes.extra(q.route.Name, q.in.PromptTokens)
+	}
 	any := false
 	for i, st := range q.route.Stages {
 		out := wire.Stage{Service: st.Service, After: st.After, ResultBytes: st.ResultBytes}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -7,6 +7,7 @@
 
 	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/discovery"
+	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
@@ -147,7 +148,12 @@
 }
 
 // specs returns the endpoints of a service that take new work.
-func (v *view) specs(service catalog.Service) []place.Spec {
+func (v *view) specs(service catalog.Service, off mechanism.Off) []place.Spec {
+	cache := service.PromptCache
+	if off.Has(mechanism.Holdings) {
+		cache.Tokens = 0
+	}
+	cache.Copies = cache.Copies && !off.Has(mechanism.Copies)
 	var specs []place.Spec
 	for _, e := range v.endpoints {
 		if e.Service != service.Name || e.Draining {
@@ -155,7 +161,7 @@
 		}
 		specs = append(specs, place.Spec{
 			Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: max(e.Slots, 1),
-			CacheTokens: service.PromptCache.Tokens, Copies: service.PromptCache.Copies,
+			CacheTokens: cache.Tokens, Copies: cache.Copies,
 		})
 	}
 	return specs
