--- a/internal/core/place/work.go
+++ b/internal/core/place/work.go
@@ -63,7 +63,8 @@
 	return home
 }
 
-// holdings tells what the endpoints hold of a prompt's shared parts.
+// holdings tells what the endpoints hold of a prompt's shared parts. It is made
+// once for a choice, so that the choice looks at each endpoint once.
 type holdings struct {
 	// held is how many tokens each endpoint holds, most the largest of them.
 	held []int
@@ -78,9 +79,9 @@
 const anyDomain = ""
 
 func (p *Pool) holdings(now time.Time, m Prompt) holdings {
-	chain := m.shared()
-	h := holdings{held: make([]int, len(p.endpoints)), fullest: make(map[string]int), shared: tokensOf(chain)}
-	if len(chain) == 0 {
+	parts := m.shared()
+	h := holdings{held: make([]int, len(p.endpoints)), fullest: make(map[string]int), shared: tokensOf(parts)}
+	if len(parts) == 0 {
 		return h
 	}
 	for i := range p.endpoints {
@@ -88,7 +89,7 @@
 		if e.removed {
 			continue
 		}
-		h.held[i] = e.cache.held(chain)
+		h.held[i] = e.cache.held(parts)
 		h.most = max(h.most, h.held[i])
 		if h.held[i] == 0 || !e.spec.Copies || e.health.state(now) != Good {
 			continue
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -155,7 +155,7 @@
 	return parts
 }
 
-// models lists the endpoints of model engines that keep prompts.
+// cachingEndpoints lists the endpoints of model engines that keep prompts.
 func (p *pools) cachingEndpoints(v *view) []catalog.Endpoint {
 	var list []catalog.Endpoint
 	for _, e := range v.endpoints {
