internal/node: a node that is sent work before it knows any endpoint does not end

Change: without a view it remembers to ask, and asks with the first one. TestWorkBeforeTheFirstView panics without it.

--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -46,6 +46,9 @@
 	mu      sync.Mutex
 	view    *view
 	cells   map[int]*leader
+	// asks tells that the engines are to be asked what they hold as soon as
+	// there is a view.
+	asks bool
 }
 
 // leader runs one cell's stage pool.
@@ -72,11 +75,16 @@
 func (l *leaders) update(now time.Time, v *view) {
 	l.mu.Lock()
 	l.view = v
+	asks := l.asks
+	l.asks = false
 	l.mu.Unlock()
 	l.models.update(v)
 	for _, c := range l.all() {
 		c.configure(now, v)
 	}
+	if asks {
+		go l.learnCaches()
+	}
 }
 
 func (l *leaders) get(cell int) *leader {
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -49,7 +49,12 @@
 	}
 	l.mu.Lock()
 	v := l.view
+	l.asks = v == nil
 	l.mu.Unlock()
+	if v == nil {
+		// Work came before the first list of endpoints.
+		return
+	}
 	turns := make(chan struct{}, listsAtOnce)
 	for _, e := range l.models.cachingEndpoints(v) {
 		turns <- struct{}{}
--- a/internal/node/prompts_test.go
+++ b/internal/node/prompts_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
+	"gradetiller.example/platform"
 	"gradetiller.example/platform/platformtest"
 )
 
@@ -43,3 +45,29 @@
 		t.Errorf("after %s: %d requests in a row at the engines that hold their prompts, want %d", last, row, wanted)
 	}
 }
+
+// TestWorkBeforeTheFirstView has a node claim a cell before it knows any endpoint,
+// as when it is sent work just after its start. It ended with a fault then (soak
+// seeds 521, 526 and 538); it has to ask the engines once it knows them.
+func TestWorkBeforeTheFirstView(t *testing.T) {
+	site, _ := desk(t)
+	model := site.AddWorkers("model", 1)[0]
+	text, _ := site.Settings()
+	s, err := platform.ParseSettings(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(s)
+	n.leaders.learnCaches()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := n.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	eventually(t, "the engine is asked what it holds", func() bool { return model.Listed() > 0 })
+	cancel()
+	<-done
+}
