--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,7 +33,13 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{521, noViewYet},
+	{526, noViewYet},
+	{538, noViewYet},
+}
+
+const noViewYet = "a node that was sent work before its first list of endpoints ended with a nil pointer"
 
 // run is one seed's whole system.
 type run struct {
