--- a/internal/core/mechanism/mechanism.go
+++ b/internal/core/mechanism/mechanism.go
@@ -40,7 +40,8 @@
 	// Homes keeps stages in the failure domain of their big transfers; without,
 	// they go anywhere.
 	Homes Mechanism = "homes"
-	// Priorities orders tasks by their ranks too; without, by slack alone.
+	// Priorities orders queues by the tasks' ranks too; without, by slack alone.
+	// Admission counts by rank in either case.
 	Priorities Mechanism = "priorities"
 	// EarlyFrees gives inputs up as soon as they are fetched where room is
 	// short; without, at the end of the call.
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -17,7 +17,7 @@
 const (
 	// dialTimeout bounds the opening of a connection. Within it attempts follow
 	// each other, each with attemptGrowth times the time of the one before: a
-	// machine that is still without power drops the first packet, and TCP sends
+	// instance that is still without power drops the first packet, and TCP sends
 	// it again only after a second.
 	dialTimeout   = time.Second
 	firstAttempt  = 120 * time.Millisecond
--- a/internal/peer/dial_test.go
+++ b/internal/peer/dial_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// TestSilentPeerIsDialledAgain has the first attempts meet silence, as at a
-// machine that is still without power: a further one opens the connection.
+// TestSilentPeerIsDialledAgain has the first attempts meet silence, as at an
+// instance that is still without power: a further one opens the connection.
 func TestSilentPeerIsDialledAgain(t *testing.T) {
 	attempts := 0
 	dial := func(_ context.Context, _ string, timeout time.Duration) (net.Conn, error) {
