internal/node: a request that a planned stop breaks off writes its line

Cause: at the end of the grace period the process ended with requests in flight, and none of them wrote a line; the count alone could not tell a request that was taken late from one that an engine broke off or that was held up. Ruled out: a line for all requests in flight written by the stopping goroutine, since it would read what their own goroutines still write. Change: the context of all requests ends with the grace period, so that each ends itself, with 'the process ends' in its outcome and after_stop, the time between SIGTERM and its arrival; those that no endpoint has run are answered 'not run'. A counter by route. When a request is taken or cut has not changed. Measured: go test ./internal/node passes; no bench run.

--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -77,7 +77,7 @@
 		if shared {
 			n.leaders.contend(cell, time.Now())
 		}
-		if !n.draining.Load() && (!shared || n.ranksFirst(cell)) {
+		if !n.stopping() && (!shared || n.ranksFirst(cell)) {
 			continue
 		}
 		if !n.alone() {
@@ -111,7 +111,7 @@
 func (n *Node) publishEntry() {
 	n.membersMu.Lock()
 	defer n.membersMu.Unlock()
-	n.members.SetEntries([]wire.Entry{n.entry(n.draining.Load())})
+	n.members.SetEntries([]wire.Entry{n.entry(n.stopping())})
 	n.setEntries(n.members.Entries())
 }
 
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -15,13 +16,32 @@
 	// lastMoment is what is left of the grace period when the node gives up
 	// what is still in flight.
 	lastMoment = 400 * time.Millisecond
+	// lastAnswers is how long requests that are given up have to say so.
+	lastAnswers = 100 * time.Millisecond
+	drainPoll   = 10 * time.Millisecond
 )
 
+// errStopped is why requests end that are still in flight at the end of the
+// grace period.
+var errStopped = errors.New("the process ends")
+
+// stop is a planned stop under way.
+type stop struct {
+	// asked is when the process was told to stop.
+	asked time.Time
+}
+
+// stopping reports whether a planned stop is under way.
+func (n *Node) stopping() bool { return n.stop.Load() != nil }
+
+// ended reports whether the process ends now and gives up its requests.
+func (n *Node) ended() bool { return n.serving.Err() != nil }
+
 // drain stops as planned: the node leaves the look-up answers of all nodes at
 // once, serves on for a while, and ends when nothing is in flight.
 func (n *Node) drain(servers []*http.Server) {
 	started := time.Now()
-	n.draining.Store(true)
+	n.stop.Store(&stop{asked: started})
 	n.publishEntry()
 	n.log.Info(eventStopping, zap.Int64("in_flight", n.inFlight.Load()))
 	time.Sleep(min(acceptAfter, n.settings.Grace/2))
@@ -35,6 +55,7 @@
 	for n.leading() && bounded.Err() == nil {
 		time.Sleep(50 * time.Millisecond)
 	}
+	n.endRequests()
 	n.membersMu.Lock()
 	n.members.Leave()
 	sends := n.members.Tick(time.Now())
@@ -44,6 +65,15 @@
 	n.log.Info(eventStopped)
 }
 
+// endRequests gives up what is still in flight. Each request ends itself, so
+// that its line in the log tells what became of it.
+func (n *Node) endRequests() {
+	n.giveUp(errStopped)
+	for wait := lastAnswers; wait > 0 && n.inFlight.Load() > 0; wait -= drainPoll {
+		time.Sleep(drainPoll)
+	}
+}
+
 // leading reports whether this node still runs stages for others.
 func (n *Node) leading() bool {
 	n.leaders.mu.Lock()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -57,6 +57,9 @@
 	// results and to the answer's head, or 0.
 	staged time.Duration
 	first  time.Duration
+	// afterStop is how long after the process was told to stop the request
+	// came, or 0.
+	afterStop time.Duration
 }
 
 // serveFront takes a client's request.
@@ -64,8 +67,9 @@
 	q := &request{in: platform.ParseIngress(r), view: n.view.Load(), arrived: time.Now(), source: r}
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	if n.draining.Load() {
+	if s := n.stop.Load(); s != nil {
 		w.Header().Set("Connection", "close")
+		q.afterStop = q.arrived.Sub(s.asked)
 	}
 	if status := n.accept(w, q); status != 0 {
 		if status == http.StatusServiceUnavailable {
@@ -150,7 +154,7 @@
 	n.log.Info(eventRequest, zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
 		zap.String("outcome", q.outcome), zap.String("endpoint", q.endpoint), zap.Int("sent", q.sent),
 		zap.Uint64("config", q.view.version()), zap.String("leader", q.leader), zap.Duration("predicted", q.predicted),
-		zap.Duration("staged", q.staged), zap.Duration("first", q.first), zap.Duration("took", time.Since(q.arrived)))
+		zap.Duration("staged", q.staged), zap.Duration("first", q.first), zap.Duration("after_stop", q.afterStop), zap.Duration("took", time.Since(q.arrived)))
 }
 
 // outbound is the request as it goes to an endpoint.
@@ -199,16 +203,25 @@
 		q.ran = true
 	}
 	next := attempt.Decide(ended)
-	if next != attempt.Again || event == attempt.RefuseUnsent {
-		return next
-	}
-	if time.Until(q.deadline) > 0 && n.budget.Take(time.Now(), q.service, 1) {
+	if next != attempt.Again || n.takesAnother(q, event) {
 		return next
 	}
 	ended.Most = ended.Sent
 	return attempt.Decide(ended)
 }
 
+// takesAnother reports whether one more attempt may follow; one that reached no
+// endpoint costs nothing of the budget.
+func (n *Node) takesAnother(q *request, event attempt.Event) bool {
+	if n.ended() {
+		return false
+	}
+	if event == attempt.RefuseUnsent {
+		return true
+	}
+	return time.Until(q.deadline) > 0 && n.budget.Take(time.Now(), q.service, 1)
+}
+
 // tryPlain sends one attempt and reads its whole answer.
 func (n *Node) tryPlain(ctx context.Context, q *request, c *placed) (*platform.Answer, []byte, attempt.Event) {
 	q.endpoint = c.endpoint.ID
@@ -294,6 +307,11 @@
 
 // endUnknown tells the client that its request failed, and promises nothing.
 func (n *Node) endUnknown(ctx context.Context, w http.ResponseWriter, q *request, reason string) {
+	if n.ended() {
+		n.meters.givenUp(q.route.Name)
+		n.endNotRun(w, q, errStopped.Error())
+		return
+	}
 	status := http.StatusBadGateway
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		status = http.StatusGatewayTimeout
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -33,7 +33,7 @@
 	m.set.NewGauge("gradetiller_view_age_seconds", func() float64 { return time.Since(n.view.Load().readAt).Seconds() })
 	m.set.NewGauge("gradetiller_members_live", func() float64 { return float64(n.liveNodes.Load()) })
 	m.set.NewGauge("gradetiller_store_lost", func() float64 { return number(n.storeLost.Load()) })
-	m.set.NewGauge("gradetiller_draining", func() float64 { return number(n.draining.Load()) })
+	m.set.NewGauge("gradetiller_draining", func() float64 { return number(n.stopping()) })
 	m.set.NewGauge("gradetiller_cells_led", func() float64 { return float64(bits.OnesCount64(n.leads.Load())) })
 	return m
 }
@@ -76,6 +76,11 @@
 	}
 }
 
+// givenUp counts a request that the end of the process breaks off.
+func (m *meters) givenUp(route string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_given_up_at_stop_total{route=%q}`, m.label(route))).Inc()
+}
+
 // stageCall counts one call of a stage pool that this node leads.
 func (m *meters) stageCall(service string, pieces, unmade int, took time.Duration) {
 	service = m.label(service)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,8 +87,12 @@
 	hasJoined atomic.Bool
 
 	storeLost atomic.Bool
-	draining  atomic.Bool
 	inFlight  atomic.Int64
+	// stop is the planned stop under way, or nil.
+	stop atomic.Pointer[stop]
+	// serving is the context of all requests; giveUp ends it with a cause.
+	serving context.Context
+	giveUp  context.CancelCauseFunc
 }
 
 // Option changes a new node.
@@ -119,6 +123,7 @@
 	for _, o := range options {
 		o(n)
 	}
+	n.serving, n.giveUp = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress)
 	n.workers = platform.NewWorkers()
 	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.off)
@@ -208,7 +213,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
-		s := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+		s := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+			BaseContext: func(net.Listener) context.Context { return n.serving },
+		}
 		servers = append(servers, s)
 		go func() { _ = s.Serve(listener) }()
 	}
@@ -219,7 +227,7 @@
 // the endpoints, and is not leaving.
 func (n *Node) isReady() bool {
 	v := n.view.Load()
-	return v.config != nil && !v.readAt.IsZero() && n.joined() && n.liveNodes.Load() > 0 && !n.draining.Load()
+	return v.config != nil && !v.readAt.IsZero() && n.joined() && n.liveNodes.Load() > 0 && !n.stopping()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -145,6 +145,10 @@
 func (n *Node) endStream(ctx context.Context, s *stream, next attempt.Next, reason string) {
 	switch {
 	case s.started:
+		if n.ended() {
+			reason = errStopped.Error()
+			n.meters.givenUp(s.q.route.Name)
+		}
 		s.q.outcome = "broken: " + reason
 		n.logRequest(s.q, http.StatusOK)
 		s.release()
