internal/node, internal/core/drain: a node that stops takes only what it can end

Cause: a node that was told to stop knew when it would end (grace period less 0.4 s) and took every request for 3.5 s all the same, whatever its answer takes; streams of more than 4.1 s that came last were cut in the middle. Class: work is taken under a known end without asking whether it will be done by then. Ruled out: refusing by the tokens that the client states (a fixed cap of its route, 10 to 45 times what streams hold in the middle: every stream would be turned away from the first moment on); refusing by the longest stream of all; a special second after SIGTERM. Change: each node learns how long a route's requests take, whole and without their stages; while it stops, a request that would not end in time, 19 times in 20, is answered 'not run' at once, at its arrival and again before it goes to an engine. New connections are taken for 2.5 s in place of 3.5 s.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -7,18 +7,27 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/drain"
 )
 
 const (
-	// acceptAfter is how long clients still come after the node has left the
-	// look-up answers: they hold answers up to three times their life.
-	acceptAfter = 3500 * time.Millisecond
+	// acceptAfter is how long a node that stops takes new connections: the life
+	// of a look-up answer, and half a second for the news that it leaves to reach
+	// the nodes that give them. Clients that hold an answer longer are better off
+	// with a connection refused, since they take another address at once.
+	acceptAfter = answerLife + 500*time.Millisecond
+	// elsewhere is told to clients that a stopping node turns away: the other
+	// nodes can take them now.
+	elsewhere = 10 * time.Millisecond
 	// lastMoment is what is left of the grace period when the node gives up
 	// what is still in flight.
 	lastMoment = 400 * time.Millisecond
 	// lastAnswers is how long requests that are given up have to say so.
 	lastAnswers = 100 * time.Millisecond
 	drainPoll   = 10 * time.Millisecond
+	// stoppingReason is the outcome of requests that a stopping node turns away.
+	stoppingReason = "this node stops before it could answer"
 )
 
 // errStopped is why requests end that are still in flight at the end of the
@@ -29,11 +38,29 @@
 type stop struct {
 	// asked is when the process was told to stop.
 	asked time.Time
+	// window ends when the process gives up what is still in flight.
+	window drain.Window
 }
 
 // stopping reports whether a planned stop is under way.
 func (n *Node) stopping() bool { return n.stop.Load() != nil }
 
+// canEnd reports whether a request's work, or what is left of it, will be done
+// before a planned stop ends the process. What is begun and broken off then is
+// lost to the client, so it is not begun.
+func (n *Node) canEnd(q *request, work map[string]*drain.Durations) bool {
+	s := n.stop.Load()
+	if s == nil {
+		return true
+	}
+	now := time.Now()
+	if s.window.Fits(now, q.deadline.Sub(now)) {
+		return true
+	}
+	takes, known := n.times.likely(work, q.route.Name)
+	return !known || s.window.Fits(now, takes)
+}
+
 // ended reports whether the process ends now and gives up its requests.
 func (n *Node) ended() bool { return n.serving.Err() != nil }
 
@@ -41,11 +68,12 @@
 // once, serves on for a while, and ends when nothing is in flight.
 func (n *Node) drain(servers []*http.Server) {
 	started := time.Now()
-	n.stop.Store(&stop{asked: started})
+	ends := started.Add(n.settings.Grace - lastMoment)
+	n.stop.Store(&stop{asked: started, window: drain.Until(ends)})
 	n.publishEntry()
 	n.log.Info(eventStopping, zap.Int64("in_flight", n.inFlight.Load()))
 	time.Sleep(min(acceptAfter, n.settings.Grace/2))
-	bounded, cancel := context.WithDeadline(context.Background(), started.Add(n.settings.Grace-lastMoment))
+	bounded, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
 	front := servers[len(servers)-1]
 	front.SetKeepAlivesEnabled(false)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -79,6 +79,10 @@
 		n.refuse(w, q, status, "not allowed", 0)
 		return
 	}
+	if !n.canEnd(q, n.times.whole) {
+		n.refuse(w, q, http.StatusServiceUnavailable, stoppingReason, elsewhere)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	if q.route.Kind == catalog.Streaming {
@@ -292,6 +296,7 @@
 	platform.CopyAnswer(w, a.Header)
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(body)
+	n.times.served(q, time.Now())
 	n.logRequest(q, a.Status)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	jobs        *jobs
 	links       *peer.Links
 	sizes       *sizes
+	times       *times
 	meters      *meters
 	// metricsAddress serves the metrics; it may be empty.
 	metricsAddress string
@@ -119,7 +120,7 @@
 
 // New returns a node that serves nothing until Run.
 func New(s platform.Settings, options ...Option) *Node {
-	n := &Node{settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(), jobs: newJobs(), sizes: &sizes{usual: make(map[string]float64)}, peerAddress: s.PeerAddress}
+	n := &Node{settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(), jobs: newJobs(), times: newTimes(), sizes: &sizes{usual: make(map[string]float64)}, peerAddress: s.PeerAddress}
 	for _, o := range options {
 		o(n)
 	}
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -48,6 +48,10 @@
 			n.endUnprepared(ctx, s, err)
 			return
 		}
+		if !q.ran && !n.canEnd(q, n.times.answer) {
+			n.refuse(w, q, http.StatusServiceUnavailable, stoppingReason, elsewhere)
+			return
+		}
 		c, ok := n.pools.choose(time.Now(), need{
 			service: q.service, prefix: q.prefix, tried: tried, wanted: s.results.endpoint,
 			prompt: place.Prompt{Tokens: q.in.PromptTokens},
@@ -60,6 +64,7 @@
 		a, event := n.tryStream(ctx, s, c)
 		if event == attempt.Complete {
 			q.outcome = "delivered"
+			n.times.served(q, time.Now())
 			n.logRequest(q, http.StatusOK)
 			return
 		}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -108,6 +108,7 @@
 		return
 	}
 	n.pools.update(v)
+	n.times.keep(v.config)
 	n.leaders.update(time.Now(), v)
 }
 
