internal/core/drain: the time of answers is foretold by mean and spread

Cause: the 95th of the last 64 durations is no bound for a node that was started lately: with a few durations it is the longest of these. Change: mean and variance of the logarithm, with a start value for the spread; 1.64 standard deviations.

--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -20,7 +20,7 @@
 package drain
 
 import (
-	"slices"
+	"math"
 	"time"
 )
 
@@ -36,39 +36,51 @@
 }
 
 const (
-	// mostDurations is how many of the last durations are kept: enough that
-	// one in twenty of them is more than one, few enough to follow a change
-	// within half a minute at two requests a second.
-	mostDurations = 64
-	// likelyRank is the part of the durations kept that Likely is not below.
-	// One in twenty taken for too short is lost only if it comes last; refusing
-	// by the longest of all would turn nearly all streams away from the first
-	// moment on.
-	likelyRank = 0.95
+	// memory is how many of the last durations count, in effect: half a minute
+	// at two requests a second.
+	memory = 64
+	// startSpread is the standard deviation of the logarithm of the time, before
+	// any is known, and startWeight how many durations it weighs. Streams of
+	// three kinds of requests had 0.4 to 0.7.
+	startSpread = 0.5
+	startWeight = 4
+	// likely is how many standard deviations above the mean Likely lies: 19 of 20
+	// are below. Measured by the logs of three days at 80 nodes, 4.6, 4.7 and 7.3
+	// of 100 streams took longer; by the 95th of the last 64 durations, of which a
+	// node that was started lately has few, it was 17 to 29.
+	likely = 1.64
 )
 
-// Durations keeps how long the last pieces of work of one kind took.
+// Durations learns how long work of one kind takes. The time is taken to be
+// distributed like the exponential of a normal variable, so that a few durations
+// tell of the rare long ones too.
 type Durations struct {
-	list []time.Duration
-	next int
+	count float64
+	// mean and variance are those of the time's logarithm, in seconds.
+	mean     float64
+	variance float64
 }
 
 // Add notes work that was done.
 func (d *Durations) Add(took time.Duration) {
-	if len(d.list) < mostDurations {
-		d.list = append(d.list, took)
+	x := math.Log(max(took, time.Microsecond).Seconds())
+	d.count = min(d.count+1, memory)
+	before := x - d.mean
+	d.mean += before / d.count
+	if d.count == 1 {
+		d.variance = startSpread * startSpread
 		return
 	}
-	d.list[d.next] = took
-	d.next = (d.next + 1) % mostDurations
+	d.variance += (before*(x-d.mean) - d.variance) / (d.count + startWeight)
 }
 
 // Likely returns a time that the next work of the kind will hardly exceed, and
 // reports false if there was none yet.
 func (d *Durations) Likely() (time.Duration, bool) {
-	if len(d.list) == 0 {
+	if d.count == 0 {
 		return 0, false
 	}
-	sorted := slices.Sorted(slices.Values(d.list))
-	return sorted[int(likelyRank*float64(len(sorted)))], true
+	spread := math.Sqrt(d.variance * (1 + 1/d.count))
+	seconds := math.Exp(d.mean + likely*spread)
+	return time.Duration(seconds * float64(time.Second)), true
 }
