entry, core/run, core/drain: a stop refuses what it can't finish and answers what it ends

Cause: a process that knew when it would end took requests without asking whether they would be done by then, and gave up what was in flight by ending with it. Drain also never closed the node when its time was over before the look-up answers had run out, and a request could be taken between the look at closed and the lock.

Change: core/drain decides what fits. The engine gets StopAt, by which Submit refuses as draining (after the request's own deadline is bounded by the pipeline's), and End, which ends every run: stage_unknown if a call may have run, draining if none did. Node.Drain tells the engine its context's deadline before it leaves, and ends the rest with one warning each that names the request. The program keeps 1 s of the drain timeout for these answers to get out, also after a second signal. The refusal of a closed node moves into the engine, under the lock that Submit takes.

TestInvariants now stops engines at random; it fails with the check in Submit taken out, and with End telling draining of runs whose call was sent.

--- a/cmd/gradetiller-entry/cmd/main.go
+++ b/cmd/gradetiller-entry/cmd/main.go
@@ -18,6 +18,11 @@
 // parsed; with the default of 100 it peaked at 66 MB.
 const collectAt = 50
 
+// answerTime is the part of a planned stop that the answers of the requests
+// that it ended have to get out. Writing one takes far less; the rest is for a
+// machine that is busy.
+const answerTime = time.Second
+
 const (
 	name = "gradetiller-entry"
 	help = "Serves callers: tells them which addresses to use, and takes their requests through the stages of their pipelines."
@@ -60,7 +65,8 @@
 }
 
 // waitAndDrain serves until the first signal, then stops as planned. The
-// second signal or the drain timeout ends the stop early.
+// second signal or the drain timeout ends the stop early; the requests that
+// are in flight then are answered before the process ends.
 func (c *cli) waitAndDrain(node *entry.Node, server *http.Server, served chan error, log *zap.Logger) error {
 	first, second := settings.Signals()
 	select {
@@ -68,12 +74,21 @@
 		return err
 	case <-first.Done():
 	}
-	bounded, cancel := context.WithTimeout(second, c.DrainTimeout)
+	bounded, cancel := context.WithTimeout(second, c.DrainTimeout-answerTime)
 	defer cancel()
 	node.Drain(bounded)
-	if err := server.Shutdown(bounded); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	last, cancelLast := outlast(bounded, answerTime)
+	defer cancelLast()
+	if err := server.Shutdown(last); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		log.Warn("stopped before all answers were out", zap.Error(err))
 	}
 	log.Info("stopped", zap.Int("in_flight", node.InFlight()))
 	return nil
 }
+
+// outlast returns a context that ends a time after ctx.
+func outlast(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	last, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() { time.AfterFunc(d, cancel) })
+	return last, cancel
+}
--- a/cmd/gradetiller-entry/cmd/stop_test.go
+++ b/cmd/gradetiller-entry/cmd/stop_test.go
@@ -195,7 +195,7 @@
 func TestStopAnswersWhatItEnds(t *testing.T) {
 	t.Run("longest time", func(t *testing.T) {
 		s := newStopped(t)
-		s.testStop(time.Second, s.node.Leaving)
+		s.testStop(2*time.Second, s.node.Leaving)
 	})
 	t.Run("second signal", func(t *testing.T) {
 		s := newStopped(t)
--- a/internal/core/run/admit.go
+++ b/internal/core/run/admit.go
@@ -39,6 +39,10 @@
 	if req.Left <= 0 || req.Left > pipeline.Deadline() {
 		req.Left = pipeline.Deadline()
 	}
+	if err := e.fits(now, req); err != nil {
+		e.refuse(req, err)
+		return 0, e.take()
+	}
 	index, ok := e.accountIndex[req.Account]
 	if !ok {
 		e.refuse(req, failure.New(failure.Unauthorized, "the account is not in the configuration in force"))
--- a/internal/core/run/engine.go
+++ b/internal/core/run/engine.go
@@ -7,6 +7,7 @@
 	"gradetiller.example/failure"
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/budget"
+	"gradetiller.example/internal/core/drain"
 	"gradetiller.example/internal/core/limit"
 	"gradetiller.example/internal/core/order"
 	"gradetiller.example/internal/core/place"
@@ -40,8 +41,10 @@
 	lastRun   ID
 	lastCall  AttemptID
 	lastProbe time.Time
-	counters  Counters
-	out       []Action
+	// window is what is left of the process's time once a stop has begun.
+	window   drain.Window
+	counters Counters
+	out      []Action
 }
 
 // pool is the state of one pool on this node.
--- a/internal/core/run/engine_test.go
+++ b/internal/core/run/engine_test.go
@@ -74,6 +74,7 @@
 	repeats  int
 	fresh    int
 	seen     map[string]bool
+	ends     time.Time // of the process; zero means that no stop is under way
 }
 
 type tracedCall struct {
@@ -173,6 +174,11 @@
 	if id == 0 {
 		delete(tr.requests, next)
 	}
+	conf, _ := tr.engine.Config().Pipeline(pipeline)
+	deadline := tr.now.Add(min(req.Left, conf.Deadline()))
+	if id != 0 && !tr.ends.IsZero() && deadline.After(tr.ends) {
+		tr.t.Fatalf("run %d was taken although its deadline lies %v behind the end", id, deadline.Sub(tr.ends))
+	}
 	tr.take(actions)
 }
 
@@ -258,6 +264,25 @@
 	return false
 }
 
+// stop has the process stop at a time that is known, and end there or sooner.
+// From the end on no run is under way and none is taken.
+func (tr *trace) stop() {
+	tr.ends = tr.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(tr.t, "stop")) * time.Millisecond)
+	tr.engine.StopAt(tr.ends)
+	for range rapid.IntRange(0, 30).Draw(tr.t, "steps of the stop") {
+		tr.step()
+	}
+	tr.ends = tr.now
+	tr.take(tr.engine.End(tr.now))
+	if n := tr.engine.InFlight(); n != 0 {
+		tr.t.Fatalf("%d runs are under way after the end", n)
+	}
+	tr.submit()
+	if n := tr.engine.InFlight(); n != 0 {
+		tr.t.Fatal("a request was taken after the end")
+	}
+}
+
 // settle lets all time pass and checks that nothing is left over.
 func (tr *trace) settle() {
 	for len(tr.records) > 0 {
@@ -301,7 +326,8 @@
 // TestInvariants drives the engine with random events, faults among them, and
 // checks from its actions what must always hold: one finish for each run, "not
 // run" only if no call may have run, at most one send of a call that may not
-// be repeated, the right input and output for each stage, and no leftovers.
+// be repeated, the right input and output for each stage, no run taken that may
+// be under way when the process ends, and no leftovers.
 func TestInvariants(t *testing.T) {
 	for _, policies := range []string{"", "retry: plain, admission: none, order: fifo, place: round_robin", "order: least_slack, place: power_of_two"} {
 		t.Run(strings.ReplaceAll(policies, " ", ""), func(t *testing.T) {
@@ -318,6 +344,9 @@
 				for range rapid.IntRange(1, 150).Draw(t, "steps") {
 					tr.step()
 				}
+				if rapid.Bool().Draw(t, "stops") {
+					tr.stop()
+				}
 				tr.settle()
 			})
 		})
--- a/internal/core/run/outcome.go
+++ b/internal/core/run/outcome.go
@@ -167,14 +167,14 @@
 	return e.take()
 }
 
-func (e *Engine) giveUp(now time.Time, r *activeRun, notRun, unknown failure.Kind, message string) {
+func (e *Engine) giveUp(now time.Time, r *activeRun, notRun, unknown failure.Kind, message string, opts ...failure.Option) {
 	e.leaveQueue(r)
 	e.dropCalls(r)
 	kind := notRun
 	if r.mayHaveRun {
 		kind = unknown
 	}
-	e.finish(now, r, nil, failure.New(kind, message, failure.WithStage(r.current().Name())))
+	e.finish(now, r, nil, failure.New(kind, message, append(opts, failure.WithStage(r.current().Name()))...))
 }
 
 // finish ends a run; it is the only place that does.
--- /dev/null
+++ b/internal/core/run/stop_test.go
@@ -0,0 +1,52 @@
+package run
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradetiller.example/failure"
+)
+
+// TestEndTellsWhatRan ends an engine with one run whose call was sent, one
+// that waits for an endpoint and one whose started record is being stored:
+// only the first may have run. The record is taken back once it is stored.
+func TestEndTellsWhatRan(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := New(1)
+	if err := e.Configure(now, parseConfig(t, ""), 1); err != nil {
+		t.Fatal(err)
+	}
+	submit := func(id string, repeatable bool) ID {
+		run, _ := e.Submit(now, Request{Account: "a", Pipeline: "single", RequestID: id, Repeatable: repeatable})
+		if run == 0 {
+			t.Fatalf("%s was refused", id)
+		}
+		return run
+	}
+	want := make(map[ID]failure.Kind)
+	// Pool p has five slots.
+	for i := range 5 {
+		want[submit(fmt.Sprint("sent", i), true)] = failure.StageUnknown
+	}
+	want[submit("waiting", true)] = failure.Draining
+	recording := submit("recording", false)
+	want[recording] = failure.Draining
+	for _, a := range e.End(now) {
+		f, ok := a.(Finish)
+		if !ok {
+			continue
+		}
+		if f.Err.Kind() != want[f.Run] || f.Err.RetryAfter() <= 0 {
+			t.Errorf("%s: answer %v, want %v and a time to come back", f.Summary.RequestID, f.Err, want[f.Run])
+		}
+		delete(want, f.Run)
+	}
+	if len(want) != 0 || e.InFlight() != 0 {
+		t.Fatalf("not ended: %v, in flight %d", want, e.InFlight())
+	}
+	actions := e.Recorded(now, recording, RecordStored)
+	if len(actions) != 1 || actions[0] != (Abandon{Run: recording, Account: "a", RequestID: "recording"}) {
+		t.Fatalf("a record that was stored after the end: %v", actions)
+	}
+}
--- a/internal/entry/apply.go
+++ b/internal/entry/apply.go
@@ -164,8 +164,18 @@
 // Leaving reports whether Leave was called.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
-// Close refuses new requests as draining.
-func (n *Node) Close() { n.closed.Store(true) }
+// Close refuses new requests as draining. When it returns, InFlight does not
+// grow any more: the engine decides under the lock that Submit takes.
+func (n *Node) Close() {
+	n.closed.Store(true)
+	n.stopAt(time.Now())
+}
+
+func (n *Node) stopAt(ends time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.engine.StopAt(ends)
+}
 
 // Self returns this node's record for the other nodes.
 func (n *Node) Self() wire.Entry {
--- a/internal/entry/codec.go
+++ b/internal/entry/codec.go
@@ -22,7 +22,6 @@
 	maxRequest    = 1 << 20
 	maxIDLength   = 128
 	prefixLength  = 64
-	leastRetry    = 50 * time.Millisecond
 	headerRequest = "X-Request-Id"
 	contentJSON   = "application/json"
 	contentLines  = "application/x-ndjson"
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/run"
 )
 
 const (
@@ -16,8 +18,24 @@
 
 // Drain carries out a planned stop: leave the locate answers, serve until
 // every answer that named this node has run out, refuse new requests as not
-// run, and wait for those in flight. A canceled ctx ends it early.
+// run, and wait for those in flight.
+//
+// The process may end when ctx does. Requests that may need longer than ctx's
+// deadline are refused from the start, and what is in flight when ctx ends is
+// ended with an answer; so no run is under way when Drain returns. The answers
+// are then still on their way out.
 func (n *Node) Drain(ctx context.Context) {
+	if ends, ok := ctx.Deadline(); ok {
+		// Before it leaves, so that the end is known to whoever sees it leave.
+		n.stopAt(ends)
+	}
+	n.serveOut(ctx)
+	n.end()
+}
+
+// serveOut serves until nothing more comes and nothing is in flight, or ctx
+// ends.
+func (n *Node) serveOut(ctx context.Context) {
 	n.Leave()
 	keep := spreadBound
 	if cfg := n.Config(); cfg != nil {
@@ -36,6 +54,22 @@
 	}
 }
 
+// end ends what is in flight. Each of these callers gets an answer that tells
+// whether the request may have run, and the log names each.
+func (n *Node) end() {
+	n.closed.Store(true)
+	n.step(func(now time.Time) []run.Action {
+		actions := n.engine.End(now)
+		for _, a := range actions {
+			if f, ok := a.(run.Finish); ok {
+				n.log.Warn("ended by the stop", zap.String("request", f.Summary.RequestID),
+					zap.String("account", f.Summary.Account), zap.Duration("took", f.Summary.Took), zap.Error(f.Err))
+			}
+		}
+		return actions
+	})
+}
+
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -109,9 +109,6 @@
 
 func (n *Node) runEndpoint(_ context.Context, request any) (any, error) {
 	req := request.(*runRequest)
-	if n.closed.Load() {
-		return nil, failure.New(failure.Draining, "this node is stopping; ask another", failure.WithRetryAfter(leastRetry))
-	}
 	req.request.Account = req.account
 	return runResponse{stream: n.Submit(req.request), requestID: req.request.RequestID, streamed: req.stream}, nil
 }
