entry: test of a request that a stop tells "not run" and then keeps from running, red

Cause: a planned stop waits for requests in flight only. A started record that has to be taken back, since its request was told "not run", is marked in the store behind the answer, at intervals of 1 s while the store does not answer; the process ends without it.

Ruled out: records that other entries asked this one to store. When it ends, the asker's connection closes and it writes the same row itself.

--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gradetiller.example/client"
 	"gradetiller.example/failure"
+	"gradetiller.example/internal/core/ledger"
+	"gradetiller.example/internal/core/run"
 )
 
 // longStop is a planned stop that no test waits out.
@@ -75,3 +78,69 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// doubtfulStore loses the answer of every write, and fails its first reads.
+type doubtfulStore struct {
+	Store
+	fails atomic.Int64 // reads that fail yet
+}
+
+func (d *doubtfulStore) Write(ctx context.Context, puts []ledger.Put) ledger.WriteResult {
+	d.Store.Write(ctx, puts)
+	return ledger.WriteResult{Kind: ledger.WriteLost}
+}
+
+func (d *doubtfulStore) Read(ctx context.Context, keys []string) ([]ledger.Row, error) {
+	if d.fails.Add(-1) >= 0 {
+		return nil, errors.New("the store does not answer")
+	}
+	return d.Store.Read(ctx, keys)
+}
+
+// TestStopKeepsNotRun stops a node that has told "not run" of a request that
+// must run at most once.
+//
+// What a caller sees: it asks another node for the request again, as it may,
+// and is told that it was started before. It never runs.
+// How it comes about: the started record got into the store, its answer did
+// not come, and the mark that takes it back waits for the store.
+// The cause: the stop waits for requests in flight, and ends the process while
+// marks wait.
+// What proves it: when the stop has ended, another node runs the request.
+func TestStopKeepsNotRun(t *testing.T) {
+	s := newSystem(t, 2)
+	store := &doubtfulStore{Store: s.nodes[0].records.store}
+	// One read belongs to the request, and a mark is tried again each second:
+	// the store answers only after the node is closed.
+	store.fails.Store(6)
+	s.nodes[0].records.store = store
+	_, err := s.runAt(0, "x")
+	if failure.KindOf(err) != failure.StoreAway {
+		t.Fatalf("answer %v, want %v", err, failure.StoreAway)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), longStop)
+	defer cancel()
+	s.nodes[0].Drain(ctx)
+	// The process is gone from here on.
+	store.fails.Store(1 << 30)
+	if output, err := s.runAt(1, "x"); err != nil {
+		t.Fatalf("asking another node again: %q, %v", output, err)
+	}
+	if n := s.runs("desk", "x"); n != 1 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+// runAt asks one node for a request that must run at most once.
+func (s *system) runAt(node int, id string) (string, error) {
+	w := s.nodes[node].Submit(run.Request{Account: "a", Pipeline: "sell", RequestID: id, Input: []byte("req=" + id + ";text")})
+	for range w.wake {
+		if _, end := w.take(); end != nil {
+			if end.Err != nil {
+				return "", end.Err
+			}
+			return string(end.Output), nil
+		}
+	}
+	return "", errors.New("the run never ended")
+}
