entry, core/ledger: a stop waits until "not run" is true in the store

Cause: the stop waited for requests in flight and ended the process while marks that take started records back were on their way, so that a request that was told "not run" was answered already_started by every other node and never ran.

Ruled out: to promise nothing for such requests. The answer is given before the store has answered, also outside of stops, and the mark is what makes it true.

Change: records counts the starts and abandons that are on their way to the book, and the book tells its marks until the store has confirmed them, also those of the Read or Write under way (Repairs returns their keys; the property test of the book takes their number, and is stricter by those under way). Drain waits for both within its time; Settle waits behind it for what the end of the stop gave the store to do, and names in the log what is left.

--- a/cmd/gradetiller-entry/cmd/main.go
+++ b/cmd/gradetiller-entry/cmd/main.go
@@ -19,7 +19,7 @@
 const collectAt = 50
 
 // answerTime is the part of a planned stop that the answers of the requests
-// that it ended have to get out. Writing one takes far less; the rest is for a
+// that it ended have to get out, and their records to be taken back. Writing one takes far less; the rest is for a
 // machine that is busy.
 const answerTime = time.Second
 
@@ -82,6 +82,7 @@
 	if err := server.Shutdown(last); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		log.Warn("stopped before all answers were out", zap.Error(err))
 	}
+	node.Settle(last)
 	log.Info("stopped", zap.Int("in_flight", node.InFlight()))
 	return nil
 }
--- a/internal/core/ledger/book.go
+++ b/internal/core/ledger/book.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxBatch bounds the records of one transaction.
@@ -47,8 +50,17 @@
 // Waiting returns the number of starts that wait for an answer.
 func (b *Book) Waiting() int { return len(b.pending) + len(b.busy) }
 
-// Repairs returns the number of abandoned marks that wait for the store.
-func (b *Book) Repairs() int { return len(b.repairs) }
+// Repairs returns the keys of the abandoned marks that the store has not
+// confirmed, those of the Read or Write under way among them.
+func (b *Book) Repairs() []string {
+	var keys []string
+	for _, it := range slices.Concat(b.repairs, b.busy) {
+		if it.repair {
+			keys = append(keys, it.put.Key)
+		}
+	}
+	return keys
+}
 
 // SetGap sets the least time between two transactions, which keeps all nodes
 // together within the store's budget of writes.
--- a/internal/core/ledger/book_test.go
+++ b/internal/core/ledger/book_test.go
@@ -174,8 +174,8 @@
 		}
 	}
 	for _, n := range w.nodes {
-		if n.book.Repairs() > 0 || n.book.Waiting() > 0 {
-			w.t.Fatalf("%d repairs and %d starts are left", n.book.Repairs(), n.book.Waiting())
+		if len(n.book.Repairs()) > 0 || n.book.Waiting() > 0 {
+			w.t.Fatalf("%d repairs and %d starts are left", len(n.book.Repairs()), n.book.Waiting())
 		}
 	}
 }
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -18,12 +18,13 @@
 
 // Drain carries out a planned stop: leave the locate answers, serve until
 // every answer that named this node has run out, refuse new requests as not
-// run, and wait for those in flight.
+// run, and wait for those in flight and for the store to take back the records
+// of those that did not run.
 //
 // The process may end when ctx does. Requests that may need longer than ctx's
 // deadline are refused from the start, and what is in flight when ctx ends is
 // ended with an answer; so no run is under way when Drain returns. The answers
-// are then still on their way out.
+// are then still on their way out, and Settle waits for the records.
 func (n *Node) Drain(ctx context.Context) {
 	if ends, ok := ctx.Deadline(); ok {
 		// Before it leaves, so that the end is known to whoever sees it leave.
@@ -47,11 +48,32 @@
 	}
 	n.Close()
 	n.log.Info("draining", zap.Int("in_flight", n.InFlight()))
-	for n.InFlight() > 0 {
+	n.settle(ctx)
+}
+
+// settle waits until nothing is in flight and every record of a request that
+// was told "not run" is taken back, and reports false when ctx ends first. The
+// runs come first: only they give the records more to do.
+func (n *Node) settle(ctx context.Context) bool {
+	for n.InFlight() > 0 || !n.records.settled() {
 		if !pause(ctx, drainInterval) {
-			return
+			return false
 		}
 	}
+	return true
+}
+
+// Settle waits behind Drain for what it left to the store, until ctx ends. A
+// request whose record is not taken back by then stays as started for all
+// nodes, although its caller may have been told "not run"; the log names it.
+func (n *Node) Settle(ctx context.Context) {
+	if n.settle(ctx) {
+		return
+	}
+	for _, key := range n.records.repairs() {
+		n.log.Warn("record not taken back", zap.String("record", key))
+	}
+	n.log.Warn("stopped before the store had answered", zap.Int64("under_way", n.records.underway.Load()))
 }
 
 // end ends what is in flight. Each of these callers gets an answer that tells
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -131,6 +131,51 @@
 	}
 }
 
+// slowStore holds its answers back until it is released.
+type slowStore struct {
+	Store
+	asked    chan struct{}
+	released chan struct{}
+}
+
+func (d *slowStore) Write(ctx context.Context, puts []ledger.Put) ledger.WriteResult {
+	result := d.Store.Write(ctx, puts)
+	select {
+	case d.asked <- struct{}{}:
+	default:
+	}
+	<-d.released
+	return result
+}
+
+// TestSettleTakesRecordsBack ends a stop while the started record of a request
+// is being stored. The caller is told "not run" at once; when Settle returns,
+// another node runs the request.
+func TestSettleTakesRecordsBack(t *testing.T) {
+	s := newSystem(t, 2)
+	store := &slowStore{Store: s.nodes[0].records.store, asked: make(chan struct{}, 1), released: make(chan struct{})}
+	s.nodes[0].records.store = store
+	result := make(chan error, 1)
+	go func() {
+		_, err := s.runAt(0, "x")
+		result <- err
+	}()
+	<-store.asked
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.nodes[0].Drain(over)
+	if err := <-result; failure.KindOf(err) != failure.Draining {
+		t.Fatalf("answer %v, want %v", err, failure.Draining)
+	}
+	close(store.released)
+	ctx, cancel := context.WithTimeout(context.Background(), longStop)
+	defer cancel()
+	s.nodes[0].Settle(ctx)
+	if output, err := s.runAt(1, "x"); err != nil {
+		t.Fatalf("asking another node again: %q, %v", output, err)
+	}
+}
+
 // runAt asks one node for a request that must run at most once.
 func (s *system) runAt(node int, id string) (string, error) {
 	w := s.nodes[node].Submit(run.Request{Account: "a", Pipeline: "sell", RequestID: id, Input: []byte("req=" + id + ";text")})
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -115,7 +115,7 @@
 	if n.version == 0 {
 		list = append(list, "no configuration")
 	}
-	if waiting := n.records.repairs(); waiting > 0 {
+	if len(n.records.repairs()) > 0 {
 		list = append(list, "started records wait for the store")
 	}
 	if n.leaving.Load() {
@@ -124,7 +124,7 @@
 	return list
 }
 
-func (r *records) repairs() int {
+func (r *records) repairs() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.book.Repairs()
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gradetiller.example/internal/core/ledger"
@@ -37,6 +38,11 @@
 	last    uint64
 	timer   *time.Timer
 	forward forwarder
+
+	// underway counts the starts of this node that are not answered and the
+	// abandons that are not in the book. It falls only behind what they lead
+	// to: the engine's answer to a start may be an abandon.
+	underway atomic.Int64
 }
 
 // forwardedBit marks ids of other nodes' records in the book; the others are
@@ -76,13 +82,24 @@
 
 // start stores a record. It must not block, since the node's lock is held.
 func (r *records) start(a run.Record) {
+	r.underway.Add(1)
 	if r.store == nil {
-		go r.answer(a.Run, run.RecordAway)
+		go r.tell(a.Run, run.RecordAway)
 		return
 	}
 	go r.startAt(a.Run, recordKey(a.Account, a.RequestID), r.token(a.Run))
 }
 
+// tell answers a start of this node.
+func (r *records) tell(id run.ID, result run.RecordResult) {
+	defer r.underway.Add(-1)
+	r.answer(id, result)
+}
+
+// settled reports whether every start is answered and every mark that takes a
+// record back is in the store. It holds on once no run is in flight.
+func (r *records) settled() bool { return r.underway.Load() == 0 && len(r.repairs()) == 0 }
+
 // startAt has the key's writer store the record. When the writer can't be
 // reached or does not answer in time, this node writes the same record itself:
 // the row then tells whose it is by its token.
@@ -93,7 +110,7 @@
 	r.mu.Unlock()
 	if writer != r.id.Node && address != "" {
 		if result, ok := r.forward.start(address, key, token); ok {
-			r.answer(id, recordResult(result))
+			r.tell(id, recordResult(result))
 			return
 		}
 	}
@@ -120,9 +137,13 @@
 	if r.store == nil {
 		return
 	}
-	go r.step(func(now time.Time) []ledger.Action {
-		return r.book.Abandon(now, recordKey(a.Account, a.RequestID), r.token(a.Run))
-	})
+	r.underway.Add(1)
+	go func() {
+		defer r.underway.Add(-1)
+		r.step(func(now time.Time) []ledger.Action {
+			return r.book.Abandon(now, recordKey(a.Account, a.RequestID), r.token(a.Run))
+		})
+	}()
 }
 
 func (r *records) step(event func(now time.Time) []ledger.Action) {
@@ -151,7 +172,7 @@
 
 func (r *records) answered(a ledger.Answer) {
 	if a.ID&forwardedBit == 0 {
-		r.answer(run.ID(a.ID), recordResult(a.Result))
+		r.tell(run.ID(a.ID), recordResult(a.Result))
 		return
 	}
 	r.mu.Lock()
