control: the placement job ends when the process begins to stop

Cause: the job's loop ended with the process and not with the request to stop, so it took leases and began orders that the process would not be there for.

Ruled out: to give the lease up at a stop. It would make the change of holder faster still; it changes who may hold when, and is not needed for this cause.

Change: the job runs under the context that ends with the stop.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -109,9 +109,12 @@
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wait sync.WaitGroup
-	for _, loop := range []func(context.Context){c.flushLoop, c.configLoop, c.instanceLoop, c.snapshotLoop, c.watcher.run, c.placement.run} {
+	for _, loop := range []func(context.Context){c.flushLoop, c.configLoop, c.instanceLoop, c.snapshotLoop, c.watcher.run} {
 		wait.Go(func() { loop(inner) })
 	}
+	// The job ends with ctx: a process that leaves takes no lease, since it
+	// will not be there to do the job.
+	wait.Go(func() { c.placement.run(ctx) })
 	server := peer.NewServer(l, c.hello(), c.security, []wire.Role{wire.RoleEntry, wire.RoleControl}, c.accept, c.refusedPeer)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(inner) }()
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		epoch, ok := p.held()
-		if !ok {
+		if !ok || ctx.Err() != nil {
 			return
 		}
 		p.order(ctx, o, epoch)
@@ -159,8 +159,10 @@
 	}
 }
 
+// order gives one order. The end of ctx does not cut it, and Run waits for it:
+// an order that was sent may be carried out, and its end belongs in the log.
 func (p *placement) order(ctx context.Context, o fleet.Order, epoch uint64) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
 	err := p.orders.Order(ctx, o.Engine.Address, endpoints.LoadOrder{Op: o.Op, Epoch: epoch, Versions: o.Engine.Wanted})
 	p.c.record("order", o.Engine.Name, fmt.Sprintf("op=%s epoch=%d versions=%q error=%v", o.Op, epoch, o.Engine.Wanted, err))
--- a/internal/control/stop_test.go
+++ b/internal/control/stop_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"testing"
 
+	"gradetiller.example/internal/endpoints"
 	"gradetiller.example/internal/peer"
 	"gradetiller.example/internal/platform"
 )
@@ -43,3 +44,43 @@
 		t.Fatalf("a process that had been told to stop took the lease: %s", rows[0].Value)
 	}
 }
+
+// stopOrderer has the process stop while an order is under way.
+type stopOrderer struct {
+	stop   context.CancelFunc
+	orders int
+	cut    bool
+}
+
+func (o *stopOrderer) Order(ctx context.Context, _ string, _ endpoints.LoadOrder) error {
+	o.orders++
+	o.stop()
+	o.cut = ctx.Err() != nil
+	return nil
+}
+
+// TestStopEndsOneOrder has a holder stop during the first of two orders: that
+// one is not cut, and the other is not begun.
+func TestStopEndsOneOrder(t *testing.T) {
+	w := newFleetWorld(t, 2)
+	p, err := platform.NewHTTP(w.url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := New(Identity{System: "test", Node: "a", Incarnation: 1}, WithPlatform(p, p, p))
+	if _, _, err := c.Apply(ctx, 0, w.cfg.Data(), "test"); err != nil {
+		t.Fatal(err)
+	}
+	orderer := &stopOrderer{stop: cancel}
+	c.placement.orders, c.placement.wait = orderer, 0
+	w.until("the lease is held", func() bool {
+		c.placement.stepLease(ctx)
+		return c.placement.holds()
+	})
+	c.placement.round(ctx)
+	if orderer.orders != 1 || orderer.cut {
+		t.Fatalf("%d orders, the last one cut: %v; want one that is not cut", orderer.orders, orderer.cut)
+	}
+}
