cmd/gradetiller-control: a stop has an end, and a second signal is it

Cause: the stop waited for operators' requests without any end and did not look at the second signal.

Ruled out: to close the connections at the second signal. gradetiller apply takes a closed connection for a refusal, which an apply that waits for the store need not be.

Change: the stop waits as long as an apply may take (20 s), or until the second signal; then the requests' contexts end, so that an apply is answered with what is known of it, and 1 s is left for the answers. The log tells both.

--- a/cmd/gradetiller-control/cmd/main.go
+++ b/cmd/gradetiller-control/cmd/main.go
@@ -4,7 +4,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"runtime/debug"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -21,6 +24,10 @@
 	// instead cost 23 s of processor time for five such files, since what is
 	// alive meanwhile is over any limit that would help.
 	collectAt = 30
+
+	// answerTime is what the answers of requests that the stop ended have to get
+	// out.
+	answerTime = time.Second
 )
 
 type cli struct {
@@ -50,10 +57,31 @@
 		Domain: c.FailureDomain, Region: c.Region,
 	}, control.WithLog(r.Log()), control.WithPlatform(r.Platform(), r.Platform(), r.Platform()), control.WithSecurity(r.Security()))
 	server := settings.NewServer(ctl.Handler(c.Token))
+	requests, endRequests := context.WithCancel(context.Background())
+	defer endRequests()
+	server.BaseContext = func(net.Listener) context.Context { return requests }
 	go func() { _ = server.Serve(r.Listener()) }()
-	first, _ := settings.Signals()
+	first, second := settings.Signals()
 	r.Log().Info("listening", zap.Stringer("peers", c.PeerListen), zap.Stringer("operators", c.Listen), zap.String("node", c.Node))
 	err = ctl.Run(first, r.PeerListener())
-	_ = server.Shutdown(context.Background())
+	stop(second, server, endRequests, r.Log())
 	return err
 }
+
+// stop waits for operators' requests, as long as an apply may take and until the
+// second signal at most. It then ends them: one that waits for the store is
+// answered with what is known of it.
+func stop(second context.Context, server *http.Server, endRequests func(), log *zap.Logger) {
+	bounded, cancel := context.WithTimeout(second, control.ApplyTimeout)
+	defer cancel()
+	if server.Shutdown(bounded) == nil {
+		return
+	}
+	log.Warn("operators' requests ended by the stop")
+	endRequests()
+	last, cancelLast := context.WithTimeout(context.Background(), answerTime)
+	defer cancelLast()
+	if err := server.Shutdown(last); err != nil {
+		log.Warn("stopped before all answers were out", zap.Error(err))
+	}
+}
--- a/internal/control/configs.go
+++ b/internal/control/configs.go
@@ -22,10 +22,12 @@
 	pointerKey   = "config/current"
 	pollInterval = 5 * time.Second
 	storeTimeout = 3 * time.Second
-	applyTimeout = 20 * time.Second
 	maxHistory   = 50
 )
 
+// ApplyTimeout bounds an apply, the longest request that changes anything.
+const ApplyTimeout = 20 * time.Second
+
 // pointer is the value of a version's history row, and of the row that names
 // the version in force.
 type pointer struct {
@@ -64,7 +66,7 @@
 	if err != nil {
 		return 0, warnings, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ApplyTimeout)
 	defer cancel()
 	row, current, err := c.readPointer(ctx)
 	if err != nil {
