cmd/gradetiller-entry: test of the log of connections that a stop cuts, red

Cause: the stop looks at runs. A request that has not come whole has no run yet, and one whose answer is not read has none any more; both connections end with the process and the log says only that not all answers were out.

Ruled out: an answer for them. The one does not read; to break off the reading of the other ends the watch on its connection too, which cancels a run that begins at that moment.

--- a/cmd/gradetiller-entry/cmd/stop_test.go
+++ b/cmd/gradetiller-entry/cmd/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -28,6 +29,10 @@
 	testKey = "key-a"
 	// signalGap is how long a signal has to take effect before it is sent again.
 	signalGap = 2 * time.Second
+	// longAnswer is more than the buffers of a connection take, of which the
+	// reader's has smallBuffer bytes.
+	longAnswer  = 7 << 20
+	smallBuffer = 4 << 10
 )
 
 // stopped is an entry process that is to be stopped with requests in flight:
@@ -45,6 +50,8 @@
 
 func newStopped(t *testing.T) *stopped {
 	desk, engine := httptest.NewServer(http.HandlerFunc(endless)), httptest.NewServer(http.HandlerFunc(endless))
+	archive := httptest.NewServer(http.HandlerFunc(long))
+	t.Cleanup(archive.Close)
 	t.Cleanup(desk.Close)
 	t.Cleanup(engine.Close)
 	core, lines := observer.New(zapcore.InfoLevel)
@@ -65,10 +72,12 @@
 pools:
   - {name: desk, kind: service, endpoints: [{name: desk1, address: "%s", failure_domain: d, slots: 1}]}
   - {name: lm, kind: engine, endpoints: [{name: g1, address: "%s", failure_domain: d}]}
+  - {name: archive, kind: service, endpoints: [{name: a1, address: "%s", failure_domain: d}]}
 pipelines:
   - {name: look, deadline: 60s, stages: [{name: desk, pool: desk}]}
+  - {name: long, deadline: 60s, stages: [{name: fetch, pool: archive}]}
   - {name: write, deadline: 60s, stages: [{name: generation, pool: lm, max_tokens: 4}]}
-`, hex.EncodeToString(sum[:]), desk.Listener.Addr(), engine.Listener.Addr())
+`, hex.EncodeToString(sum[:]), desk.Listener.Addr(), engine.Listener.Addr(), archive.Listener.Addr())
 	if err := s.node.Apply(wire.Snapshot{Config: wire.ConfigFile{Version: 1, Data: []byte(file)}, Entries: []wire.Entry{s.node.Self()}, Settled: true}); err != nil {
 		t.Fatal(err)
 	}
@@ -89,6 +98,15 @@
 	<-r.Context().Done()
 }
 
+// long answers a call with a text of longAnswer bytes.
+func long(w http.ResponseWriter, r *http.Request) {
+	var call struct {
+		RequestID string `json:"request_id"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&call)
+	_ = json.NewEncoder(w).Encode(map[string]string{"request_id": call.RequestID, "output": strings.Repeat("x", longAnswer)})
+}
+
 // answer is all that a caller sees of a request.
 type answer struct {
 	id     string
@@ -174,12 +192,7 @@
 			s.t.Errorf("%s: the answer %q lacks %q", a.id, a.text, part)
 		}
 	}
-	for _, line := range s.lines.FilterField(zap.String("request", a.id)).All() {
-		if line.Level == zapcore.WarnLevel {
-			return
-		}
-	}
-	s.t.Errorf("%s: no warning in the log names the request", a.id)
+	s.warned(a.id)
 }
 
 // TestStopAnswersWhatItEnds ends a stop while requests are in flight, by its
@@ -215,3 +228,68 @@
 	s.check(waiting, http.StatusServiceUnavailable, `"code":"draining"`, `"ran":"no"`)
 	s.check(streaming, http.StatusOK, `"text":"first "`, `"code":"stage_unknown"`, `"ran":"unknown"`)
 }
+
+// TestStopNamesWhatItCuts ends a stop while one caller has not sent its request
+// whole and another does not read its answer.
+//
+// What a caller sees: its connection is closed. No answer can reach it.
+// How it comes about: the caller, or its way to the node, is slow.
+// The cause: the node counts runs, and neither of these has one; the log says
+// that answers were not out and not whose.
+// What proves it: the log names both requests.
+func TestStopNamesWhatItCuts(t *testing.T) {
+	s := newStopped(t)
+	s.send("half", 100, `{"input"`)
+	body := `{"input":"x"}`
+	s.send("unread", len(body), body)
+	s.await(`gradetiller_answers_total{result="ok"} 1`)
+	s.stop(time.Hour, func() bool { return false })
+	s.warned("half")
+	s.warned("unread")
+}
+
+// send sends a request, whose length is told, to the pipeline of the long
+// answer and reads nothing.
+func (s *stopped) send(id string, length int, body string) {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.(*net.TCPConn).SetReadBuffer(smallBuffer); err != nil {
+		s.t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(conn, "POST /v1/pipelines/long/run HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
+		testKey, id, length, body); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// await waits until the node's metrics hold a line.
+func (s *stopped) await(line string) {
+	s.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		resp, err := http.Get(s.url + "/metrics")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		text, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if strings.Contains(string(text), line) {
+			return
+		}
+	}
+	s.t.Fatalf("the metrics lack %q", line)
+}
+
+// warned checks that a warning in the log names a request.
+func (s *stopped) warned(id string) {
+	s.t.Helper()
+	for _, line := range s.lines.FilterField(zap.String("request", id)).All() {
+		if line.Level == zapcore.WarnLevel {
+			return
+		}
+	}
+	s.t.Errorf("%s: no warning in the log names the request", id)
+}
