entry: the log names the requests whose connections a stop cuts

Cause: the node counted runs, and a request that has not come whole, or whose answer is not read, has none.

Change: the node keeps the ids of the requests whose handlers are at work. When the last moment is over and not all answers are out, each is named by a warning.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -24,7 +24,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/locate", server(n.locateEndpoint, decodeLocate, encodeJSON))
-	mux.Handle("POST /v1/pipelines/{pipeline}/run", server(n.runEndpoint, decodeRun, n.encodeRun))
+	mux.Handle("POST /v1/pipelines/{pipeline}/run", n.follow(server(n.runEndpoint, decodeRun, n.encodeRun)))
 	mux.Handle("DELETE /v1/requests/{request}", server(n.cancelEndpoint, decodeCancel, encodeJSON))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.write(w) })
 	mux.HandleFunc("GET /healthz", n.health)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -36,6 +36,8 @@
 	caller  endpoints.Caller
 	records *records
 	metrics *meters
+	// exchanges has a lock of its own, which no other is taken under.
+	exchanges *exchanges
 
 	mu        sync.Mutex
 	engine    *run.Engine
@@ -76,6 +78,7 @@
 		log:       zap.NewNop(),
 		caller:    endpoints.NewHTTP(),
 		metrics:   newMeters(),
+		exchanges: newExchanges(),
 		engine:    run.New(id.Incarnation),
 		story:     story.NewRing(storySize),
 		waiters:   make(map[run.ID]*stream),
