--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,6 +48,10 @@
 	// ends is when the process gives up what is still in flight.
 	ends   time.Time
 	window drain.Window
+	// closing tells that connections are about to be closed. On those that clients
+	// keep, requests may come until then, and be answered; closed earlier, some would
+	// be closed just when their request has been read and its work begun.
+	closing atomic.Bool
 }
 
 // front is where clients' requests come in.
@@ -55,25 +60,21 @@
 	listener net.Listener
 }
 
-// stopAccepting takes no connection any more and closes those that are idle. On
-// the others a request may still come; it is answered, since a client that finds
-// its connection closed can't know whether its request has run.
-func (f *front) stopAccepting() {
-	_ = f.listener.Close()
-	f.server.SetKeepAlivesEnabled(false)
-}
-
 // stopping reports whether a planned stop is under way.
 func (n *Node) stopping() bool { return n.stop.Load() != nil }
 
-// canEnd reports whether a request's work, or what is left of it, will be done
-// before a planned stop ends the process. What is begun and broken off then is
-// lost to the client, so it is not begun.
-func (n *Node) canEnd(q *request, work map[string]*drain.Durations) bool {
+// endsInTime reports whether a part of a request's work will be done before a
+// planned stop ends the process. What is begun and broken off then is lost to the
+// client, and may not be sent again; so it is not begun. Nothing is expected of
+// requests of which nothing is known.
+func (n *Node) endsInTime(q *request, p part) bool {
 	s := n.stop.Load()
 	if s == nil {
 		return true
 	}
+	if p == wholePart && s.closing.Load() {
+		return false
+	}
 	now := time.Now()
 	if s.window.Fits(now, q.deadline.Sub(now)) {
 		return true
@@ -83,8 +84,28 @@
 		// other addresses by now.
 		return false
 	}
-	takes, known := n.times.likely(work, q.route.Name)
-	return !known || s.window.Fits(now, takes)
+	takes, known := n.times.likely(q, p)
+	return known && s.window.Fits(now, takes)
+}
+
+// turnAway answers a request that this node could not end.
+func (n *Node) turnAway(w http.ResponseWriter, q *request) {
+	n.meters.turnedAway(q.route.Name)
+	again := againSoon
+	if n.othersStay() {
+		again = elsewhere
+	}
+	n.refuse(w, q, http.StatusServiceUnavailable, stoppingReason, again)
+}
+
+// othersStay reports whether another node is known that does not leave.
+func (n *Node) othersStay() bool {
+	for _, e := range *n.entries.Load() {
+		if e.Node != n.settings.Node && !e.Leaving {
+			return true
+		}
+	}
+	return false
 }
 
 // ended reports whether the process ends now and gives up its requests.
@@ -95,16 +116,22 @@
 func (n *Node) drain(f *front) {
 	s := n.beginStop()
 	time.Sleep(s.accepts)
+	_ = f.listener.Close()
 	bounded, cancel := context.WithDeadline(context.Background(), s.ends)
 	defer cancel()
-	f.stopAccepting()
 	n.awaitRequests(bounded)
 	for n.leading() && bounded.Err() == nil {
 		time.Sleep(leadingPoll)
 	}
+	s.closing.Store(true)
+	clean := n.awaitRequests(bounded)
 	n.endRequests(f)
 	n.leave()
-	n.log.Info(eventStopped)
+	if clean {
+		n.log.Info(eventStopped)
+		return
+	}
+	n.log.Warn(eventStoppedWithRequestsInFlight)
 }
 
 // beginStop has all nodes know that this one leaves.
@@ -118,26 +145,40 @@
 	return s
 }
 
-// awaitRequests waits until nothing is in flight, as long as ctx lasts.
-func (n *Node) awaitRequests(ctx context.Context) {
+// awaitRequests waits until nothing is in flight, and reports false if ctx ends
+// first.
+func (n *Node) awaitRequests(ctx context.Context) bool {
 	for n.inFlight.Load() > 0 {
 		if ctx.Err() != nil {
-			n.log.Warn(eventStoppedWithRequestsInFlight, zap.Int64("in_flight", n.inFlight.Load()))
-			return
+			return false
 		}
 		time.Sleep(drainPoll)
 	}
+	return true
 }
 
 // endRequests gives up what is still in flight. Each request ends itself, so
-// that its line in the log tells what became of it; then its answer goes out.
+// that its line in the log tells what became of it; then its answer goes out. A
+// request whose client does not read ends with its connection.
 func (n *Node) endRequests(f *front) {
 	n.giveUp(errStopped)
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
-	if err := f.server.Shutdown(ctx); err != nil {
-		n.log.Warn(eventConnectionsCut, zap.Int64("in_flight", n.inFlight.Load()))
+	if f.server.Shutdown(ctx) == nil {
+		return
+	}
+	n.log.Info(eventConnectionsCut, zap.Int64("in_flight", n.inFlight.Load()))
+	_ = f.server.Close()
+	time.Sleep(drainPoll)
+}
+
+// givenUp returns why a request ends: that the process does, if it does.
+func (n *Node) givenUp(q *request, reason string) string {
+	if !n.ended() {
+		return reason
 	}
+	n.meters.givenUp(q.route.Name)
+	return errStopped.Error()
 }
 
 // leave tells the other nodes that this one is gone.
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
+	"gradetiller.example/internal/core/drain"
+	"gradetiller.example/platform"
 	"gradetiller.example/platform/platformtest"
 )
 
@@ -45,109 +47,209 @@
 // while the node still takes connections.
 const late = stopGrace - lastMoment - longStream + 100*time.Millisecond
 
-// startStopping starts a node that knows how long streams take.
+// startStopping starts a node before an engine whose streams are long. Until it is
+// taught, it has served none of them.
 func startStopping(t *testing.T) (*running, *platformtest.Worker) {
 	t.Helper()
 	site, c := desk(t)
 	for i := range c.Routes {
-		c.Routes[i].Timeout = longTimeout
+		if c.Routes[i].Service == "model" {
+			c.Routes[i].Timeout = longTimeout
+		}
 	}
 	c.Version = 2
 	site.Publish(c)
+	site.AddWorkers("desk", 1)
+	site.AddWorkers("encode", 1)
+	site.AddWorkers("rank", 1)
 	model := site.AddWorkers("model", 1)[0]
 	model.Events = longEvents
 	model.Pause = eventPause
 	n := startNode(t, site)
 	n.node.settings.Grace = stopGrace
 	n.awaitReady(t)
-	if a := n.stream("before"); !whole(a) {
-		t.Fatalf("before the stop: %+v", a)
-	}
-	n.teach(t)
+	eventually(t, "all endpoints are listed", func() bool { return len(n.node.view.Load().endpoints) == 4 })
 	return n, model
 }
 
-// teach has the node have served as many streams as it takes to be sure of their
-// time; the first one it has learned of by itself.
-func (r *running) teach(t *testing.T) {
-	t.Helper()
-	route := r.node.view.Load().config.Match(platformtest.Host, "/once/")
-	eventually(t, "the time of a stream is learned", func() bool {
-		takes, known := r.node.times.likely(r.node.times.whole, route.Name)
-		return known && takes >= longStream
-	})
+// teach has the node have served as many streams of a route as it takes to be
+// sure of their time.
+func (r *running) teach(path string) {
+	route := r.node.view.Load().config.Match(platformtest.Host, path)
 	for range streamsBefore {
 		now := time.Now()
-		r.node.times.served(&request{route: route, arrived: now.Add(-longStream)}, now)
+		r.node.times.served(&request{service: route.Choose(0), route: route, arrived: now.Add(-longStream)}, now)
 	}
 }
 
-func (r *running) stream(id string) platformtest.Response {
-	return do(r.Front, streamRequest(id))
+func (r *running) beginStop(t *testing.T) {
+	t.Helper()
+	r.stop()
+	eventually(t, "the node stops", r.node.stopping)
 }
 
-func streamRequest(id string) platformtest.Request {
-	return platformtest.Request{ID: id, Path: "/once/", Streaming: true, Prefix: "aa:1", Deadline: longTimeout}
+// connect opens a connection for one request, as a client that keeps it does.
+func (r *running) connect(t *testing.T) *http.Transport {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.Front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &http.Transport{DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+		return conn, nil
+	}}
+}
+
+func longRequest(id, path string) platformtest.Request {
+	return platformtest.Request{ID: id, Path: path, Key: key, Streaming: true, Pieces: []int{1, 1}, Prefix: "aa:1", Deadline: longTimeout}
 }
 
 func whole(a platformtest.Response) bool { return a.Status == http.StatusOK && a.Err == nil }
 
-// checkLate checks an answer to a stream that came late: whole, or never begun.
-func checkLate(t *testing.T, id string, a platformtest.Response, model *platformtest.Worker) {
+// checkTurnedAway checks that a request was told that it has not run and when to
+// come back, and that this is true.
+func checkTurnedAway(t *testing.T, id string, a platformtest.Response, model *platformtest.Worker) {
 	t.Helper()
-	if !whole(a) && model.Runs(id) > 0 {
-		t.Errorf("%s ran and was lost: status %d, %d bytes, %v", id, a.Status, len(a.Body), a.Err)
+	if a.Status != http.StatusServiceUnavailable || a.RetryAfter == "" || a.Err != nil {
+		t.Errorf("%s: %+v, want 503 with the time to come back", id, a)
+	}
+	if runs := model.Runs(id); runs > 0 {
+		t.Errorf("%s ran %d times", id, runs)
 	}
 }
 
-// TestStopTakesWhatItCanEnd sends streams early and late in a planned stop: the
-// early ones are whole, no late one is begun and cut.
+// TestStopTakesWhatItCanEnd sends streams, with stages and without, early and late
+// in a planned stop: the early ones are whole, the late ones are turned away, and
+// a short request that comes as late is served.
 func TestStopTakesWhatItCanEnd(t *testing.T) {
 	n, model := startStopping(t)
-	n.stop()
-	eventually(t, "the node stops", n.node.stopping)
+	paths := []string{"/once/", "/staged/"}
+	for _, path := range paths {
+		n.teach(path)
+	}
+	if a := do(n.Front, platformtest.Request{ID: "known", Path: "/book/"}); !whole(a) {
+		t.Fatalf("before the stop: %+v", a)
+	}
+	n.beginStop(t)
 	var wait sync.WaitGroup
-	wait.Go(func() {
-		if a := n.stream("early"); !whole(a) {
-			t.Errorf("a stream that the node has time for: %+v", a)
-		}
-	})
-	time.Sleep(late)
-	for i := range 3 {
+	for _, path := range paths {
 		wait.Go(func() {
-			id := fmt.Sprintf("late-%d", i)
-			a := n.stream(id)
-			checkLate(t, id, a, model)
-			if a.Status == http.StatusServiceUnavailable && a.RetryAfter == "" {
-				t.Errorf("%s was refused without the time to come back", id)
+			if a := do(n.Front, longRequest("early"+path, path)); !whole(a) {
+				t.Errorf("a stream that the node has time for: %+v", a)
 			}
 		})
 	}
+	short := n.connect(t)
+	opened := []*http.Transport{n.connect(t), n.connect(t)}
+	time.Sleep(late)
+	for i, path := range paths {
+		id := "late" + path
+		checkTurnedAway(t, id, platformtest.DoOn(context.Background(), opened[i], n.Front, longRequest(id, path)), model)
+	}
+	if a := platformtest.DoOn(context.Background(), short, n.Front, platformtest.Request{ID: "short", Path: "/book/", Key: key}); !whole(a) {
+		t.Errorf("a short request: %+v", a)
+	}
 	wait.Wait()
 }
 
-// TestStopOnConnectionsOpenedBefore sends a stream on a connection that was opened
-// while the node still took them, after it takes none any more, and while another
-// request is in flight: it is told that it has not run. The connection used to be
-// closed after the request was read, which tells a client nothing.
+// TestStopAfterSlowStages has a stream's stages take so long that its answer can't
+// end any more: no engine begins it, and what the stages made is freed.
+func TestStopAfterSlowStages(t *testing.T) {
+	n, model := startStopping(t)
+	n.teach("/staged/")
+	q := &request{in: platform.Ingress{RequestID: "slow"}, view: n.node.view.Load(), service: "model", arrived: time.Now()}
+	q.route = q.view.config.Match(platformtest.Host, "/staged/")
+	q.deadline = q.arrived.Add(longTimeout)
+	n.node.stop.Store(&stop{asked: q.arrived, accepts: acceptAfter, ends: q.arrived, window: drain.Until(q.arrived.Add(longStream))})
+	w := httptest.NewRecorder()
+	n.node.serveStream(context.Background(), w, q)
+	checkTurnedAway(t, "slow", platformtest.Response{Status: w.Code, RetryAfter: w.Header().Get("Retry-After")}, model)
+	n.node.stop.Store(nil)
+}
+
+// TestStopOnConnectionsOpenedBefore sends requests on connections that were opened
+// while the node still took them, one of them kept from an earlier request, after
+// it takes none any more, and while another request is in flight: they are told
+// that they have not run. The first connection used to be closed after the request
+// was read, which tells a client nothing; the kept one with all that were idle at
+// one moment, some of them just when their request had been read and begun.
 func TestStopOnConnectionsOpenedBefore(t *testing.T) {
 	n, model := startStopping(t)
-	n.stop()
-	eventually(t, "the node stops", n.node.stopping)
-	var wait sync.WaitGroup
+	n.teach("/once/")
+	kept := n.connect(t)
+	if a := platformtest.DoOn(context.Background(), kept, n.Front, platformtest.Request{ID: "kept-1", Path: "/book/", Key: key}); !whole(a) {
+		t.Fatalf("before the stop: %+v", a)
+	}
+	n.beginStop(t)
 	model.Inject(platformtest.Silent)
-	wait.Go(func() { n.stream("in-flight") })
+	var wait sync.WaitGroup
+	wait.Go(func() { do(n.Front, longRequest("in-flight", "/once/")) })
 	eventually(t, "the other request runs", func() bool { return model.Runs("in-flight") > 0 })
-	opened, err := net.Dial("tcp", n.Front)
+	opened := n.connect(t)
+	time.Sleep(acceptAfter)
+	checkTurnedAway(t, "waiting", platformtest.DoOn(context.Background(), opened, n.Front, longRequest("waiting", "/once/")), model)
+	checkTurnedAway(t, "kept-2", platformtest.DoOn(context.Background(), kept, n.Front, longRequest("kept-2", "/once/")), model)
+	wait.Wait()
+}
+
+// TestStopKnowsNothing sends streams to a node that stops before it has served
+// any, as one that is stopped twice in a row: it expects nothing of them.
+func TestStopKnowsNothing(t *testing.T) {
+	n, model := startStopping(t)
+	n.beginStop(t)
+	checkTurnedAway(t, "first", do(n.Front, longRequest("first", "/once/")), model)
+}
+
+// TestStopClosesKeptConnections checks that delivered answers of a node that stops
+// tell the client to open a new connection, which it will at another node.
+func TestStopClosesKeptConnections(t *testing.T) {
+	n, _ := startStopping(t)
+	n.beginStop(t)
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.Front+"/book/", http.NoBody)
 	if err != nil {
 		t.Fatal(err)
 	}
-	transport := &http.Transport{DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
-		return opened, nil
-	}}
-	time.Sleep(acceptAfter)
-	q := streamRequest("waiting")
-	q.Key = key
-	a := platformtest.DoOn(context.Background(), transport, n.Front, q)
-	checkLate(t, q.ID, a, model)
+	req.Host = platformtest.Host
+	req.Header.Set("X-Request-Id", "kept")
+	req.Header.Set("Authorization", "Token "+key)
+	resp, err := (&http.Transport{}).RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("status %d, closes %v; want 200 that closes", resp.StatusCode, resp.Close)
+	}
+}
+
+// TestStopTimes checks what the time of requests is learned from: answers that are
+// whole, by route, and by service for routes of which none was served.
+func TestStopTimes(t *testing.T) {
+	n, _ := startStopping(t)
+	for _, q := range []platformtest.Request{longRequest("long", "/once/"), {ID: "missing", Path: "/none/", Key: key}} {
+		do(n.Front, q)
+	}
+	cfg := n.node.view.Load().config
+	ask := func(path string) (time.Duration, bool) {
+		route := cfg.Match(platformtest.Host, path)
+		return n.node.times.likely(&request{service: route.Choose(0), route: route}, wholePart)
+	}
+	for _, path := range []string{"/once/", "/plain/"} {
+		if takes, known := ask(path); !known || takes < longStream {
+			t.Errorf("%s: %v, known %v; want at least %v", path, takes, known, longStream)
+		}
+	}
+	if takes, known := ask("/book/"); known {
+		t.Errorf("%v is known of a service that has served nothing", takes)
+	}
+}
+
+// TestStopAcceptsInTime holds the time for which connections are taken against what
+// the platform allows: a request that is sent later than this after SIGTERM counts
+// as lost when it is cut, even at the end of the grace period.
+func TestStopAcceptsInTime(t *testing.T) {
+	const allowed = 3 * time.Second
+	if acceptAfter >= allowed {
+		t.Errorf("connections are taken for %v, %v are allowed", acceptAfter, allowed)
+	}
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -79,8 +79,8 @@
 		n.refuse(w, q, status, "not allowed", 0)
 		return
 	}
-	if !n.canEnd(q, n.times.whole) {
-		n.refuse(w, q, http.StatusServiceUnavailable, stoppingReason, elsewhere)
+	if !n.endsInTime(q, wholePart) {
+		n.turnAway(w, q)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
@@ -295,14 +295,17 @@
 	q.outcome = "delivered"
 	platform.CopyAnswer(w, a.Header)
 	w.WriteHeader(a.Status)
-	_, _ = w.Write(body)
-	n.times.served(q, time.Now())
+	_, err := w.Write(body)
+	if err == nil && a.Status < http.StatusBadRequest {
+		n.times.served(q, time.Now())
+	}
 	n.logRequest(q, a.Status)
 }
 
 // endNotRun tells the client that its request has not run, and when to come
-// back.
+// back; or promises nothing if it may have run.
 func (n *Node) endNotRun(w http.ResponseWriter, q *request, reason string) {
+	reason = n.givenUp(q, reason)
 	if q.ran {
 		n.refuse(w, q, http.StatusBadGateway, reason, 0)
 		return
@@ -313,8 +316,7 @@
 // endUnknown tells the client that its request failed, and promises nothing.
 func (n *Node) endUnknown(ctx context.Context, w http.ResponseWriter, q *request, reason string) {
 	if n.ended() {
-		n.meters.givenUp(q.route.Name)
-		n.endNotRun(w, q, errStopped.Error())
+		n.endNotRun(w, q, reason)
 		return
 	}
 	status := http.StatusBadGateway
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -81,6 +81,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_given_up_at_stop_total{route=%q}`, m.label(route))).Inc()
 }
 
+// turnedAway counts a request that a stopping node could not end.
+func (m *meters) turnedAway(route string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_turned_away_at_stop_total{route=%q}`, m.label(route))).Inc()
+}
+
 // stageCall counts one call of a stage pool that this node leads.
 func (m *meters) stageCall(service string, pieces, unmade int, took time.Duration) {
 	service = m.label(service)
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -48,8 +48,8 @@
 			n.endUnprepared(ctx, s, err)
 			return
 		}
-		if !q.ran && !n.canEnd(q, n.times.answer) {
-			n.refuse(w, q, http.StatusServiceUnavailable, stoppingReason, elsewhere)
+		if !q.ran && !n.endsInTime(q, answerPart) {
+			n.turnAway(w, q)
 			return
 		}
 		c, ok := n.pools.choose(time.Now(), need{
@@ -150,11 +150,7 @@
 func (n *Node) endStream(ctx context.Context, s *stream, next attempt.Next, reason string) {
 	switch {
 	case s.started:
-		if n.ended() {
-			reason = errStopped.Error()
-			n.meters.givenUp(s.q.route.Name)
-		}
-		s.q.outcome = "broken: " + reason
+		s.q.outcome = "broken: " + n.givenUp(s.q, reason)
 		n.logRequest(s.q, http.StatusOK)
 		s.release()
 		panic(http.ErrAbortHandler)
--- a/internal/node/times.go
+++ b/internal/node/times.go
@@ -8,45 +8,55 @@
 	"gradetiller.example/internal/core/drain"
 )
 
-// times learns how long the requests of each route take.
+// part is a part of a request's work.
+type part int
+
+const (
+	// wholePart is from the arrival to the end of the answer.
+	wholePart part = iota
+	// answerPart is what follows the stages.
+	answerPart
+	parts
+)
+
+// kind names the requests that are alike: those of a route, or, with an empty
+// route, all of a service.
+type kind struct{ service, route string }
+
+// times learns how long requests take. It is asked when this node stops.
 type times struct {
-	mu sync.Mutex
-	// whole is from the arrival to the end of the answer; answer is without the
-	// stages.
-	whole  map[string]*drain.Durations
-	answer map[string]*drain.Durations
+	mu    sync.Mutex
+	known map[kind]*[parts]drain.Durations
 }
 
-func newTimes() *times {
-	return &times{whole: make(map[string]*drain.Durations), answer: make(map[string]*drain.Durations)}
-}
+func newTimes() *times { return &times{known: make(map[kind]*[parts]drain.Durations)} }
 
-// served notes a request whose answer is out.
+// served notes a request whose answer is out, whole.
 func (t *times) served(q *request, now time.Time) {
 	took := now.Sub(q.arrived)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	add(t.whole, q.route.Name, took)
-	add(t.answer, q.route.Name, took-q.staged)
-}
-
-func add(work map[string]*drain.Durations, route string, took time.Duration) {
-	if work[route] == nil {
-		work[route] = new(drain.Durations)
+	for _, k := range []kind{{q.service, q.route.Name}, {q.service, ""}} {
+		if t.known[k] == nil {
+			t.known[k] = new([parts]drain.Durations)
+		}
+		t.known[k][wholePart].Add(took)
+		t.known[k][answerPart].Add(took - q.staged)
 	}
-	work[route].Add(took)
 }
 
-// likely returns a time that the next work of a route will hardly exceed, and
-// reports false if none is known.
-func (t *times) likely(work map[string]*drain.Durations, route string) (time.Duration, bool) {
+// likely returns a time that a part of a request will hardly exceed, by its route
+// or, as long as none of that was served, by its service. It reports false if
+// neither is known.
+func (t *times) likely(q *request, p part) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d := work[route]
-	if d == nil {
-		return 0, false
+	for _, k := range []kind{{q.service, q.route.Name}, {q.service, ""}} {
+		if d := t.known[k]; d != nil {
+			return d[p].Likely()
+		}
 	}
-	return d.Likely()
+	return 0, false
 }
 
 // keep forgets the routes that a configuration does not have.
@@ -57,11 +67,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, work := range []map[string]*drain.Durations{t.whole, t.answer} {
-		for route := range work {
-			if !names[route] {
-				delete(work, route)
-			}
+	for k := range t.known {
+		if k.route != "" && !names[k.route] {
+			delete(t.known, k)
 		}
 	}
 }
