internal/node: a node that stops takes no stages that another node can do

Cause: a submission was not asked about the stop. The leader took it, claimed the cell anew, asked every engine what it holds and gave the work back at the next beat; the submitting node ranked it first again until no try was left. Ruled out: more tries (the same leader is asked again within moments); a reason other than MoveReason on the wire (a node of an earlier version takes it for a failure of the request); another node after any give-back (an outranked leader stays, and the third node would claim the cell too). Change: a node that stops answers a submission at once as moved, with the time for which it takes no work, as long as it knows another node that stays. The submitting node doesn't rank it any more, and no try is counted; a give-back without a time is a try as before. For nodes of an earlier version, which would spend their tries within moments, the news that the node leaves go ahead of the answer on the same connection. A request without a try left says which reason was the last.

--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -117,11 +117,23 @@
 
 // leaderRank lists the nodes that may lead a cell, the first choice first.
 func (n *Node) leaderRank(now time.Time, cell int) []wire.Entry {
-	var able []wire.Entry
+	return lead.Rank(cell, n.staying(now))
+}
+
+// staying lists the nodes that answer and don't leave, as far as this one knows.
+func (n *Node) staying(now time.Time) []wire.Entry {
+	var list []wire.Entry
 	for _, e := range *n.entries.Load() {
-		if !e.Leaving && !n.jobs.suspected(now, e.PeerAddress) {
-			able = append(able, e)
+		// This node's entry tells of the stop a moment after it has begun.
+		leaves := e.Leaving || n.jobs.leaves(e) || e.Node == n.settings.Node && n.stopping()
+		if !leaves && !n.jobs.suspected(now, e.PeerAddress) {
+			list = append(list, e)
 		}
 	}
-	return lead.Rank(cell, able)
+	return list
+}
+
+// othersStay reports whether another node can take this one's work.
+func (n *Node) othersStay(now time.Time) bool {
+	return slices.ContainsFunc(n.staying(now), func(e wire.Entry) bool { return e.Node != n.settings.Node })
 }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -35,10 +35,36 @@
 // Error implements error.
 func (r *refusal) Error() string { return r.reason }
 
-// errLeaderMoved tells that a leader leaves and gives the work back.
-var errLeaderMoved = errors.New("the leader of the stage pool gives its work back")
+// The reasons for which a leader does not do the work; the last one is the outcome
+// of a request that has no try left.
+var (
+	// errLeaderMoved tells that a leader gives work back that it had taken. It may
+	// stay: then one of higher rank is at work, and a third node that is asked
+	// instead would claim the cell too.
+	errLeaderMoved = errors.New("the leader of the stage pool gives its work back")
+	// errLeaderLeaves tells that a node takes no work any more. Any other may be
+	// asked.
+	errLeaderLeaves = errors.New("the leader of the stage pool leaves")
+	errLeaderLost   = errors.New("no leader of the stage pool answers")
+)
+
+// leavingAnswer is what a node that leaves answers to a submission. Nodes of an
+// earlier version take any other reason than MoveReason for a failure of the
+// request; so the time for which the node takes no work tells the two apart.
+func leavingAnswer(id uint64, left time.Duration) wire.StagesDone {
+	return wire.StagesDone{ID: id, Failed: stagepool.MoveReason, Again: max(left.Milliseconds(), 1)}
+}
 
-var errLeaderLost = errors.New("the leader of the stage pool does not answer")
+// moved returns errLeaderLeaves or errLeaderMoved if the work is to go elsewhere.
+func moved(d *wire.StagesDone) error {
+	switch {
+	case d.Failed != stagepool.MoveReason:
+		return nil
+	case d.Again > 0:
+		return errLeaderLeaves
+	}
+	return errLeaderMoved
+}
 
 // jobs are the submissions of this node to leaders.
 type jobs struct {
@@ -46,6 +72,8 @@
 	last     uint64
 	open     map[uint64]*job
 	suspects map[string]suspicion
+	// left are the incarnations of the nodes that answered that they leave.
+	left map[string]uint64
 }
 
 // suspicion keeps a node from leading until a moment, or until it is heard of.
@@ -64,7 +92,7 @@
 }
 
 func newJobs() *jobs {
-	return &jobs{open: make(map[uint64]*job), suspects: make(map[string]suspicion)}
+	return &jobs{open: make(map[uint64]*job), suspects: make(map[string]suspicion), left: make(map[string]uint64)}
 }
 
 func (j *jobs) add(address string) *job {
@@ -151,6 +179,23 @@
 	return now.Before(j.suspects[address].until)
 }
 
+// leave notes that a node answered that it leaves. Its entry may tell so later,
+// or never.
+func (j *jobs) leave(e wire.Entry) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.left[e.Node] = e.Incarnation
+}
+
+// leaves reports whether a node answered that it leaves. A later incarnation of
+// it did not.
+func (j *jobs) leaves(e wire.Entry) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	incarnation, ok := j.left[e.Node]
+	return ok && incarnation == e.Incarnation
+}
+
 // stageWork is a request's stages, in absolute times.
 type stageWork struct {
 	submit   wire.StagesSubmit
@@ -178,26 +223,35 @@
 func (n *Node) runStages(ctx context.Context, w stageWork) (stageResults, error) {
 	w.submit.Cell = int(hash.Of(w.submit.RequestID) % uint64(n.view.Load().cellCount()))
 	n.awaitJoined(ctx)
-	var err error
-	for range mostJobs {
+	var last error
+	for tries := 0; tries < mostJobs; {
 		rank := n.leaderRank(time.Now(), w.submit.Cell)
 		if len(rank) == 0 {
 			return stageResults{}, &refusal{reason: "no node leads the stage pool", again: time.Second}
 		}
-		var results stageResults
-		results, err = n.tryLeader(ctx, rank[0], w)
-		if errors.Is(err, errLeaderMoved) {
+		results, err := n.tryLeader(ctx, rank[0], w)
+		switch {
+		case errors.Is(err, errLeaderLeaves) && rank[0].Node != n.settings.Node:
+			// It is no try, and can't go on for ever: the node is not ranked again.
+			n.jobs.leave(rank[0])
 			continue
-		}
-		if !errors.Is(err, errLeaderLost) {
+		case errors.Is(err, errLeaderLost):
+			n.leaderLost(rank[0], w)
+		case !errors.Is(err, errLeaderLeaves) && !errors.Is(err, errLeaderMoved):
 			return results, err
 		}
-		n.log.Warn(eventLeaderLost, zap.String("request", w.submit.RequestID), zap.String("leader", rank[0].Node))
-		if rank[0].Node != n.settings.Node {
-			n.jobs.suspect(time.Now(), rank[0].PeerAddress)
-		}
+		last = err
+		tries++
+	}
+	return stageResults{}, &refusal{reason: last.Error(), again: time.Second}
+}
+
+// leaderLost keeps a node that did not answer from leading for a while.
+func (n *Node) leaderLost(e wire.Entry, w stageWork) {
+	n.log.Warn(eventLeaderLost, zap.String("request", w.submit.RequestID), zap.String("leader", e.Node))
+	if e.Node != n.settings.Node {
+		n.jobs.suspect(time.Now(), e.PeerAddress)
 	}
-	return stageResults{}, &refusal{reason: "no leader of the stage pool answers", again: time.Second}
 }
 
 func (n *Node) tryLeader(ctx context.Context, to wire.Entry, w stageWork) (stageResults, error) {
@@ -222,9 +276,9 @@
 		release(wire.PlacementUnused)
 		return stageResults{}, err
 	}
-	if done.Failed == stagepool.MoveReason {
+	if err := moved(done); err != nil {
 		release(wire.PlacementUnused)
-		return stageResults{}, errLeaderMoved
+		return stageResults{}, err
 	}
 	if done.Failed != "" {
 		release(wire.PlacementUnused)
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -255,6 +256,10 @@
 	return wire.StagesDone{ID: m.ID, Failed: stagepool.MoveReason, Again: longGrace.Milliseconds()}
 }
 
+func givesBack(m *wire.StagesSubmit) wire.Message {
+	return wire.StagesDone{ID: m.ID, Failed: stagepool.MoveReason}
+}
+
 func makes(m *wire.StagesSubmit) wire.Message {
 	return wire.StagesDone{ID: m.ID, Handles: []string{"made"}}
 }
@@ -315,3 +320,21 @@
 		}
 	}
 }
+
+// TestOutrankedLeaderIsNotPassedOver submits work to a leader that stays and gives
+// it back, because a leader of higher rank is at work that the submitting node has
+// not heard of yet. No third node is asked, since it would claim the cell too; and
+// the refusal does not say that no leader answers.
+func TestOutrankedLeaderIsNotPassedOver(t *testing.T) {
+	names := inRank(2)
+	outranked, third := startStub(t, names[0], givesBack), startStub(t, names[1], makes)
+	n := submitter(t, outranked, third)
+	_, err := n.runStages(context.Background(), stageWork{deadline: time.Now().Add(longWait), aim: time.Now().Add(longWait)})
+	var refused *refusal
+	if !errors.As(err, &refused) || refused.reason != errLeaderMoved.Error() {
+		t.Errorf("got %v, want a refusal for %q", err, errLeaderMoved)
+	}
+	if outranked.submits.Load() != mostJobs || third.submits.Load() != 0 {
+		t.Errorf("the outranked leader was asked %d times, the third node %d times", outranked.submits.Load(), third.submits.Load())
+	}
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -197,8 +197,7 @@
 	case *wire.View:
 		n.takeView(m)
 	case *wire.StagesSubmit:
-		n.claim(m.Cell)
-		n.leaders.submit(owner{key: ownerKey{from.Node, from.Incarnation, m.ID}, answer: answer}, m)
+		n.takeStages(from, m, answer)
 	case *wire.StagesRelease:
 		n.leaders.release(ownerKey{from.Node, from.Incarnation, m.ID}, m.Placement)
 	case *wire.StagesPing:
@@ -213,6 +212,31 @@
 	}
 }
 
+// takeStages takes work for this node's stage pool. A node that stops takes none
+// that another can do: it would give it back at the next beat, and the submitting
+// node, which has not heard of the stop, would send it again.
+func (n *Node) takeStages(from wire.Hello, m *wire.StagesSubmit, answer peer.Answer) {
+	if s := n.stop.Load(); s != nil && n.othersStay(time.Now()) {
+		_ = answer(n.news())
+		_ = answer(leavingAnswer(m.ID, time.Until(s.ends)))
+		return
+	}
+	n.claim(m.Cell)
+	n.leaders.submit(owner{key: ownerKey{from.Node, from.Incarnation, m.ID}, answer: answer}, m)
+}
+
+// news tells a node what this one tells of itself. A node of an earlier version
+// does not understand leavingAnswer and ranks the leaders anew at once.
+func (n *Node) news() wire.Gossip {
+	n.membersMu.Lock()
+	defer n.membersMu.Unlock()
+	self := n.members.Self()
+	return wire.Gossip{
+		Node: self.Node, Incarnation: self.Incarnation, ConfigVersion: n.view.Load().version(),
+		Members: []wire.Member{self}, Courtesy: true,
+	}
+}
+
 // peerLost tells that a connection to a node broke or could not be opened.
 func (n *Node) peerLost(address string, err error) {
 	n.log.Info(eventPeerLost, zap.String("address", address), zap.Error(err))
