internal/node: nodes that leave lead the stage pool when none stays

Cause: leaderRank dropped every node that leaves, itself included; a leader that leaves gave its work back whenever it knew any other node. Ruled out: ranking the leavers always (work would move to them while others stay); each leaver as its own leader (as many leaders at the same endpoints as nodes). Change: the nodes that leave are ranked if none that stays answers; a leader that leaves keeps its work and its claim until another node that stays is known. The test for another node at all goes, since it is implied now.

--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -65,10 +65,12 @@
 }
 
 // watchCells tells the pools of this node's cells whether another leader is at
-// work there. When this node leaves, or one of higher rank claims a cell too,
-// it gives back what has not begun, and its claim when all tasks have ended.
+// work there. When this node leaves and another stays, or one of higher rank claims
+// a cell too, it gives back what has not begun, and its claim when all tasks have
+// ended.
 func (n *Node) watchCells() {
 	own := n.leads.Load()
+	leaves := n.stopping() && n.othersStay(time.Now())
 	for cell := 0; own>>cell != 0; cell++ {
 		if own&lead.Bit(cell) == 0 {
 			continue
@@ -77,12 +79,10 @@
 		if shared {
 			n.leaders.contend(cell, time.Now())
 		}
-		if !n.stopping() && (!shared || n.ranksFirst(cell)) {
+		if !leaves && (!shared || n.ranksFirst(cell)) {
 			continue
 		}
-		if !n.alone() {
-			n.leaders.giveBack(cell, time.Now())
-		}
+		n.leaders.giveBack(cell, time.Now())
 		if n.leaders.idle(cell) {
 			n.log.Info(eventLeadsACellNoMore, zap.Int("cell", cell))
 			n.leads.Store(n.leads.Load() &^ lead.Bit(cell))
@@ -115,25 +115,35 @@
 	n.setEntries(n.members.Entries())
 }
 
-// leaderRank lists the nodes that may lead a cell, the first choice first.
+// leaderRank lists the nodes that may lead a cell, the first choice first. Those
+// that leave may only if none stays: work that ends within their grace period is
+// done by them or not at all.
 func (n *Node) leaderRank(now time.Time, cell int) []wire.Entry {
-	return lead.Rank(cell, n.staying(now))
+	stay, leave := n.answering(now)
+	if len(stay) == 0 {
+		return lead.Rank(cell, leave)
+	}
+	return lead.Rank(cell, stay)
 }
 
-// staying lists the nodes that answer and don't leave, as far as this one knows.
-func (n *Node) staying(now time.Time) []wire.Entry {
-	var list []wire.Entry
+// answering lists the nodes that answer: those that stay, as far as this one knows,
+// and those that leave but did not say that they take no work.
+func (n *Node) answering(now time.Time) (stay, leave []wire.Entry) {
 	for _, e := range *n.entries.Load() {
-		// This node's entry tells of the stop a moment after it has begun.
-		leaves := e.Leaving || n.jobs.leaves(e) || e.Node == n.settings.Node && n.stopping()
-		if !leaves && !n.jobs.suspected(now, e.PeerAddress) {
-			list = append(list, e)
+		switch {
+		case n.jobs.leaves(e) || n.jobs.suspected(now, e.PeerAddress):
+		case e.Leaving || e.Node == n.settings.Node && n.stopping():
+			// This node's entry tells of the stop a moment after it has begun.
+			leave = append(leave, e)
+		default:
+			stay = append(stay, e)
 		}
 	}
-	return list
+	return stay, leave
 }
 
 // othersStay reports whether another node can take this one's work.
 func (n *Node) othersStay(now time.Time) bool {
-	return slices.ContainsFunc(n.staying(now), func(e wire.Entry) bool { return e.Node != n.settings.Node })
+	stay, _ := n.answering(now)
+	return slices.ContainsFunc(stay, func(e wire.Entry) bool { return e.Node != n.settings.Node })
 }
