--- a/cmd/gradetiller/cmd/remote.go
+++ b/cmd/gradetiller/cmd/remote.go
@@ -12,7 +12,8 @@
 	"gradetiller.example/internal/control"
 )
 
-const askTimeout = 30 * time.Second
+// askTimeout bounds an exchange, an apply too; a test shortens it.
+var askTimeout = 30 * time.Second
 
 // ask makes one exchange with a control process.
 func (r *remote) ask(method, path string, in, out any) error {
