cmd/gradetiller: an apply that was sent and has no answer is told as unknown

Cause: ask gave one kind of error for a request that was never sent and for one whose answer did not come, and apply took every error but 504 as a refusal and every 200 with an object as accepted.

Ruled out: to tell them apart by the kind of the error, as by a failed dial: a time-out while dialing is the same error as one while waiting.

The other subcommands change nothing and keep status 1. The file is read once, so that the digest is that of what was sent.

--- a/cmd/gradetiller/cmd/apply.go
+++ b/cmd/gradetiller/cmd/apply.go
@@ -1,11 +1,12 @@
 package cmd
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
-	"os"
 	"os/user"
 
+	"gradetiller.example/config"
 	"gradetiller.example/internal/control"
 )
 
@@ -18,10 +19,7 @@
 
 // Run implements the subcommand.
 func (c *applyCmd) Run(s *streams) error {
-	if _, _, err := readConfig(c.File); err != nil {
-		return err
-	}
-	data, err := os.ReadFile(c.File)
+	cfg, _, err := readConfig(c.File)
 	if err != nil {
 		return err
 	}
@@ -29,10 +27,9 @@
 	if err != nil {
 		return err
 	}
-	var resp control.ApplyResponse
-	req := control.ApplyRequest{Base: base, Operator: c.operator(), Data: string(data)}
-	if err := c.ask(http.MethodPost, "/v1/config", req, &resp); err != nil {
-		return err
+	resp, err := c.apply(base, cfg)
+	if err != nil {
+		return c.advise(err, base, cfg)
 	}
 	for _, w := range resp.Warnings {
 		fmt.Fprintf(s.out, "warning: %s\n", w)
@@ -41,6 +38,33 @@
 	return nil
 }
 
+func (c *applyCmd) apply(base uint64, cfg *config.Config) (*control.ApplyResponse, error) {
+	var resp control.ApplyResponse
+	req := control.ApplyRequest{Base: base, Operator: c.operator(), Data: string(cfg.Data())}
+	if err := c.ask(http.MethodPost, "/v1/config", req, &resp); err != nil {
+		return nil, err
+	}
+	// An accepted file is the version after its base; any other number is not
+	// the answer to this request.
+	if resp.Version != base+1 {
+		return nil, unknownf("control process %s answered with version %d, not %d", c.Control, resp.Version, base+1)
+	}
+	return &resp, nil
+}
+
+// advise tells what the operator can do about an apply whose outcome is
+// unknown. Applying again on the same base is safe: a version is written once.
+func (c *applyCmd) advise(err error, base uint64, cfg *config.Config) error {
+	var unknown *unknownError
+	if !errors.As(err, &unknown) {
+		return err
+	}
+	return &statusError{status: ExitUnknown, err: fmt.Errorf(
+		"%w; the file may be in force, or be so later: look for version=%d digest=%.12s in `gradetiller history --control %s`; "+
+			"to apply it again, add --base %d, so that only one of the two can take effect",
+		err, base+1, cfg.Digest(), c.Control, base)}
+}
+
 func (c *applyCmd) base() (uint64, error) {
 	if c.Base != nil {
 		return *c.Base, nil
--- a/cmd/gradetiller/cmd/main.go
+++ b/cmd/gradetiller/cmd/main.go
@@ -74,6 +74,8 @@
 
 func (e *statusError) Error() string { return e.err.Error() }
 
+func (e *statusError) Unwrap() error { return e.err }
+
 func report(stderr io.Writer, err error) int {
 	if err == nil {
 		return 0
