client: "not run" is told of all tries, and of every request that had no connection

Cause: the error of the last try was given for all tries; an error event's kind was passed on after text; unsent was told by the kind of the error, which is the same for a cancel while dialing and one while waiting.

Ruled out: to take a request on an idle connection that closes before anything is written as unsent.

Change: a request is unsent as long as it had no connection, and then told as canceled_not_run, deadline_not_run or not_ready. A "not run" after a try that promises nothing becomes stage_unknown, with the last error as its cause and its time to come back. So does one after text.

--- a/client/client.go
+++ b/client/client.go
@@ -233,9 +233,9 @@
 			answer.tries = try + 1
 			return answer, nil
 		}
-		last = err
-		if !again || !pause(ctx, err, until) {
-			return nil, err
+		last = ofAllTries(last, err)
+		if !again || !pause(ctx, last, until) {
+			return nil, last
 		}
 	}
 	if last == nil {
@@ -244,6 +244,23 @@
 	return nil, last
 }
 
+// ofAllTries returns what is true of a request whose tries up to the last but
+// one ended with before, which is nil for none, and the last with err: "not run"
+// holds only if no earlier try may have run.
+func ofAllTries(before, err error) error {
+	if before == nil || !notRun(err) || notRun(before) {
+		return err
+	}
+	opts := []failure.Option{failure.WithCause(err)}
+	var f *failure.Error
+	if errors.As(err, &f) {
+		opts = append(opts, failure.WithRetryAfter(f.RetryAfter()))
+	}
+	return failure.New(failure.StageUnknown, "an earlier try may have run; the last did not", opts...)
+}
+
+func notRun(err error) bool { return failure.KindOf(err).Answer().Ran() == failure.RanNo }
+
 // answerGrace is how long after the deadline an answer is waited for: the
 // system answers by the deadline, so a node that has not is gone or paused.
 const answerGrace = 250 * time.Millisecond
--- a/client/doc.go
+++ b/client/doc.go
@@ -4,7 +4,8 @@
 // time it is given, spreads its requests over the addresses, and goes on to
 // the next when one is gone. It asks again by itself only when the request is
 // proven not to have run, or may be repeated; and it accepts a stream only
-// with its explicit end, whose length and digest it checks.
+// with its explicit end, whose length and digest it checks. Its error holds for
+// all tries of a request: "not run" means that none of them ran.
 //
 // # Usage
 //
--- a/client/try.go
+++ b/client/try.go
@@ -7,11 +7,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"time"
@@ -84,14 +83,14 @@
 		f := failure.New(failure.NotReady, "no address answers", failure.WithCause(err))
 		return nil, true, f
 	}
-	resp, err := c.send(ctx, address, req, text != nil)
+	connected := false
+	resp, err := c.send(withConnected(ctx, &connected), address, req, text != nil)
 	if err != nil {
 		c.gone(address)
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
-			return nil, true, failure.New(failure.NotReady, "address can't be reached", failure.WithCause(err))
+		if connected {
+			return unknown(req, "the connection broke", err)
 		}
-		return nil, !req.Once, failure.New(failure.StageUnknown, "the connection broke", failure.WithCause(err))
+		return nil, true, unsent(ctx, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -108,6 +107,26 @@
 	return readWhole(resp.Body, req)
 }
 
+// withConnected sets connected once a request of the context has a connection.
+// Before, no byte of it is sent; the kind of an error does not tell, since a
+// cancel while dialing is the same error as one while waiting.
+func withConnected(ctx context.Context, connected *bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { *connected = true },
+	})
+}
+
+// unsent returns the failure of a request that had no connection.
+func unsent(ctx context.Context, err error) error {
+	switch ctx.Err() {
+	case context.Canceled:
+		return failure.New(failure.CanceledNotRun, "canceled before there was a connection", failure.WithCause(err))
+	case context.DeadlineExceeded:
+		return failure.New(failure.DeadlineNotRun, "the deadline passed before there was a connection", failure.WithCause(err))
+	}
+	return failure.New(failure.NotReady, "the request can't be sent there", failure.WithCause(err))
+}
+
 func (c *Client) send(ctx context.Context, address string, req Request, stream bool) (*http.Response, error) {
 	body, err := json.Marshal(runBody{
 		Input: req.Input, DeadlineMS: req.Deadline.Milliseconds(), Repeatable: !req.Once, Class: req.Class, Stream: stream,
@@ -147,6 +166,16 @@
 	return &Answer{requestID: body.RequestID, output: body.Output, onTime: body.OnTime}, false, nil
 }
 
+// streamFailure returns the failure of a stream's error event. Text that has
+// come shows that the request ran, whatever the event promises.
+func streamFailure(e *streamEvent, text bool) error {
+	err := e.failure()
+	if text && notRun(err) {
+		return failure.New(failure.StageUnknown, "the stream ended with an error after text", failure.WithCause(err))
+	}
+	return err
+}
+
 // readStream accepts a stream only with its end event.
 func readStream(r io.Reader, req Request, text func(string)) (*Answer, bool, error) {
 	var whole strings.Builder
@@ -160,7 +189,7 @@
 		}
 		switch {
 		case e.Error.Code != "":
-			return nil, false, e.failure()
+			return nil, false, streamFailure(&e, whole.Len() > 0)
 		case e.End:
 			if e.Length != whole.Len() || e.SHA256 != hex.EncodeToString(digest.Sum(nil)) {
 				return nil, false, failure.New(failure.StageUnknown, "the stream's end does not match its text")
