cmd/gradetiller: compare fails if an entry does not tell its counts

Cause: the status of an entry's answer was not looked at.

Change: every status but 200 is an error that names the entry.

--- a/cmd/gradetiller/cmd/compare.go
+++ b/cmd/gradetiller/cmd/compare.go
@@ -40,6 +40,9 @@
 		return "", err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("answered status %d in place of its counts", resp.StatusCode)
+	}
 	data, err := io.ReadAll(resp.Body)
 	return string(data), err
 }
