--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,6 +34,9 @@
 
 echo "== test"
 # The tests that KNOWN-RED.txt names, one a line, are passed over and printed.
-known=$(sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
+known=""
+if [ -f KNOWN-RED.txt ]; then
+  known=$(sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
+fi
 [ -z "$known" ] || echo "passed over: $known"
 go test -race -timeout 20m ${known:+-skip "^($known)\$"} ./...
