internal/logging, internal/node: tests of the last line of a failed request

Cause: Bounded drops whatever line finds maxPending bytes waiting, also the last line of a failed request, and a drop is not told by kind; no level tells such a line from others.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -25,7 +26,7 @@
 func New(level string) (*zap.Logger, func(), error) { return NewTo(os.Stderr, level) }
 
 // NewTo is New for another stream.
-func NewTo(stream *os.File, level string) (*zap.Logger, func(), error) {
+func NewTo(stream io.Writer, level string) (*zap.Logger, func(), error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, nil, fmt.Errorf("log level %q: expected debug, info, warn or error", level)
--- /dev/null
+++ b/internal/node/log_test.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"gradetiller.example/internal/core/attempt"
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/platform"
+)
+
+// TestLogLevelOfRequests ends requests in each way: those that may have run, or
+// were cut, end with a warning; what was not run, refused for the client's fault
+// or delivered does not.
+func TestLogLevelOfRequests(t *testing.T) {
+	expired, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
+	defer cancel()
+	worker := func(status int) *platform.Answer { return &platform.Answer{Status: status, Header: http.Header{}} }
+	cases := map[string]struct {
+		end  func(n *Node, w http.ResponseWriter, q *request)
+		want zapcore.Level
+	}{
+		"no answer":        {func(n *Node, w http.ResponseWriter, q *request) { n.endUnknown(t.Context(), w, q, "no answer") }, zap.WarnLevel},
+		"late":             {func(n *Node, w http.ResponseWriter, q *request) { n.endUnknown(expired, w, q, "no answer") }, zap.WarnLevel},
+		"may have run":     {func(n *Node, w http.ResponseWriter, q *request) { q.ran = true; n.endNotRun(w, q, "no endpoint") }, zap.WarnLevel},
+		"broken off":       {breakOff, zap.WarnLevel},
+		"not run":          {func(n *Node, w http.ResponseWriter, q *request) { n.endNotRun(w, q, "no endpoint") }, zap.InfoLevel},
+		"not allowed":      {func(n *Node, w http.ResponseWriter, q *request) { n.refuse(w, q, 401, "not allowed", 0) }, zap.InfoLevel},
+		"worker's 200":     {func(n *Node, w http.ResponseWriter, q *request) { n.deliver(w, q, worker(200), nil) }, zap.InfoLevel},
+		"worker's 404":     {func(n *Node, w http.ResponseWriter, q *request) { n.deliver(w, q, worker(404), nil) }, zap.InfoLevel},
+		"worker's own 502": {func(n *Node, w http.ResponseWriter, q *request) { n.deliver(w, q, worker(502), nil) }, zap.InfoLevel},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			core, lines := observer.New(zap.InfoLevel)
+			n := New(platform.Settings{Node: "n"}, WithLog(zap.New(core)))
+			source := httptest.NewRequest(http.MethodPost, "/", nil)
+			c.end(n, httptest.NewRecorder(), &request{view: n.view.Load(), route: &catalog.Route{Name: "r"}, arrived: time.Now(), source: source})
+			got := lines.FilterMessage(eventRequest).All()
+			if len(got) != 1 || got[0].Level != c.want {
+				t.Errorf("logged %+v, want one line at %v", got, c.want)
+			}
+		})
+	}
+}
+
+// breakOff ends a stream whose head is out.
+func breakOff(n *Node, w http.ResponseWriter, q *request) {
+	defer func() {
+		if r := recover(); r != http.ErrAbortHandler {
+			panic(r)
+		}
+	}()
+	n.endStream(context.Background(), &stream{q: q, w: w, started: true}, attempt.AnswerUnknown, "stream failed")
+}
