internal/logging, internal/node: room of their own for the lines of failed requests

Cause: Bounded dropped whatever line found maxPending bytes waiting, also the last line of a failed request. Ruled out: looking into lines (the level is known before a line is encoded); a second buffer (lines would leave in another order than they came); refusals as not run at warn (a burst of them fills the reserve just when requests are lost; the state lines and gradetiller_requests_total tell of them). Requests that may have run or were cut off end with a warning.

--- a/cmd/gradetiller-node/cmd/main.go
+++ b/cmd/gradetiller-node/cmd/main.go
@@ -49,16 +49,16 @@
 	if err != nil || c.Check {
 		return err
 	}
-	log, flush, err := logging.NewTo(os.Stdout, c.LogLevel)
+	log, out, err := logging.NewTo(os.Stdout, c.LogLevel)
 	if err != nil {
 		return err
 	}
-	defer flush()
+	defer out.Stop()
 	debug.SetGCPercent(ownMemory)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	go reload(log)
 	stop, _ := settings.Signals()
-	return node.New(s, node.WithLog(log), node.WithMetrics(s.MetricsAddress), node.WithPeerAddress(c.PeerAddress), node.Without(off)).Run(stop)
+	return node.New(s, node.WithLog(log), node.WithDroppedLines(out.DroppedOf), node.WithMetrics(s.MetricsAddress), node.WithPeerAddress(c.PeerAddress), node.Without(off)).Run(stop)
 }
 
 // reload checks the settings file again at each SIGHUP. Addresses and names
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -60,7 +60,7 @@
 func logToStuck(t *testing.T) (*zap.Logger, func() string) {
 	t.Helper()
 	s := &stuck{free: make(chan struct{})}
-	log, flush, err := NewTo(s, "info")
+	log, out, err := NewTo(s, "info")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -68,7 +68,7 @@
 	time.Sleep(2 * flushInterval)
 	return log, func() string {
 		close(s.free)
-		flush()
+		out.Stop()
 		return s.String()
 	}
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -29,6 +29,8 @@
 	// endpoint has for its answer while another one may be asked.
 	patienceShare = 1.5
 	leastPatience = 400 * time.Millisecond
+	// delivered is the outcome of requests whose whole answer was passed on.
+	delivered = "delivered"
 )
 
 // request is a client's request on its way.
@@ -155,10 +157,36 @@
 	if q.route != nil {
 		route = q.route.Name
 	}
-	n.log.Info(eventRequest, zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
+	fields := []zap.Field{
+		zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
 		zap.String("outcome", q.outcome), zap.String("endpoint", q.endpoint), zap.Int("sent", q.sent),
 		zap.Uint64("config", q.view.version()), zap.String("leader", q.leader), zap.Duration("predicted", q.predicted),
-		zap.Duration("staged", q.staged), zap.Duration("first", q.first), zap.Duration("after_stop", q.afterStop), zap.Duration("took", time.Since(q.arrived)))
+		zap.Duration("staged", q.staged), zap.Duration("first", q.first), zap.Duration("after_stop", q.afterStop), zap.Duration("took", time.Since(q.arrived)),
+	}
+	if q.lost(status) {
+		n.log.Warn(eventRequest, fields...)
+		return
+	}
+	n.log.Info(eventRequest, fields...)
+}
+
+// lost reports whether a request failed that may have run or was cut off: it
+// ended without a worker's whole answer, and was not refused. Its line is a
+// warning, for which the log keeps room. Refusals are none. Those for the
+// client's fault are the client's; those as not run come in bursts, which would
+// fill that room just when requests are lost, their cause stands in the leader's
+// and the node's state lines, and gradetiller_requests_total counts each.
+func (q *request) lost(status int) bool {
+	switch {
+	case q.outcome == delivered:
+		return false
+	case status == http.StatusServiceUnavailable:
+		return false
+	case status >= http.StatusInternalServerError:
+		return true
+	}
+	// The head of a stream that was cut off had told success.
+	return status < http.StatusBadRequest
 }
 
 // outbound is the request as it goes to an endpoint.
@@ -292,7 +320,7 @@
 
 // deliver passes a whole answer on.
 func (n *Node) deliver(w http.ResponseWriter, q *request, a *platform.Answer, body []byte) {
-	q.outcome = "delivered"
+	q.outcome = delivered
 	platform.CopyAnswer(w, a.Header)
 	w.WriteHeader(a.Status)
 	_, err := w.Write(body)
--- a/internal/node/log_test.go
+++ b/internal/node/log_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/logging"
 	"gradetiller.example/platform"
 )
 
@@ -60,3 +63,19 @@
 	}()
 	n.endStream(context.Background(), &stream{q: q, w: w, started: true}, attempt.AnswerUnknown, "stream failed")
 }
+
+// TestLogDropsAreMetrics checks that the metrics tell of dropped lines by kind.
+func TestLogDropsAreMetrics(t *testing.T) {
+	dropped := map[logging.Kind]uint64{logging.Ordinary: 7, logging.Urgent: 2}
+	n := New(platform.Settings{Node: "n"}, WithDroppedLines(func(k logging.Kind) uint64 { return dropped[k] }))
+	var page bytes.Buffer
+	n.meters.set.WritePrometheus(&page)
+	for _, want := range []string{
+		`gradetiller_log_lines_dropped_total{kind="ordinary"} 7`,
+		`gradetiller_log_lines_dropped_total{kind="urgent"} 2`,
+	} {
+		if !strings.Contains(page.String(), want+"\n") {
+			t.Errorf("the metrics don't tell %s", want)
+		}
+	}
+}
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -10,6 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"gradetiller.example/internal/logging"
 )
 
 const (
@@ -35,9 +37,18 @@
 	m.set.NewGauge("gradetiller_store_lost", func() float64 { return number(n.storeLost.Load()) })
 	m.set.NewGauge("gradetiller_draining", func() float64 { return number(n.stopping()) })
 	m.set.NewGauge("gradetiller_cells_led", func() float64 { return float64(bits.OnesCount64(n.leads.Load())) })
+	if n.droppedLines != nil {
+		m.droppedLines("ordinary", func() uint64 { return n.droppedLines(logging.Ordinary) })
+		m.droppedLines("urgent", func() uint64 { return n.droppedLines(logging.Urgent) })
+	}
 	return m
 }
 
+// droppedLines tells how many log lines of a kind were dropped.
+func (m *meters) droppedLines(kind string, count func() uint64) {
+	m.set.NewGauge(fmt.Sprintf(`gradetiller_log_lines_dropped_total{kind=%q}`, kind), func() float64 { return float64(count()) })
+}
+
 func number(b bool) float64 {
 	if b {
 		return 1
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/member"
 	"gradetiller.example/internal/core/stagepool"
+	"gradetiller.example/internal/logging"
 	"gradetiller.example/internal/peer"
 	"gradetiller.example/internal/settings"
 	"gradetiller.example/internal/wire"
@@ -57,6 +58,9 @@
 	meters      *meters
 	// metricsAddress serves the metrics; it may be empty.
 	metricsAddress string
+	// droppedLines returns how many lines of a kind the log dropped; it may be
+	// nil.
+	droppedLines func(logging.Kind) uint64
 	// peerAddress is where other nodes reach this one.
 	peerAddress string
 	// off are the mechanisms that are switched off.
@@ -102,6 +106,11 @@
 // WithLog sets the log.
 func WithLog(log *zap.Logger) Option { return func(n *Node) { n.log = log } }
 
+// WithDroppedLines has the metrics tell how many lines of a kind the log dropped.
+func WithDroppedLines(of func(logging.Kind) uint64) Option {
+	return func(n *Node) { n.droppedLines = of }
+}
+
 // WithMetrics serves the metrics at an IP address and port.
 func WithMetrics(address string) Option { return func(n *Node) { n.metricsAddress = address } }
 
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -63,7 +63,7 @@
 		tried = append(tried, c.endpoint.ID)
 		a, event := n.tryStream(ctx, s, c)
 		if event == attempt.Complete {
-			q.outcome = "delivered"
+			q.outcome = delivered
 			n.times.served(q, time.Now())
 			n.logRequest(q, http.StatusOK)
 			return
