--- a/cmd/gradetiller-entry/cmd/main.go
+++ b/cmd/gradetiller-entry/cmd/main.go
@@ -74,7 +74,7 @@
 		return err
 	case <-first.Done():
 	}
-	bounded, cancel := context.WithTimeout(second, c.DrainTimeout-answerTime)
+	bounded, cancel := context.WithTimeout(second, max(c.DrainTimeout-answerTime, c.DrainTimeout/2))
 	defer cancel()
 	node.Drain(bounded)
 	last, cancelLast := outlast(bounded, answerTime)
--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -83,6 +83,8 @@
 // the size: so a few durations tell of the rare long ones too.
 type Durations struct {
 	count float64
+	// sized tells that a size was known of some work.
+	sized bool
 	// The means of the logarithms of size and time, their variances and their
 	// covariance.
 	size, time   float64
@@ -92,6 +94,11 @@
 
 // Add notes work that was done.
 func (d *Durations) Add(size Size, took time.Duration) {
+	if !d.sized && size.amount > 0 {
+		// What was added before counts as of the first size that is known.
+		d.sized = true
+		d.size = math.Log(float64(size.amount))
+	}
 	x, y := d.logSize(size), math.Log(max(took, time.Microsecond).Seconds())
 	d.count = min(d.count+1, memory)
 	dx, dy := x-d.size, y-d.time
@@ -146,7 +153,7 @@
 
 // logSize returns a size's logarithm; a size that is not known counts as the mean.
 func (d *Durations) logSize(size Size) float64 {
-	if size.amount <= 0 {
+	if size.amount <= 0 || !d.sized {
 		return d.size
 	}
 	return math.Log(float64(size.amount))
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -20,6 +20,9 @@
 	// lastMoment is what is left of the grace period when the node gives up
 	// what is still in flight.
 	lastMoment = 400 * time.Millisecond
+	// flushTime is how long clients have to read the end of an answer, where the
+	// grace period leaves it; a link that is full takes that for some kilobytes.
+	flushTime = 500 * time.Millisecond
 	// lastAnswers is how long the last answers have to go out.
 	lastAnswers = 100 * time.Millisecond
 	drainPoll   = 10 * time.Millisecond
@@ -48,6 +51,9 @@
 	}
 	s.closing.Store(true)
 	clean := n.awaitRequests(bounded)
+	if clean {
+		f.flush(bounded)
+	}
 	n.endRequests(f)
 	n.leave()
 	if clean {
@@ -57,6 +63,14 @@
 	n.log.Warn(eventStoppedWithRequestsInFlight)
 }
 
+// flush waits for the ends of answers, which leave the process after the requests
+// are no longer counted.
+func (f *front) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTime)
+	defer cancel()
+	_ = f.server.Shutdown(ctx)
+}
+
 // beginStop has all nodes know that this one leaves.
 func (n *Node) beginStop() *stop {
 	now := time.Now()
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -207,25 +207,25 @@
 	}
 }
 
-// TestStopClosesKeptConnections checks that delivered answers of a node that stops
-// tell the client to open a new connection, which it will at another node.
+// TestStopClosesKeptConnections checks that the answers of a node that stops tell
+// the client to open a new connection, which it will at another node: also those to
+// requests that came before the order to stop, and streams.
 func TestStopClosesKeptConnections(t *testing.T) {
 	n, _ := startStopping(t)
+	before := &request{arrived: time.Now()}
 	n.beginStop(t)
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.Front+"/book/", http.NoBody)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = platformtest.Host
-	req.Header.Set("X-Request-Id", "kept")
-	req.Header.Set("Authorization", "Token "+key)
-	resp, err := (&http.Transport{}).RoundTrip(req)
-	if err != nil {
-		t.Fatal(err)
+	a := platformtest.DoOn(context.Background(), &http.Transport{}, n.Front, platformtest.Request{ID: "after", Path: "/book/", Key: key})
+	if !whole(a) || !a.Closes {
+		t.Errorf("%+v, want a whole answer that closes", a)
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK || !resp.Close {
-		t.Errorf("status %d, closes %v; want 200 that closes", resp.StatusCode, resp.Close)
+	answer := &platform.Answer{Status: http.StatusOK, Header: http.Header{"Connection": {"keep-alive"}}}
+	streamed, refused := httptest.NewRecorder(), httptest.NewRecorder()
+	(&stream{node: n.node, q: before, w: streamed}).head(answer)
+	n.node.refuse(refused, &request{arrived: before.arrived, view: n.node.view.Load()}, http.StatusBadGateway, "lost", 0)
+	for _, w := range []*httptest.ResponseRecorder{streamed, refused} {
+		if got := w.Header().Values("Connection"); len(got) != 1 || got[0] != "close" {
+			t.Errorf("status %d says %q of its connection, want close", w.Code, got)
+		}
 	}
 }
 
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -70,7 +70,6 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	if s := n.stop.Load(); s != nil {
-		w.Header().Set("Connection", "close")
 		q.afterStop = q.arrived.Sub(s.asked)
 	}
 	if status := n.accept(w, q); status != 0 {
@@ -144,9 +143,18 @@
 	return 0
 }
 
+// tellClose tells a client, before an answer's head goes out, that its connection
+// ends with it if this node stops. The client opens its next one elsewhere.
+func (n *Node) tellClose(w http.ResponseWriter) {
+	if n.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // refuse answers a request that the system ends itself.
 func (n *Node) refuse(w http.ResponseWriter, q *request, status int, reason string, again time.Duration) {
 	q.outcome = reason
+	n.tellClose(w)
 	platform.WriteRefusal(w, q.in.RequestID, status, again)
 	n.logRequest(q, status)
 }
@@ -322,6 +330,7 @@
 func (n *Node) deliver(w http.ResponseWriter, q *request, a *platform.Answer, body []byte) {
 	q.outcome = delivered
 	platform.CopyAnswer(w, a.Header)
+	n.tellClose(w)
 	w.WriteHeader(a.Status)
 	_, err := w.Write(body)
 	if err == nil && a.Status < http.StatusBadRequest {
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -25,6 +25,7 @@
 
 // stream is the passing on of a stream's events.
 type stream struct {
+	node    *Node
 	q       *request
 	w       http.ResponseWriter
 	flush   *http.ResponseController
@@ -40,7 +41,7 @@
 func (n *Node) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
 	n.budget.Fresh(q.arrived, q.service, 1)
 	q.prefix = n.pools.prefix(q)
-	s := &stream{q: q, w: w, flush: http.NewResponseController(w)}
+	s := &stream{node: n, q: q, w: w, flush: http.NewResponseController(w)}
 	defer func() { s.release() }()
 	var tried []string
 	for range mostSends {
@@ -269,6 +270,7 @@
 	s.q.first = time.Since(s.q.arrived)
 	platform.CopyAnswer(s.w, a.Header)
 	s.w.Header().Del("Content-Length")
+	s.node.tellClose(s.w)
 	s.w.WriteHeader(a.Status)
 	s.release()
 }
