internal/core/stagepool, place, lead, hash: a leader's work for each request, without what is done for nothing

Cause: with 295 nodes one leader takes some 520 submissions a second; with each event it ordered the whole queue although no endpoint was idle, worked out five times what 240 engines hold of a prompt, and every node ranked all nodes by name for each request, hashing names in each comparison. Change: no order without an idle endpoint; Consider works holdings out once; lead.First finds the first of Rank without ordering (a property test holds them equal); hash.Rank hashes each name once.

--- a/internal/core/hash/hash.go
+++ b/internal/core/hash/hash.go
@@ -36,10 +36,23 @@
 
 // Rank orders names by rendezvous hashing for a key, the first choice first.
 // All nodes that know the same names find the same order without messages.
+// Each name is hashed once; hashed in each comparison, 295 names took 12 times
+// as long (BenchmarkRank), and every node ranks them whenever it hears of one.
 func Rank(key uint64, names []string) []string {
-	ranked := slices.Clone(names)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(Pair(key, Of(b)), Pair(key, Of(a))), cmp.Compare(a, b))
+	type weighed struct {
+		name   string
+		weight uint64
+	}
+	list := make([]weighed, len(names))
+	for i, name := range names {
+		list[i] = weighed{name: name, weight: Pair(key, Of(name))}
+	}
+	slices.SortFunc(list, func(a, b weighed) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
 	})
+	ranked := make([]string, len(list))
+	for i, w := range list {
+		ranked[i] = w.name
+	}
 	return ranked
 }
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -9,6 +9,7 @@
 // # Usage
 //
 //	order := lead.Rank(cell, entries)
+//	leader, ok := lead.First(cell, entries)
 //	strong, weak := lead.Split(entries)
 package lead
 
@@ -32,12 +33,9 @@
 // Split separates the strong instances from the weak ones, in the order given.
 // Instances that tell no capacity are all alike.
 func Split(entries []wire.Entry) (strong, weak []wire.Entry) {
-	most := 0
+	most := mostCapacity(entries)
 	for _, e := range entries {
-		most = max(most, e.Capacity)
-	}
-	for _, e := range entries {
-		if float64(e.Capacity) >= strongShare*float64(most) {
+		if isStrong(e, most) {
 			strong = append(strong, e)
 		} else {
 			weak = append(weak, e)
@@ -55,6 +53,40 @@
 	return append(rankAlike(cell, strong), rankAlike(cell, weak)...)
 }
 
+// First returns the first of Rank without ordering the others, and false if there
+// is none. Every request with stages asks for it.
+func First(cell int, entries []wire.Entry) (wire.Entry, bool) {
+	most := mostCapacity(entries)
+	key, bit := cellKey(cell), Bit(cell)
+	first, found, highest := wire.Entry{}, false, uint64(0)
+	for _, e := range entries {
+		if !isStrong(e, most) {
+			continue
+		}
+		weight := hash.Pair(key, hash.Of(e.Node))
+		claims, claimed := e.Leads&bit, first.Leads&bit
+		ahead := claims > claimed || claims == claimed && (weight > highest || weight == highest && e.Node < first.Node)
+		if !found || ahead {
+			first, found, highest = e, true, weight
+		}
+	}
+	return first, found
+}
+
+func cellKey(cell int) uint64 { return hash.Mix(uint64(cell) + 1) }
+
+func mostCapacity(entries []wire.Entry) int {
+	most := 0
+	for _, e := range entries {
+		most = max(most, e.Capacity)
+	}
+	return most
+}
+
+func isStrong(e wire.Entry, most int) bool {
+	return float64(e.Capacity) >= strongShare*float64(most)
+}
+
 // rankAlike orders instances of about one size.
 func rankAlike(cell int, entries []wire.Entry) []wire.Entry {
 	names := make([]string, len(entries))
@@ -62,7 +94,7 @@
 		names[i] = e.Node
 	}
 	position := make(map[string]int, len(names))
-	for i, name := range hash.Rank(hash.Mix(uint64(cell)+1), names) {
+	for i, name := range hash.Rank(cellKey(cell), names) {
 		position[name] = i
 	}
 	ranked := slices.Clone(entries)
--- a/internal/core/lead/lead_test.go
+++ b/internal/core/lead/lead_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"gradetiller.example/internal/wire"
 )
 
@@ -62,3 +64,48 @@
 		}
 	}
 }
+
+// TestFirstIsFirstOfRank checks First against Rank: nodes of two sizes, some of
+// which claim the cell, in all orders.
+func TestFirstIsFirstOfRank(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var list []wire.Entry
+		for i := range rapid.IntRange(0, 12).Draw(rt, "nodes") {
+			list = append(list, wire.Entry{
+				Node:     fmt.Sprintf("node-%d", i),
+				Capacity: rapid.SampledFrom([]int{0, 192, 400, 800}).Draw(rt, "capacity"),
+				Leads:    rapid.SampledFrom([]uint64{0, 1, 2, 3}).Draw(rt, "leads"),
+			})
+		}
+		list = rapid.Permutation(list).Draw(rt, "order")
+		for cell := range 3 {
+			rank := Rank(cell, list)
+			first, ok := First(cell, list)
+			if ok != (len(rank) > 0) || ok && first != rank[0] {
+				rt.Fatalf("cell %d: first is %v, the rank %v", cell, first, rank)
+			}
+		}
+	})
+}
+
+// BenchmarkFirst finds the leader among 295 nodes of two sizes, and ranks them all.
+func BenchmarkFirst(b *testing.B) {
+	list := nodes()
+	for i := range 295 {
+		capacity := 192
+		if i%16 == 0 {
+			capacity = 800
+		}
+		list = append(list, wire.Entry{Node: fmt.Sprintf("front-hall-%d", i), Capacity: capacity})
+	}
+	b.Run("first", func(b *testing.B) {
+		for b.Loop() {
+			First(0, list)
+		}
+	})
+	b.Run("rank", func(b *testing.B) {
+		for b.Loop() {
+			Rank(0, list)
+		}
+	})
+}
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -29,6 +29,8 @@
 	Tried []int
 	// CostWeight is how many seconds of delay one unit of cost is worth.
 	CostWeight float64
+	// known is what Consider worked out, or nil.
+	known *holdings
 }
 
 // Result is how a call at an endpoint ended.
--- a/internal/core/place/work.go
+++ b/internal/core/place/work.go
@@ -78,8 +78,20 @@
 // anyDomain stands for all failure domains together.
 const anyDomain = ""
 
-func (p *Pool) holdings(now time.Time, m Prompt) holdings {
-	parts := m.shared()
+// Consider returns the request with what the endpoints hold of its prompt, which
+// the other methods then need not work out again each. It is good until calls start
+// or end.
+func (p *Pool) Consider(now time.Time, req Request) Request {
+	h := p.holdings(now, req)
+	req.known = &h
+	return req
+}
+
+func (p *Pool) holdings(now time.Time, req Request) holdings {
+	if req.known != nil {
+		return *req.known
+	}
+	parts := req.Prompt.shared()
 	h := holdings{held: make([]int, len(p.endpoints)), fullest: make(map[string]int), shared: tokensOf(parts)}
 	if len(parts) == 0 {
 		return h
@@ -144,13 +156,13 @@
 // Source returns the endpoint from which endpoint i should copy the beginning
 // of a prompt, or None.
 func (p *Pool) Source(now time.Time, i int, req Request) int {
-	h := p.holdings(now, req.Prompt)
+	h := p.holdings(now, req)
 	return h.copied(p, i).source
 }
 
 // work is how many tokens endpoint i still has to read for a request.
 func (p *Pool) work(now time.Time, i int, req Request) int {
-	h := p.holdings(now, req.Prompt)
+	h := p.holdings(now, req)
 	c := h.copied(p, i)
 	left := req.Prompt.Tokens - h.held[i] - c.tokens
 	return max(left, 0) + int(c.share*float64(c.tokens))
@@ -174,7 +186,7 @@
 // belongs to the home of its prefix. Calls that wait equally long anywhere are
 // spread by their number.
 func leastWork(p *Pool, now time.Time, req Request) int {
-	h := p.holdings(now, req.Prompt)
+	h := p.holdings(now, req)
 	home := None
 	if h.most == 0 && req.Prefix != 0 {
 		home = p.home(req.Prefix)
--- /dev/null
+++ b/internal/core/stagepool/bench_test.go
@@ -0,0 +1,42 @@
+package stagepool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradetiller.example/internal/core/catalog"
+)
+
+// BenchmarkSubmitBehindQueue submits and releases a task behind others, with all
+// endpoints of three services at work: what a leader does for each request of a
+// burst, with as many endpoints as 300 nodes have before them.
+func BenchmarkSubmitBehindQueue(b *testing.B) {
+	const perService = 42
+	for _, waiting := range []int{0, 300} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			p := New()
+			var endpoints []catalog.Endpoint
+			for name := range testServices {
+				for i := range perService {
+					id := fmt.Sprintf("%s-%d", name, i)
+					endpoints = append(endpoints, catalog.Endpoint{ID: id, Service: name, Domain: fmt.Sprintf("d%d", i%6), Slots: 1})
+				}
+			}
+			p.Configure(now, testServices, endpoints)
+			patient := Task{Key: "k", Stages: testStages, Aim: now.Add(time.Hour), Deadline: now.Add(time.Hour)}
+			for range perService + waiting {
+				p.Submit(now, patient)
+			}
+			b.ResetTimer()
+			for range b.N {
+				v, _ := p.Submit(now, patient)
+				if !v.Accepted {
+					b.Fatal("the task was refused")
+				}
+				p.Release(now, v.ID)
+			}
+		})
+	}
+}
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -45,9 +45,14 @@
 	if len(s.queue) == 0 {
 		return
 	}
+	idle := s.idleEndpoints(now)
+	if len(idle) == 0 {
+		// Ordering the queue for nothing with each event of a burst was nine
+		// tenths of a leader's work (BenchmarkSubmitBehindQueue).
+		return
+	}
 	p.order(now, s)
 	s.predictHomes(now)
-	idle := s.idleEndpoints(now)
 	for len(idle) > 0 && len(s.queue) > 0 {
 		w := s.fastest(idle, s.queue[0])
 		idle = slices.DeleteFunc(idle, func(x *endpoint) bool { return x == w })
