--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -12,6 +12,7 @@
 
 	"gradetiller.example/config"
 	"gradetiller.example/internal/endpoints"
+	"gradetiller.example/internal/packed"
 	"gradetiller.example/internal/wire"
 )
 
@@ -72,12 +73,12 @@
 					b.Fatal(err)
 				}
 			}
-			packed, err := pack(cfg.Data())
+			small, err := packed.Pack(cfg.Data())
 			if err != nil {
 				b.Fatal(err)
 			}
 			b.ReportMetric(float64(len(cfg.Data())), "file-B")
-			b.ReportMetric(float64(len(packed)), "packed-B")
+			b.ReportMetric(float64(len(small)), "packed-B")
 		})
 	}
 }
--- a/internal/control/configs.go
+++ b/internal/control/configs.go
@@ -14,6 +14,7 @@
 
 	"gradetiller.example/config"
 	"gradetiller.example/internal/core/settle"
+	"gradetiller.example/internal/packed"
 	"gradetiller.example/internal/platform"
 	"gradetiller.example/internal/wire"
 )
@@ -75,11 +76,11 @@
 	if current.Version != base {
 		return 0, warnings, &ConflictError{winner: current}
 	}
-	packed, err := pack(data)
+	small, err := packed.Pack(data)
 	if err != nil {
 		return 0, warnings, err
 	}
-	if err := c.objects.Put(ctx, objectName(cfg.Digest()), packed); err != nil {
+	if err := c.objects.Put(ctx, objectName(cfg.Digest()), small); err != nil {
 		return 0, warnings, fmt.Errorf("%w: %v", errStoreAway, err)
 	}
 	next := pointer{Version: base + 1, Digest: cfg.Digest(), Operator: operator, At: time.Now(), WriteID: rand.Text()}
@@ -191,11 +192,11 @@
 	if current.Version <= c.Version() {
 		return nil
 	}
-	packed, err := c.objects.Get(ctx, objectName(current.Digest))
+	small, err := c.objects.Get(ctx, objectName(current.Digest))
 	if err != nil {
 		return err
 	}
-	c.takePacked(wire.ConfigFile{Version: current.Version, Digest: current.Digest, Data: packed}, "store")
+	c.takePacked(wire.ConfigFile{Version: current.Version, Digest: current.Digest, Data: small}, "store")
 	return nil
 }
 
@@ -204,7 +205,7 @@
 	if f.Version <= c.Version() {
 		return
 	}
-	data, err := unpack(f.Data)
+	data, err := packed.Unpack(f.Data)
 	if err != nil {
 		c.log.Error("configuration cannot be unpacked", zap.Uint64("version", f.Version), zap.String("source", source), zap.Error(err))
 		return
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/member"
+	"gradetiller.example/internal/packed"
 	"gradetiller.example/internal/peer"
 	"gradetiller.example/internal/wire"
 )
@@ -168,11 +169,11 @@
 	if f.Version <= above {
 		return nil
 	}
-	packed, err := pack(f.Data)
+	small, err := packed.Pack(f.Data)
 	if err != nil {
 		return err
 	}
-	f.Data = packed
+	f.Data = small
 	return conn.Send(f)
 }
 
--- a/internal/control/compress.go
+++ b/internal/packed/packed.go
@@ -1,4 +1,11 @@
-package control
+// Package packed compresses configurations for the way between processes and to
+// the store.
+//
+// # Usage
+//
+//	small, err := packed.Pack(data)
+//	data, err = packed.Unpack(small)
+package packed
 
 import (
 	"bytes"
@@ -11,9 +18,9 @@
 // cannot fill the memory.
 const maxUnpacked = 8 << 20
 
-// pack compresses a configuration for the store and for peers: whole files are
-// most of what a control process sends at 670 changes a day.
-func pack(data []byte) ([]byte, error) {
+// Pack compresses a configuration. Whole files are most of what a process sends for
+// control at 670 changes a day, and what a node waits for that has just started.
+func Pack(data []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w := gzip.NewWriter(&out)
 	if _, err := w.Write(data); err != nil {
@@ -25,7 +32,8 @@
 	return out.Bytes(), nil
 }
 
-func unpack(packed []byte) ([]byte, error) {
+// Unpack returns what was packed.
+func Unpack(packed []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, fmt.Errorf("unpack configuration: %w", err)
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -38,6 +38,10 @@
 type outgoing struct {
 	address string
 	queue   chan wire.Message
+	opened  time.Time
+	// ctx ends when the connection is given up.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // NewLinks returns links without connections. receive takes what comes back
@@ -64,7 +68,8 @@
 	}
 	o, ok := l.open[address]
 	if !ok {
-		o = &outgoing{address: address, queue: make(chan wire.Message, linkBuffer)}
+		o = &outgoing{address: address, queue: make(chan wire.Message, linkBuffer), opened: time.Now()}
+		o.ctx, o.cancel = context.WithCancel(l.ctx)
 		l.open[address] = o
 		l.wait.Go(func() { l.run(o) })
 	}
@@ -76,7 +81,24 @@
 	}
 }
 
+// Renew gives the connection to an address up if it was opened before a moment, and
+// reports whether it did. The next message opens a new one. A connection may go
+// silent for good, which the system tells only seconds later, while new ones work;
+// onLost is not told.
+func (l *Links) Renew(address string, before time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o, ok := l.open[address]
+	if !ok || !o.opened.Before(before) {
+		return false
+	}
+	delete(l.open, address)
+	o.cancel()
+	return true
+}
+
 func (l *Links) forget(o *outgoing) {
+	o.cancel()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.open[o.address] == o {
@@ -86,11 +108,11 @@
 
 func (l *Links) run(o *outgoing) {
 	defer l.forget(o)
-	conn, err := Dial(l.ctx, o.address, l.hello, l.security)
+	conn, err := Dial(o.ctx, o.address, l.hello, l.security)
 	if err != nil {
 		l.lost(o, err)
 		select {
-		case <-l.ctx.Done():
+		case <-o.ctx.Done():
 		case <-time.After(redialPause):
 		}
 		return
@@ -110,7 +132,7 @@
 	defer idle.Stop()
 	for {
 		select {
-		case <-l.ctx.Done():
+		case <-o.ctx.Done():
 			return
 		case <-idle.C:
 			return
@@ -128,7 +150,7 @@
 }
 
 func (l *Links) lost(o *outgoing, err error) {
-	if l.onLost != nil && l.ctx.Err() == nil {
+	if l.onLost != nil && o.ctx.Err() == nil {
 		l.onLost(o.address, err)
 	}
 }
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -95,6 +95,9 @@
 type ViewRequest struct {
 	ConfigAbove    uint64
 	EndpointsAbove uint64
+	// TakesPacked tells that the configuration may come compressed. Nodes of an
+	// earlier version don't.
+	TakesPacked bool
 }
 
 // Worker is an endpoint of the platform's list.
@@ -120,6 +123,8 @@
 	Digest   uint64
 	// Age is how long ago the sender's list was current, in milliseconds.
 	Age int64
+	// Packed tells that Config is compressed.
+	Packed bool
 }
 
 func (StagesSubmit) kind() kind  { return kindStagesSubmit }
