internal/core/member: records of strong members go first

Cause: after a start of all, a node must know the nodes that lead and read before it can have work done; their records came in any order among 295. Change: strong members' records are owed and answered first.

--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -80,10 +80,12 @@
 	nextBeat  time.Time
 	nextProbe time.Time
 	pace      pace
-	allowance int // records left in this beat
-	listings  int // listings left in this beat
-	higher    map[string]uint64
-	changed   bool
+	// mostCapacity is that of the largest member ever heard of.
+	mostCapacity int
+	allowance    int // records left in this beat
+	listings     int // listings left in this beat
+	higher       map[string]uint64
+	changed      bool
 }
 
 type record struct {
@@ -121,6 +123,7 @@
 		allowance: startPace.records,
 	}
 	n.hash = recordHash(self)
+	n.mostCapacity = capacityOf(self)
 	return n
 }
 
@@ -161,6 +164,7 @@
 		return
 	}
 	n.self.Entries = slices.Clone(entries)
+	n.mostCapacity = max(n.mostCapacity, capacityOf(n.self))
 	n.renewSelf()
 }
 
--- a/internal/core/member/owed.go
+++ b/internal/core/member/owed.go
@@ -2,20 +2,27 @@
 
 import "slices"
 
-// owed is the ordered set of names whose records a peer is still to be sent.
+// owed is the ordered set of names whose records a peer is still to be sent, the
+// urgent ones first.
 type owed struct {
-	order []string
-	in    map[string]bool
+	urgent []string
+	others []string
+	in     map[string]bool
 }
 
-func (o *owed) add(name string) {
+func (o *owed) add(name string, urgent bool) {
 	if o.in == nil {
 		o.in = make(map[string]bool)
 	}
-	if !o.in[name] {
-		o.in[name] = true
-		o.order = append(o.order, name)
+	if o.in[name] {
+		return
+	}
+	o.in[name] = true
+	if urgent {
+		o.urgent = append(o.urgent, name)
+		return
 	}
+	o.others = append(o.others, name)
 }
 
 func (o *owed) remove(name string) {
@@ -23,18 +30,28 @@
 		return
 	}
 	delete(o.in, name)
-	o.order = slices.DeleteFunc(o.order, func(n string) bool { return n == name })
+	is := func(n string) bool { return n == name }
+	o.urgent = slices.DeleteFunc(o.urgent, is)
+	o.others = slices.DeleteFunc(o.others, is)
 }
 
-func (o *owed) len() int { return len(o.order) }
+func (o *owed) len() int { return len(o.in) }
 
 // take removes and returns the first names, at most n of them.
 func (o *owed) take(n int) []string {
-	n = min(n, len(o.order))
-	names := slices.Clone(o.order[:n])
-	o.order = slices.Delete(o.order, 0, n)
+	n = min(n, o.len())
+	names := make([]string, 0, max(n, 0))
+	names, o.urgent = moveFirst(names, o.urgent, n)
+	names, o.others = moveFirst(names, o.others, n-len(names))
 	for _, name := range names {
 		delete(o.in, name)
 	}
 	return names
 }
+
+// moveFirst moves the first names of one list to the end of another.
+func moveFirst(to, from []string, n int) ([]string, []string) {
+	n = max(min(n, len(from)), 0)
+	to = append(to, from[:n]...)
+	return to, slices.Delete(from, 0, n)
+}
--- a/internal/core/member/receive.go
+++ b/internal/core/member/receive.go
@@ -174,13 +174,32 @@
 // spread queues a record for all links but the one it came from. A member is
 // sent its own record too, since it must hear of a suspicion to refute it.
 func (n *Node) spread(name, from string) {
+	r := n.records[name]
+	n.mostCapacity = max(n.mostCapacity, capacityOf(r.m))
+	urgent := n.isStrong(r.m)
 	for to, l := range n.links {
 		if to != from {
-			l.members.add(name)
+			l.members.add(name, urgent)
 		}
 	}
 }
 
+// capacityOf is the processor share of the largest instance of a member.
+func capacityOf(m wire.Member) int {
+	most := 0
+	for _, e := range m.Entries {
+		most = max(most, e.Capacity)
+	}
+	return most
+}
+
+// isStrong reports whether a member is one of those that lead and read for all. A
+// node that starts needs to know these before it can have any work done, so their
+// records go ahead of the others.
+func (n *Node) isStrong(m wire.Member) bool {
+	return !ended(m.State) && 2*capacityOf(m) >= n.mostCapacity
+}
+
 // answerListing sends what the listing lacks, and this node's own listing if
 // it holds something newer.
 func (n *Node) answerListing(r *record, g wire.Gossip) []Send {
@@ -196,19 +215,28 @@
 			behind = true
 		}
 	}
-	var missing []string
+	var missing, weak []string
 	for _, m := range n.Members() {
 		v, ok := theirs[m.Node]
-		if !ok && ended(m.State) || ok && !newer(m, memberOf(v)) {
-			continue
+		switch {
+		case !ok && ended(m.State) || ok && !newer(m, memberOf(v)):
+		case n.isStrong(m):
+			missing = append(missing, m.Node)
+		default:
+			weak = append(weak, m.Node)
 		}
-		missing = append(missing, m.Node)
 	}
+	strong := len(missing)
+	missing = append(missing, weak...)
 	out := n.header()
 	out.Courtesy = true
 	out.Answer = true
 	out.Endpoints = n.Endpoints()
-	count := min(len(missing), maxRecords, n.allowance)
+	count := max(min(len(missing), maxRecords, n.allowance), 0)
+	if len(weak) > 0 && strong <= maxRecords {
+		// The few strong ones are told in any case.
+		count = max(count, strong)
+	}
 	n.allowance -= count
 	for _, name := range missing[:count] {
 		m, _ := n.lookup(name)
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -121,7 +121,7 @@
 		l.self = false
 		g.Members = append(g.Members, n.self)
 	}
-	for _, member := range l.members.take(min(maxRecords, n.allowance)) {
+	for _, member := range l.members.take(min(maxRecords, max(n.allowance, 0))) {
 		n.allowance--
 		if r, ok := n.records[member]; ok {
 			g.Members = append(g.Members, r.m)
