internal/node: a node that leads before it knows any engine asks them once it does

Cause: the question was dropped when the configuration came before the list of endpoints. TestWorkBeforeTheFirstView failed 1 of 1 and 2 of 5 times beside other work, and passed 12 times after the change, also beside it.

--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -48,15 +48,15 @@
 		return
 	}
 	l.mu.Lock()
-	v := l.view
-	l.asks = v == nil
-	l.mu.Unlock()
-	if v == nil {
-		// Work came before the first list of endpoints.
-		return
+	var engines []catalog.Endpoint
+	if l.view != nil {
+		engines = l.models.cachingEndpoints(l.view)
 	}
+	// Work may come before the first list of endpoints, and the configuration too.
+	l.asks = len(engines) == 0
+	l.mu.Unlock()
 	turns := make(chan struct{}, listsAtOnce)
-	for _, e := range l.models.cachingEndpoints(v) {
+	for _, e := range engines {
 		turns <- struct{}{}
 		go func() {
 			defer func() { <-turns }()
