--- a/internal/core/discovery/readers.go
+++ b/internal/core/discovery/readers.go
@@ -107,16 +107,36 @@
 	return readers[(hash.Of(node)+uint64(failed))%uint64(len(readers))]
 }
 
+// The limits of reads of the store, and the pauses after those that failed.
 const (
-	// firstRetry and longestRetry bound the pause after a call to the store that
-	// failed; it doubles with each further one.
+	readLimit = 900 * time.Millisecond
+	// startLimit and startPause are those of a node that knows nothing yet and can
+	// do nothing: a call that went out while the store was away must not keep it
+	// from the next one. After startTries the store may be there, but slow.
+	startLimit = 450 * time.Millisecond
+	startPause = 150 * time.Millisecond
+	startTries = 4
+	// firstRetry and longestRetry bound the pause otherwise; it doubles with each
+	// further failure.
 	firstRetry   = 300 * time.Millisecond
 	longestRetry = 1200 * time.Millisecond
 )
 
-// RetryPause is how long a node waits after some calls to the store that failed
-// in a row. While the store is away every call is in vain, and a second more
-// until it is found again does not count beside the time it was away.
-func RetryPause(failed int) time.Duration {
+// ReadLimit is how long a read of the store may take after some that failed in a
+// row, for a node that serves by what it knows or one that knows nothing yet.
+func ReadLimit(serves bool, failed int) time.Duration {
+	if !serves && failed < startTries {
+		return startLimit
+	}
+	return readLimit
+}
+
+// RetryPause is how long such a node waits after some calls to the store that failed
+// in a row. While the store is away every call is in vain, and a second more until it
+// is found again does not count beside the time it was away.
+func RetryPause(serves bool, failed int) time.Duration {
+	if !serves {
+		return startPause
+	}
 	return min(firstRetry<<min(max(failed-1, 0), 8), longestRetry)
 }
--- a/internal/core/discovery/readers_test.go
+++ b/internal/core/discovery/readers_test.go
@@ -97,7 +97,7 @@
 func TestRetryPauseIsBounded(t *testing.T) {
 	before := time.Duration(0)
 	for failed := range 100 {
-		d := RetryPause(failed)
+		d := RetryPause(true, failed)
 		if d < before || d < 300*time.Millisecond || d > 1200*time.Millisecond {
 			t.Errorf("%v after %d failures, %v before", d, failed, before)
 		}
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -83,8 +83,23 @@
 	return most
 }
 
-func isStrong(e wire.Entry, most int) bool {
-	return float64(e.Capacity) >= strongShare*float64(most)
+func isStrong(e wire.Entry, most int) bool { return Strong(e.Capacity, most) }
+
+// Strong reports whether an instance of a capacity is a strong one where the largest
+// has most.
+func Strong(capacity, most int) bool { return float64(capacity) >= strongShare*float64(most) }
+
+// Leading is one number for the set of nodes that may lead and read: the strong ones
+// that stay. Nodes that know the same ones have the same number.
+func Leading(entries []wire.Entry) uint64 {
+	strong, _ := Split(entries)
+	set := uint64(0)
+	for _, e := range strong {
+		if !e.Leaving {
+			set ^= hash.Of(e.Node)
+		}
+	}
+	return set
 }
 
 // rankAlike orders instances of about one size.
--- a/internal/core/stagepool/admit.go
+++ b/internal/core/stagepool/admit.go
@@ -46,18 +46,16 @@
 	return ready
 }
 
-// predict returns the time until a task's last result, with what such tasks took
-// beyond the plan of late, and false when a service has no endpoint.
-func (p *Pool) predict(now time.Time, t Task) (time.Duration, bool) {
-	planned, ok := p.plan(now, t)
-	if !ok || p.off.Has(mechanism.Forecast) {
-		return planned, ok
+// forecast returns the time until the last result of a task with a plan.
+func (p *Pool) forecast(t Task, planned time.Duration) time.Duration {
+	if p.off.Has(mechanism.Forecast) {
+		return planned
 	}
-	return planned + p.beyond[t.steps()].value(), true
+	return planned + p.beyond[t.steps()].value()
 }
 
 // plan returns the time until a task's last result as far as queues, calls and room
-// tell it.
+// tell it, and false when a service has no endpoint.
 func (p *Pool) plan(now time.Time, t Task) (time.Duration, bool) {
 	finish := make([]time.Duration, len(t.Stages))
 	longest := time.Duration(0)
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -154,19 +154,19 @@
 // Submit takes a task, or refuses it.
 func (p *Pool) Submit(now time.Time, t Task) (Verdict, []Action) {
 	p.now = now
-	finish, ok := p.predict(now, t)
+	planned, ok := p.plan(now, t)
 	if !ok {
 		p.counters.Refused++
 		return Verdict{Again: time.Second}, nil
 	}
+	finish := p.forecast(t, planned)
 	if v, refused := p.admit(now, t, finish); refused {
 		p.counters.Refused++
 		return v, nil
 	}
 	p.counters.Accepted++
 	p.lastTask++
-	live := &task{Task: t, id: p.lastTask, stages: make([]stage, len(t.Stages)), taken: now}
-	live.planned, _ = p.plan(now, t)
+	live := &task{Task: t, id: p.lastTask, stages: make([]stage, len(t.Stages)), taken: now, planned: planned}
 	for i, s := range t.Stages {
 		live.stages[i] = stage{Stage: s}
 	}
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -13,9 +13,9 @@
 )
 
 // newNode returns a node that does not run.
-func newNode(t *testing.T, site *platformtest.Site) *Node {
+func newNode(t *testing.T, site *platformtest.Site, seeds ...string) *Node {
 	t.Helper()
-	text, _ := site.Settings()
+	text, _ := site.Settings(seeds...)
 	s, err := platform.ParseSettings(text)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -15,7 +15,6 @@
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/peer"
 	"gradetiller.example/internal/wire"
-	"gradetiller.example/platform"
 	"gradetiller.example/platform/platformtest"
 )
 
@@ -278,13 +277,7 @@
 // the order in which they are given.
 func submitter(t *testing.T, stubs ...*stub) *Node {
 	t.Helper()
-	text, _ := platformtest.NewSite(t).Settings()
-	s, err := platform.ParseSettings(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	n := New(s)
-	t.Cleanup(n.links.Close)
+	n := newNode(t, platformtest.NewSite(t))
 	n.hasJoined.Store(true)
 	var entries []wire.Entry
 	for _, s := range stubs {
--- a/internal/node/lookup_test.go
+++ b/internal/node/lookup_test.go
@@ -12,13 +12,7 @@
 // TestLookupWaitsForOthers asks a node that has just started, and knows nobody, which
 // nodes to use: it tells none until it knows the others, or that there are none.
 func TestLookupWaitsForOthers(t *testing.T) {
-	text, _ := platformtest.NewSite(t).Settings("127.0.0.1:1")
-	s, err := platform.ParseSettings(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	n := New(s)
-	t.Cleanup(n.links.Close)
+	n := newNode(t, platformtest.NewSite(t), "127.0.0.1:1")
 	ask := func() int {
 		w := httptest.NewRecorder()
 		n.serveLookup(w, httptest.NewRequest(http.MethodGet, platform.LookupPath, nil))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -250,8 +250,7 @@
 // isReady reports whether the node can serve: it knows a configuration and
 // the endpoints, and is not leaving.
 func (n *Node) isReady() bool {
-	v := n.view.Load()
-	return v.config != nil && !v.readAt.IsZero() && n.joined() && n.liveNodes.Load() > 0 && !n.stopping()
+	return n.serves() && n.joined() && n.liveNodes.Load() > 0 && !n.stopping()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/discovery"
-	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/member"
@@ -128,7 +127,7 @@
 		}
 	}
 	before := n.liveNodes.Swap(int64(live))
-	if leading := leadingSet(entries); n.leadingSet.Swap(leading) != leading {
+	if leading := lead.Leading(entries); n.leadingSet.Swap(leading) != leading {
 		n.changedAt.Store(int64(time.Since(n.started)))
 	}
 	if before != int64(live) {
@@ -137,19 +136,6 @@
 	}
 }
 
-// leadingSet is one number for the set of nodes that may lead and read: the strong
-// ones that stay.
-func leadingSet(entries []wire.Entry) uint64 {
-	strong, _ := lead.Split(entries)
-	set := uint64(0)
-	for _, e := range strong {
-		if !e.Leaving {
-			set ^= hash.Of(e.Node)
-		}
-	}
-	return set
-}
-
 // askForView asks a peer that is ahead for its configuration, and any peer
 // for its list of endpoints when the store does not tell.
 func (n *Node) askForView(now time.Time, ahead string, version uint64) {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -16,16 +16,8 @@
 const (
 	// configWait is how long the store holds a question for changes. It is
 	// short, because a lost answer is noticed only after it.
-	configWait  = 1500 * time.Millisecond
-	configEvery = 400 * time.Millisecond
-	storeLimit  = 900 * time.Millisecond
-	// firstLimit and firstPause are the same, and the pause after a failure, for a
-	// node that knows nothing yet and can do nothing: a call that went out while
-	// the store was away must not keep it from the next one. After firstTries the
-	// store may be there, but slow.
-	firstLimit     = 450 * time.Millisecond
-	firstPause     = 150 * time.Millisecond
-	firstTries     = 4
+	configWait     = 1500 * time.Millisecond
+	configEvery    = 400 * time.Millisecond
 	endpointsEvery = 700 * time.Millisecond
 	// askEvery is how often a node that is no reader asks one, askStale the
 	// age at which its answer counts as a failure.
@@ -55,7 +47,7 @@
 			}
 			n.storeState(err)
 			failed++
-			pause(ctx, n.retryPause(failed))
+			pause(ctx, discovery.RetryPause(n.serves(), failed))
 			continue
 		}
 		failed = 0
@@ -78,31 +70,15 @@
 	return askEvery
 }
 
-// knowsNothing reports whether this node has no configuration or no list yet.
-func (n *Node) knowsNothing() bool {
+// serves reports whether this node has a configuration and a list to serve by.
+func (n *Node) serves() bool {
 	v := n.view.Load()
-	return v.config == nil || v.readAt.IsZero()
-}
-
-// readLimit bounds a read of the store after some that failed in a row.
-func (n *Node) readLimit(failed int) time.Duration {
-	if n.knowsNothing() && failed < firstTries {
-		return firstLimit
-	}
-	return storeLimit
-}
-
-// retryPause is the pause after some calls to the store that failed in a row.
-func (n *Node) retryPause(failed int) time.Duration {
-	if n.knowsNothing() {
-		return firstPause
-	}
-	return discovery.RetryPause(failed)
+	return v.config != nil && !v.readAt.IsZero()
 }
 
 func (n *Node) nextConfig(ctx context.Context, after uint64, failed int) (platform.ConfigRevision, error) {
 	if after == 0 {
-		return n.store.ReadConfig(ctx, n.readLimit(failed))
+		return n.store.ReadConfig(ctx, discovery.ReadLimit(n.serves(), failed))
 	}
 	return n.store.AwaitConfig(ctx, after, configWait)
 }
@@ -114,10 +90,10 @@
 	for ctx.Err() == nil {
 		asked := time.Now()
 		if n.reads(asked) {
-			list, revision, err := n.store.Endpoints(ctx, n.readLimit(inVain))
+			list, revision, err := n.store.Endpoints(ctx, discovery.ReadLimit(n.serves(), inVain))
 			if err != nil {
 				inVain++
-				pause(ctx, n.retryPause(inVain))
+				pause(ctx, discovery.RetryPause(n.serves(), inVain))
 				continue
 			}
 			inVain = 0
@@ -180,10 +156,8 @@
 	v := n.view.Load()
 	readers := n.readers.Load().Readers(time.Since(v.readAt))
 	name := discovery.ReaderFor(readers, n.settings.Node, failed)
-	for _, e := range *n.entries.Load() {
-		if e.Node == name {
-			n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.version(), EndpointsAbove: v.revision, TakesPacked: true})
-		}
+	for _, e := range entriesOf(*n.entries.Load(), []string{name}) {
+		n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.version(), EndpointsAbove: v.revision, TakesPacked: true})
 	}
 }
 
