--- a/cmd/gradetiller-node/cmd/main.go
+++ b/cmd/gradetiller-node/cmd/main.go
@@ -18,8 +18,8 @@
 
 const (
 	name = "gradetiller-node"
-	help = "Carries one machine's whole part of the system on the users' platform. Its settings file is named by the variable " + platform.SettingsVariable + "."
-	// memoryShare is the part of the machine's memory from which on memory is
+	help = "Carries one instance's whole part of the system on the users' platform. Its settings file is named by the variable " + platform.SettingsVariable + "."
+	// memoryShare is the part of the instance's memory from which on memory is
 	// collected more often.
 	memoryShare = 0.6
 	ownMemory   = 200
--- a/internal/core/discovery/readers_test.go
+++ b/internal/core/discovery/readers_test.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// TestStartersTryAgainSoon checks that a node that knows nothing gives a call to the
+// store up sooner, and tries again sooner, than one that serves, but not for ever: the
+// store may be slow.
+func TestStartersTryAgainSoon(t *testing.T) {
+	for failed := range 20 {
+		starts, serves := ReadLimit(false, failed), ReadLimit(true, failed)
+		if failed < 4 && starts >= serves || failed >= 4 && starts != serves {
+			t.Errorf("after %d failures a read may take %v at the start and %v later", failed, starts, serves)
+		}
+		if RetryPause(false, failed) >= RetryPause(true, failed) {
+			t.Errorf("after %d failures the pause is %v at the start and %v later", failed, RetryPause(false, failed), RetryPause(true, failed))
+		}
+	}
+}
+
 // TestRetryPauseIsBounded checks that calls in vain come less often, but not ever
 // less so.
 func TestRetryPauseIsBounded(t *testing.T) {
--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -24,7 +24,6 @@
 
 // Done takes the end of a call.
 func (p *Pool) Done(now time.Time, id CallID, o Outcome) []Action {
-	p.now = now
 	c, ok := p.calls[id]
 	if !ok {
 		return p.take()
@@ -96,7 +95,7 @@
 		p.restart(now, ref.task)
 		return
 	case Late:
-		p.fail(ref.task, "late", failAgain)
+		p.fail(now, ref.task, "late", failAgain)
 		return
 	}
 	if st.results[ref.piece] == nil {
@@ -136,12 +135,12 @@
 		st.tries++
 		p.counters.Again++
 		if p.budget != nil && !p.budget.Take(now, st.Service, 1) {
-			p.fail(ref.task, "no budget to make a piece again", failAgain)
+			p.fail(now, ref.task, "no budget to make a piece again", failAgain)
 			return
 		}
 	}
 	if st.tries > mostTries {
-		p.fail(ref.task, "a stage failed too often", failAgain)
+		p.fail(now, ref.task, "a stage failed too often", failAgain)
 		return
 	}
 	st.waiting = append(st.waiting, ref.piece)
@@ -157,13 +156,13 @@
 	}
 	t.restarts++
 	if t.restarts > mostRestarts {
-		p.fail(t, "results were gone too often", failAgain)
+		p.fail(now, t, "results were gone too often", failAgain)
 		return
 	}
 	p.counters.Restarts++
 	p.withdraw(t)
 	for i := range t.stages {
-		p.freeStage(t, i)
+		p.freeStage(now, t, i)
 	}
 	p.begin(now, t)
 }
@@ -178,7 +177,7 @@
 		st.state = finished
 		for _, of := range st.After {
 			if p.allMade(ref.task, of) {
-				p.freeStage(ref.task, of)
+				p.freeStage(now, ref.task, of)
 			}
 		}
 		p.advance(now, ref.task)
@@ -188,7 +187,6 @@
 // Tick does what is due: it gives up inputs that were fetched, has pieces of
 // overdue calls made elsewhere, and ends tasks whose deadline is over.
 func (p *Pool) Tick(now time.Time) []Action {
-	p.now = now
 	p.freeDue(now)
 	for _, id := range slices.Sorted(maps.Keys(p.calls)) {
 		p.watch(now, p.calls[id])
@@ -206,9 +204,9 @@
 	switch {
 	case !now.After(t.Deadline):
 	case t.complete:
-		p.end(t)
+		p.end(now, t)
 	default:
-		p.fail(t, "deadline", failAgain)
+		p.fail(now, t, "deadline", failAgain)
 	}
 }
 
@@ -235,7 +233,7 @@
 	slices.SortFunc(expired, func(a, b *task) int { return cmp.Compare(a.id, b.id) })
 	for _, t := range slices.Compact(expired) {
 		if now.Add(p.shortest(t.Task)).After(t.Aim) {
-			p.fail(t, lateAndGone, failAgain)
+			p.fail(now, t, lateAndGone, failAgain)
 			continue
 		}
 		p.restart(now, t)
@@ -261,7 +259,7 @@
 		case f.at.After(now):
 			kept = append(kept, f)
 		case !f.task.stages[f.of].freed && p.allStarted(f.task, f.of):
-			p.freeStage(f.task, f.of)
+			p.freeStage(now, f.task, f.of)
 		}
 	}
 	clear(p.frees[len(kept):])
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -47,8 +47,6 @@
 	out      []Action
 	// beyond tells by steps what tasks took beyond their plan.
 	beyond [mostSteps + 1]beyond
-	// now is the time of the event that is being handled.
-	now time.Time
 	// alone is when an earlier leader's calls have surely ended.
 	alone time.Time
 }
@@ -82,7 +80,6 @@
 // Configure puts services and their endpoints in force. An endpoint that is
 // draining or missing gets no new calls.
 func (p *Pool) Configure(now time.Time, services map[string]catalog.Service, endpoints []catalog.Endpoint) []Action {
-	p.now = now
 	for name, conf := range services {
 		if conf.Batching == nil {
 			continue
@@ -141,10 +138,9 @@
 // GiveBack gives the tasks up for which no call was sent, so that another
 // leader takes them whole.
 func (p *Pool) GiveBack(now time.Time) []Action {
-	p.now = now
 	for _, id := range slices.Sorted(maps.Keys(p.tasks)) {
 		if t := p.tasks[id]; !t.worked && !t.complete {
-			p.fail(t, MoveReason, 0)
+			p.fail(now, t, MoveReason, 0)
 		}
 	}
 	p.dispatchAll(now)
@@ -153,7 +149,6 @@
 
 // Submit takes a task, or refuses it.
 func (p *Pool) Submit(now time.Time, t Task) (Verdict, []Action) {
-	p.now = now
 	planned, ok := p.plan(now, t)
 	if !ok {
 		p.counters.Refused++
@@ -278,23 +273,22 @@
 // Release gives up a task and its results: its request has used them, or is
 // over.
 func (p *Pool) Release(now time.Time, id TaskID) []Action {
-	p.now = now
 	t, ok := p.tasks[id]
 	if !ok {
 		return p.take()
 	}
-	p.end(t)
+	p.end(now, t)
 	p.dispatchAll(now)
 	return p.take()
 }
 
 // end forgets a task, takes its pieces out of all queues and frees its
 // results.
-func (p *Pool) end(t *task) {
+func (p *Pool) end(now time.Time, t *task) {
 	delete(p.tasks, t.id)
 	p.withdraw(t)
 	for i := range t.stages {
-		p.freeStage(t, i)
+		p.freeStage(now, t, i)
 	}
 }
 
@@ -326,13 +320,13 @@
 }
 
 // freeStage gives up the results of stage i.
-func (p *Pool) freeStage(t *task, i int) {
+func (p *Pool) freeStage(now time.Time, t *task, i int) {
 	s := &t.stages[i]
 	s.freed = true
 	byMaker := make(map[*endpoint][]string)
 	var order []*endpoint
 	for _, r := range s.results {
-		if r == nil || !r.maker.drop(p.now, r) {
+		if r == nil || !r.maker.drop(now, r) {
 			continue
 		}
 		if byMaker[r.maker] == nil {
@@ -346,9 +340,9 @@
 }
 
 // fail gives a task up.
-func (p *Pool) fail(t *task, reason string, again time.Duration) {
+func (p *Pool) fail(now time.Time, t *task, reason string, again time.Duration) {
 	p.counters.Failed++
-	p.end(t)
+	p.end(now, t)
 	p.emit(Fail{Task: t.id, Reason: reason, Again: again})
 }
 
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -1,4 +1,4 @@
-// Package node is a process that carries a machine's whole part of the
+// Package node is a process that carries an instance's whole part of the
 // system: it takes clients' requests, keeps the view of the configuration and
 // the endpoints, meets the other nodes, and leads stage pools.
 //
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,7 +35,7 @@
 // String returns the address as host:port.
 func (a Address) String() string { return string(a) }
 
-// Loopback reports whether the address can't be reached from other machines.
+// Loopback reports whether the address can't be reached from other instances.
 func (a Address) Loopback() bool {
 	p, err := netip.ParseAddrPort(string(a))
 	return err == nil && p.Addr().IsLoopback()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -12,7 +12,7 @@
 	// syscall lacks.
 	tcpUserTimeout = 0x12
 	// silentPeer is how long sent bytes may stay without acknowledgement, in
-	// milliseconds: a machine without power says nothing.
+	// milliseconds: an instance without power says nothing.
 	silentPeer = 2500
 )
 
