internal/node: logs and metrics tell who reads the store, and how old the configuration's news is

Cause: of the hypotheses on configuration changes out of their bounds, the first (freshness is that of the list of endpoints only) could not be told from the others: no line says when a node begins or ceases to read the store, and the only age is that of the list. Ruled out: nothing yet. Change: events 'reads the store' and 'reads the store no more' with the list's age and the version; gauges of when the store last answered a question for configurations, who reads, and how many configurations were refused. No decision changes.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -47,6 +47,10 @@
 	eventStoreLost = "store lost"
 	// The store answers again.
 	eventStoreReached = "store reached"
+	// This node reads the store itself, as a reader or in the readers' place.
+	eventReadsStore = "reads the store"
+	// This node leaves the store to its readers.
+	eventReadsStoreNoMore = "reads the store no more"
 	// A connection to a node broke or could not be opened.
 	eventPeerLost = "peer lost"
 	// A connection from a process that is no node of this system.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,7 +94,13 @@
 	hasJoined  atomic.Bool
 
 	storeLost atomic.Bool
-	inFlight  atomic.Int64
+	// configHeard is when the store last told this node that it knows the newest
+	// configuration, as nanoseconds since its start, or 0; readsStore tells whether
+	// it read the store when it last looked.
+	configHeard    atomic.Int64
+	readsStore     atomic.Bool
+	configsRefused atomic.Int64
+	inFlight       atomic.Int64
 	// stop is the planned stop under way, or nil.
 	stop atomic.Pointer[stop]
 	// serving is the context of all requests; giveUp ends it with a cause.
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -55,7 +55,8 @@
 func (n *Node) takeConfig(data []byte, source string) {
 	cfg, err := platform.ParseConfig(data)
 	if err != nil {
-		n.log.Error(eventConfigurationRefused, zap.String("source", source), zap.Error(err))
+		n.configsRefused.Add(1)
+		n.log.Error(eventConfigurationRefused, zap.String("source", source), zap.Uint64("in_force", n.view.Load().version()), zap.Error(err))
 		return
 	}
 	n.viewMu.Lock()
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -34,7 +34,8 @@
 	revision := uint64(0)
 	failed := 0
 	for ctx.Err() == nil {
-		if !n.reads(time.Now()) {
+		now := time.Now()
+		if !n.noteReads(now, n.reads(now)) {
 			revision, failed = 0, 0
 			pause(ctx, n.untilAsked())
 			continue
@@ -52,6 +53,7 @@
 		}
 		failed = 0
 		n.storeState(nil)
+		n.configHeard.Store(int64(time.Since(n.started)))
 		revision = r.Revision
 		if r.Data != nil {
 			n.takeConfig(r.Data, "store")
@@ -124,6 +126,25 @@
 	return n.readers.Load().Reads(n.settings.Node, now.Sub(known))
 }
 
+// noteReads logs when this node begins or ceases to read the store, and returns
+// whether it does.
+func (n *Node) noteReads(now time.Time, reads bool) bool {
+	if n.readsStore.Swap(reads) == reads {
+		return reads
+	}
+	age := now.Sub(n.view.Load().readAt)
+	if n.view.Load().readAt.IsZero() {
+		age = 0
+	}
+	fields := []zap.Field{zap.Duration("list_age", age), zap.Uint64("config", n.view.Load().version())}
+	if reads {
+		n.log.Info(eventReadsStore, fields...)
+		return true
+	}
+	n.log.Info(eventReadsStoreNoMore, fields...)
+	return false
+}
+
 // setEntries puts a list of live nodes in force, and with it who reads the
 // store.
 func (n *Node) setEntries(entries []wire.Entry) {
