internal/soak, platform/platformtest: bounds of configuration changes on 61 processes

Cause: the soak has four nodes, each of which reads the store, and asks for no bound, so it could not bring about what was reported from 61 nodes. Change: TestConfigurationBounds runs a deployment file's nodes as processes, with a way of its own to the store for each; an operator changes the configuration in series and storms, with 1,400 routes more or less, keys and routes that only one version has, and versions that must be refused; nodes and their ways to the store fail; every answer of four probes a node is held against the bounds from outside. By hand (-bounds), since its verdict is timed.

--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -23,6 +23,18 @@
 func startNode(t *testing.T, site *platformtest.Site, seeds ...string) *running {
 	t.Helper()
 	text, addresses := site.Settings(seeds...)
+	return startNodeWith(t, text, addresses)
+}
+
+// startNodeOn starts a node on an instance of the test's own choice.
+func startNodeOn(t *testing.T, site *platformtest.Site, on platformtest.Instance, seeds ...string) *running {
+	t.Helper()
+	text, addresses := site.SettingsOf(on, seeds...)
+	return startNodeWith(t, text, addresses)
+}
+
+func startNodeWith(t *testing.T, text []byte, addresses platformtest.Addresses) *running {
+	t.Helper()
 	s, err := platform.ParseSettings(text)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/soak/bounds_test.go
@@ -0,0 +1,397 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"gradetiller.example/platform/platformtest"
+)
+
+var (
+	boundsOf    = flag.String("bounds", "", "deployment file under testdata whose bounds of configuration changes are checked; empty skips the check")
+	programPath = flag.String("program", "", "program to run as a node; empty builds this tree's")
+	onlyFault   = flag.String("fault", "", "the only kind of fault to bring; empty brings all")
+)
+
+// deployment is a deployment file.
+type deployment struct {
+	Instances []struct {
+		Domain   string  `yaml:"domain"`
+		Count    int     `yaml:"count"`
+		CPUShare float64 `yaml:"cpuShare"`
+		MemoryMB int     `yaml:"memoryMb"`
+	} `yaml:"instances"`
+	ApplyMS         int64 `yaml:"applyMs"`
+	RollbackSlackMS int64 `yaml:"rollbackSlackMs"`
+	ContactMS       int64 `yaml:"contactMs"`
+	SkewMS          int64 `yaml:"skewMs"`
+	ManyRoutes      int   `yaml:"manyRoutes"`
+}
+
+func readDeployment(t *testing.T, name string) deployment {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("testdata", name+".yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var d deployment
+	if err := yaml.Unmarshal(data, &d); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (d deployment) bounds() bounds {
+	return bounds{apply: ms(d.ApplyMS), rollback: ms(d.RollbackSlackMS), contact: ms(d.ContactMS), skew: ms(d.SkewMS)}
+}
+
+// boundsRun is one seed's system, its operator and its probes.
+type boundsRun struct {
+	t      *testing.T
+	rand   *rand.Rand
+	of     deployment
+	site   *platformtest.Site
+	doors  []*platformtest.Door
+	nodes  []*process
+	logs   string
+	desks  map[string]string // service by worker
+	probes atomic.Int64
+	next   int // index of the node whose turn it is
+
+	mu      sync.Mutex
+	history history
+	seen    []observation
+	config  platformtest.Config
+	many    bool
+	refused []uint64
+}
+
+// TestConfigurationBounds runs a whole deployment as separate processes, changes
+// its configuration all the time, has nodes and their ways to the store fail, and
+// holds every answer against the bounds of the deployment. It is run by hand, since
+// its verdict depends on the machine's speed.
+func TestConfigurationBounds(t *testing.T) {
+	if *boundsOf == "" {
+		t.Skip("no deployment given")
+	}
+	program := *programPath
+	if program == "" {
+		program = build(t, t.TempDir())
+	}
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { checkBounds(t, program, seed) })
+	}
+}
+
+func checkBounds(t *testing.T, program string, seed uint64) {
+	d := readDeployment(t, *boundsOf)
+	r := &boundsRun{
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), of: d, site: platformtest.NewSite(t), desks: make(map[string]string),
+		history: history{bounds: d.bounds(), disturbed: make(map[int][]span)},
+	}
+	r.site.Grace = grace
+	r.addWorkers()
+	r.publish(func(c *platformtest.Config) { c.Version = 1 })
+	r.startNodes(program, seed)
+	ctx, stop := context.WithCancel(context.Background())
+	var busy sync.WaitGroup
+	for i := range r.nodes {
+		busy.Go(func() { r.watch(ctx, i) })
+	}
+	busy.Go(func() { r.operate(ctx, rand.New(rand.NewPCG(seed, 2))) })
+	for i := range *clientCount {
+		busy.Go(func() { r.load(ctx, i) })
+	}
+	r.trouble(time.Duration(*secondsEach * float64(time.Second)))
+	time.Sleep(healTime)
+	stop()
+	busy.Wait()
+	r.judge()
+}
+
+func (r *boundsRun) addWorkers() {
+	r.site.EventTokens, r.site.EventPause = eventTokens, eventPause
+	for _, service := range []string{"desk", "second-desk", "model", "encode", "rank"} {
+		for _, w := range r.site.AddWorkers(service, 4) {
+			r.desks[w.ID] = service
+		}
+	}
+}
+
+// publish changes the configuration and writes it to the store.
+func (r *boundsRun) publish(change func(*platformtest.Config)) {
+	r.mu.Lock()
+	next := platformtest.Config{
+		Version: r.config.Version, Models: []string{"model"}, Stages: []string{"encode", "rank"},
+	}
+	change(&next)
+	service := []string{"desk", "second-desk"}[next.Version%2]
+	next.Keys = map[string]string{apiKey: account, versionKey(next.Version): account}
+	next.Routes = append(deskRoutes(),
+		platformtest.Route{Prefix: "/moved/", Kind: "safe", Service: service},
+		platformtest.Route{Prefix: versionPath(next.Version), Kind: "safe", Service: "desk"})
+	if r.many {
+		for i := range r.of.ManyRoutes {
+			next.Routes = append(next.Routes, platformtest.Route{Prefix: manyPath(i), Kind: "safe", Service: "desk"})
+		}
+	}
+	r.config = next
+	r.history.versions = append(r.history.versions, published{version: next.Version, service: service, many: r.many, sent: time.Now()})
+	at := len(r.history.versions) - 1
+	r.mu.Unlock()
+	r.site.Publish(next)
+	r.mu.Lock()
+	r.history.versions[at].acknowledged = time.Now()
+	r.mu.Unlock()
+}
+
+func versionKey(version uint64) string { return fmt.Sprintf("key-v%d", version) }
+
+func manyPath(i int) string { return fmt.Sprintf("/many/%d/", i) }
+
+// operate changes the configuration until ctx ends: single changes, storms, many
+// routes more or less, and now and then one that must be refused.
+func (r *boundsRun) operate(ctx context.Context, draw *rand.Rand) {
+	for ctx.Err() == nil {
+		count, gap := 1, time.Duration(0)
+		switch draw.IntN(5) {
+		case 0:
+			count, gap = 4+draw.IntN(12), time.Duration(60+draw.IntN(360))*time.Millisecond
+		case 1:
+			r.mu.Lock()
+			r.many = !r.many
+			r.mu.Unlock()
+		case 2:
+			r.publishInvalid()
+		}
+		for range count {
+			r.publish(func(c *platformtest.Config) { c.Version += 1 + 2*uint64(draw.IntN(3)) })
+			sleep(ctx, gap)
+		}
+		sleep(ctx, time.Duration(300+draw.IntN(5200))*time.Millisecond)
+	}
+}
+
+// publishInvalid writes a configuration that nodes must refuse as a whole, and
+// that a valid one with a higher version soon follows.
+func (r *boundsRun) publishInvalid() {
+	r.mu.Lock()
+	r.config.Version++
+	bad := r.config
+	r.refused = append(r.refused, bad.Version)
+	r.mu.Unlock()
+	bad.Routes = append([]platformtest.Route{}, bad.Routes...)
+	for i := range bad.Routes {
+		if strings.HasPrefix(bad.Routes[i].Prefix, "/v/") {
+			bad.Routes[i].Prefix = versionPath(bad.Version)
+		}
+	}
+	r.site.PublishInvalid(bad)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (r *boundsRun) startNodes(program string, seed uint64) {
+	r.logs = filepath.Join(os.TempDir(), fmt.Sprintf("gradetiller-bounds-%d-%d", os.Getpid(), seed))
+	if *logFolder != "" {
+		r.logs = filepath.Join(*logFolder, fmt.Sprintf("bounds-%d", seed))
+	}
+	if err := os.MkdirAll(r.logs, 0o700); err != nil {
+		r.t.Fatal(err)
+	}
+	const mostSeeds = 3
+	var known []string
+	for _, kind := range r.of.Instances {
+		for range kind.Count {
+			door := r.site.AddDoor()
+			text, addresses := r.site.SettingsOf(platformtest.Instance{Zone: kind.Domain, CPUShare: kind.CPUShare, MemoryMB: kind.MemoryMB, Store: door.Address}, known...)
+			if len(known) < mostSeeds {
+				known = append(known, addresses.Peer)
+			}
+			p := &process{
+				Addresses: addresses, t: r.t, name: fmt.Sprintf("node-%d", len(r.nodes)+1), program: program, logs: r.logs, grace: grace,
+				settings: r.site.WriteSettings(text), peer: addresses.Peer,
+			}
+			r.doors = append(r.doors, door)
+			r.nodes = append(r.nodes, p)
+			p.start()
+		}
+	}
+	r.t.Cleanup(func() {
+		for _, p := range r.nodes {
+			p.end(syscall.SIGKILL)
+		}
+		if !r.t.Failed() && *logFolder == "" {
+			_ = os.RemoveAll(r.logs)
+		}
+	})
+	waiting := &run{t: r.t}
+	for _, p := range r.nodes {
+		waiting.awaitReady(p)
+	}
+	time.Sleep(r.history.contact)
+}
+
+// watch probes one node all the time.
+func (r *boundsRun) watch(ctx context.Context, node int) {
+	draw := rand.New(rand.NewPCG(uint64(node), 3))
+	transport := &http.Transport{DisableCompression: true}
+	for ctx.Err() == nil {
+		for _, q := range []question{askMark, askMoved, askKey, askMany} {
+			r.probe(transport, node, q, draw)
+		}
+		sleep(ctx, time.Duration(150+draw.IntN(150))*time.Millisecond)
+	}
+}
+
+// probe asks a node one question about the newest version or the one before it.
+func (r *boundsRun) probe(transport *http.Transport, node int, asks question, draw *rand.Rand) {
+	r.mu.Lock()
+	list := r.history.versions
+	about := list[max(0, len(list)-1-draw.IntN(2))].version
+	r.mu.Unlock()
+	path, key := "/read/", apiKey
+	switch asks {
+	case askMark:
+		path = versionPath(about)
+	case askKey:
+		key = versionKey(about)
+	case askMoved:
+		path = "/moved/"
+	case askMany:
+		path = manyPath(draw.IntN(r.of.ManyRoutes))
+	}
+	p := r.nodes[node]
+	life := p.lifeNumber()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	o := observation{node: node, life: life, asks: asks, about: about, sent: time.Now()}
+	a := platformtest.DoOn(ctx, transport, p.Front, platformtest.Request{ID: fmt.Sprintf("%s%d", probeID, r.probes.Add(1)), Path: path, Key: key, Deadline: 2 * time.Second})
+	o.got = time.Now()
+	if a.Err != nil || p.lifeNumber() != life {
+		return
+	}
+	o.status = a.Status
+	if parts := strings.Split(a.Stamp, "."); len(parts) > 1 {
+		o.service = r.desks[parts[1]]
+	}
+	r.mu.Lock()
+	r.seen = append(r.seen, o)
+	r.mu.Unlock()
+}
+
+// load sends requests of all kinds to any node.
+func (r *boundsRun) load(ctx context.Context, number int) {
+	draw := rand.New(rand.NewPCG(uint64(number), 4))
+	transport := &http.Transport{DisableCompression: true}
+	for n := 0; ctx.Err() == nil; n++ {
+		k := requestKinds[draw.IntN(len(requestKinds))]
+		limited, cancel := context.WithTimeout(ctx, clientDeadline)
+		platformtest.DoOn(limited, transport, r.nodes[draw.IntN(len(r.nodes))].Front, platformtest.Request{
+			ID: fmt.Sprintf("c%d-%d", number, n), Path: k.path + "x", Key: apiKey, Deadline: clientDeadline,
+			Streaming: k.stream, Pieces: k.pieces, Prefix: fmt.Sprintf("a%d:10,b%d:20", number, n%7),
+		})
+		cancel()
+		sleep(ctx, time.Duration(betweenMin+draw.IntN(betweenMax))*time.Millisecond)
+	}
+}
+
+// judge holds all answers against the bounds.
+func (r *boundsRun) judge() {
+	lives := make(map[[2]int][]observation)
+	counts := make(map[string]int)
+	var found []string
+	report := func(o observation, text string) {
+		found = append(found, fmt.Sprintf("%s node-%d %s", o.sent.Format("05.000"), o.node+1, text))
+	}
+	inTouch, refusedMany, askedMany := 0, 0, 0
+	for _, o := range r.seen {
+		lives[[2]int{o.node, o.life}] = append(lives[[2]int{o.node, o.life}], o)
+		counts[fmt.Sprintf("%s %d", o.asks, o.status)]++
+		if why := r.history.late(o); why != "" {
+			report(o, why)
+		}
+		if !overlaps(r.history.disturbed[o.node], o.sent.Add(-r.history.contact), o.got) {
+			inTouch++
+			if o.asks == askMany && o.status != http.StatusNotFound {
+				askedMany++
+				if o.status != http.StatusOK {
+					refusedMany++
+				}
+			}
+		}
+		for _, v := range r.refused {
+			if (o.asks == askMark || o.asks == askKey) && o.about == v && o.status == http.StatusOK {
+				report(o, fmt.Sprintf("INVALID: version %d was served", v))
+			}
+		}
+	}
+	for life, list := range lives {
+		for _, why := range r.history.backward(list) {
+			found = append(found, fmt.Sprintf("node-%d %s", life[0]+1, why))
+		}
+	}
+	if askedMany > 20 && refusedMany > askedMany/4 {
+		found = append(found, fmt.Sprintf("ADDED: %d of %d requests on added routes were not served", refusedMany, askedMany))
+	}
+	r.t.Logf("%d versions, %d must be refused, %d answers, %d from nodes in touch; %v", len(r.history.versions), len(r.refused), len(r.seen), inTouch, counts)
+	r.logDelays()
+	if len(found) > 0 {
+		sort.Strings(found)
+		var b bytes.Buffer
+		for _, f := range found[:min(len(found), 40)] {
+			fmt.Fprintln(&b, f)
+		}
+		r.t.Errorf("%d answers out of bounds, logs in %s:\n%s", len(found), r.logs, b.String())
+	}
+}
+
+// logDelays logs how long after its acknowledgement a version was first seen on
+// nodes in touch.
+func (r *boundsRun) logDelays() {
+	var delays []time.Duration
+	first := make(map[[2]uint64]bool)
+	sort.Slice(r.seen, func(i, j int) bool { return r.seen[i].got.Before(r.seen[j].got) })
+	for _, o := range r.seen {
+		i := r.history.index(o.about)
+		key := [2]uint64{uint64(o.node), o.about}
+		if i == 0 || o.asks != askMark || o.status != http.StatusOK || first[key] {
+			continue
+		}
+		first[key] = true
+		calm := r.history.versions[i].acknowledged.Add(-r.history.contact)
+		if overlaps(r.history.disturbed[o.node], calm, o.got) || overlaps(r.history.store, calm, o.got) {
+			continue
+		}
+		delays = append(delays, o.got.Sub(r.history.versions[i].acknowledged))
+	}
+	if len(delays) == 0 {
+		return
+	}
+	sort.Slice(delays, func(i, j int) bool { return delays[i] < delays[j] })
+	r.t.Logf("%d first answers by a version on nodes in touch: median %v, 95th %v, 99th %v, latest %v after its acknowledgement", len(delays),
+		delays[len(delays)/2].Round(time.Millisecond), delays[len(delays)*95/100].Round(time.Millisecond), delays[len(delays)*99/100].Round(time.Millisecond), delays[len(delays)-1].Round(time.Millisecond))
+}
