internal/core/discovery, internal/node: a view is as old as its oldest part, and stand-ins stay until the readers are back

Cause: who reads the store, whom a node asks, and when it moves on went by the age of the list of endpoints. The configuration is read by another call and had no age, so readers whose calls for it hung or failed were taken for sound by themselves and by all who asked them. And a node that stood in for lost readers took its own read of the list for a sign that they were back: its line 'reads the store no more' comes 0.4 s after 'reads the store', the next 'reads the store' 1.2 to 2 s later. Class: one sign of life stands for two things that fail apart, and the proof of one's own substitute for that of what it replaces. Ruled out: configurations that must be refused (none served), nodes that go back (none), frozen, killed and rolled readers, a third of the nodes cut off. Change: discovery.Freshness has three moments: list, configuration, and as of when one of the usual readers had both from the store itself; all three go with views. Nodes ask, move on and stand in by these. Stand-ins ask the usual readers and stop when one of them has the store's whole state again. A reader's question for changes waits 0.7 s where it reads for others (1.5 s before), so that its answer's age is bounded; others stand in after 1.35 s (1.6 s), and look for it every 0.1 s (0.35 s). A lost list of endpoints is logged too, as 'store lost' with call=endpoints.

--- /dev/null
+++ b/internal/core/discovery/freshness.go
@@ -0,0 +1,95 @@
+package discovery
+
+import "time"
+
+// Freshness tells as of when what a node holds is known to be the store's. Each
+// moment may be zero for never.
+type Freshness struct {
+	// List is that of the list of endpoints, Config that of the configuration.
+	// They are read by different calls, of which one may hang or fail for long
+	// while the other succeeds.
+	List, Config time.Time
+	// Readers is as of when one of the usual readers had both from the store
+	// itself. What others have read in the readers' place does not count: it is no
+	// sign that the readers are back.
+	Readers time.Time
+}
+
+// Current is as of when all that the node holds is known to be the store's.
+func (f Freshness) Current() time.Time {
+	if f.Config.Before(f.List) {
+		return f.Config
+	}
+	return f.List
+}
+
+// Later joins what is known from two sources.
+func (f Freshness) Later(o Freshness) Freshness {
+	return Freshness{List: later(f.List, o.List), Config: later(f.Config, o.Config), Readers: later(f.Readers, o.Readers)}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// FirstHand is what a node knows by its own reads of the store alone.
+type FirstHand struct{ list, config time.Time }
+
+// ReadList notes a read of the list as of a moment.
+func (h *FirstHand) ReadList(at time.Time) { h.list = later(h.list, at) }
+
+// ReadConfig notes a read of the configuration as of a moment.
+func (h *FirstHand) ReadConfig(at time.Time) { h.config = later(h.config, at) }
+
+// Freshness is what a node knows by its own reads, as one of the usual readers or
+// in their place.
+func (h *FirstHand) Freshness(usual bool) Freshness {
+	f := Freshness{List: h.list, Config: h.config}
+	if usual {
+		f.Readers = f.Current()
+	}
+	return f
+}
+
+const (
+	// sharedWait and ownWait are how long the store holds a question for changes of
+	// the configuration, of a node that reads for others and of one that reads for
+	// itself. That the configuration is still the newest is known only when the
+	// question ends, so a reader's must end about as often as it reads the list
+	// (0.7 s); the shorter wait is 0.8 calls a second more at each reader.
+	sharedWait = 700 * time.Millisecond
+	ownWait    = 1500 * time.Millisecond
+	// listOld is the age of the list from which on peers are asked for theirs.
+	listOld = 1300 * time.Millisecond
+	// waitSlack is how much older than the wait a configuration may be in ordinary
+	// times.
+	waitSlack = 600 * time.Millisecond
+)
+
+// ConfigWait is how long the store is to hold a reader's question for changes of the
+// configuration.
+func (r Ranking) ConfigWait() time.Duration {
+	if r.usual < len(r.names) {
+		return sharedWait
+	}
+	return ownWait
+}
+
+// Overdue reports whether a view is older than readers leave it in ordinary times, so
+// that any peer may know more.
+func (r Ranking) Overdue(now time.Time, f Freshness) bool {
+	return now.Sub(f.List) > listOld || now.Sub(f.Config) > r.ConfigWait()+waitSlack
+}
+
+// AnswerAsOf is the moment as of which the answer to a question for changes tells the
+// newest configuration. One that names no change was given when its wait was over; one
+// that names a change was given at any time after it was asked.
+func AnswerAsOf(asked, answered time.Time, wait time.Duration, changed bool) time.Time {
+	if waited := asked.Add(wait); !changed && !waited.After(answered) {
+		return waited
+	}
+	return asked
+}
--- a/internal/core/discovery/readers.go
+++ b/internal/core/discovery/readers.go
@@ -19,9 +19,13 @@
 
 // The times after which others read in the readers' place.
 const (
-	// readAge is the age of all that is known from which on further nodes read
-	// the store: the readers are gone, cut off from it, or it is away.
-	readAge = 1600 * time.Millisecond
+	// readAge is how long ago the usual readers had the store's state from which on
+	// further nodes read the store: the readers are gone, cut off from it, some of
+	// their calls fail, or it is away. In ordinary times a node knows of them 1.1 s
+	// ago at most. The stand-ins and then all 61 nodes of a run of separate processes
+	// had a change 2.65 s after its readers were lost when this was 1.6 s, of 3 s
+	// that were allowed.
+	readAge = 1350 * time.Millisecond
 	// standInStep is how long each further doubling of the readers takes, and
 	// mostDoublings how often they double. When the readers alone are cut off,
 	// the stand-ins find the store within a step or two; when it is away from
@@ -49,24 +53,28 @@
 	return Ranking{names: names, usual: usual}
 }
 
-// Readers returns the nodes that read the store for a node whose list was last
-// known to be current some time ago. As long as it is not old they are few; then
-// others stand in, twice as many with each step, up to a bound that does not grow
-// with the time.
-func (r Ranking) Readers(age time.Duration) []string {
+// Readers returns the nodes that read the store for a node which knows that the usual
+// readers had the store's state some time ago. As long as that is not long they are
+// few; then others stand in, twice as many with each step, up to a bound that does not
+// grow with the time.
+func (r Ranking) Readers(away time.Duration) []string {
 	count := r.usual
-	if age > readAge {
-		steps := min(1+int((age-readAge)/standInStep), mostDoublings)
+	if away > readAge {
+		steps := min(1+int((away-readAge)/standInStep), mostDoublings)
 		count <<= steps
 	}
 	return r.names[:min(count, len(r.names))]
 }
 
-// Reads reports whether a node reads the store itself when its list has an age.
-func (r Ranking) Reads(node string, age time.Duration) bool {
-	return slices.Contains(r.Readers(age), node)
+// Reads reports whether a node reads the store itself, as one of the usual readers or
+// in their place.
+func (r Ranking) Reads(node string, away time.Duration) bool {
+	return slices.Contains(r.Readers(away), node)
 }
 
+// Usual reports whether a node is one of the usual readers.
+func (r Ranking) Usual(node string) bool { return r.Reads(node, 0) }
+
 const (
 	// greetTime is what a node that was just started leaves the others to make
 	// themselves known before it reads the store in its turn as a reader.
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -32,14 +32,13 @@
 	m.set.NewGauge("gradetiller_in_flight", func() float64 { return float64(n.inFlight.Load()) })
 	m.set.NewGauge("gradetiller_config_version", func() float64 { return float64(n.view.Load().version()) })
 	m.set.NewGauge("gradetiller_endpoints", func() float64 { return float64(len(n.view.Load().endpoints)) })
-	m.set.NewGauge("gradetiller_view_age_seconds", func() float64 { return time.Since(n.view.Load().readAt).Seconds() })
-	m.set.NewGauge("gradetiller_config_heard_seconds", func() float64 {
-		return (time.Since(n.started) - time.Duration(n.configHeard.Load())).Seconds()
-	})
+	m.set.NewGauge("gradetiller_view_age_seconds", func() float64 { return time.Since(n.view.Load().fresh.List).Seconds() })
+	m.set.NewGauge("gradetiller_config_age_seconds", func() float64 { return time.Since(n.view.Load().fresh.Config).Seconds() })
+	m.set.NewGauge("gradetiller_readers_age_seconds", func() float64 { return time.Since(n.view.Load().fresh.Readers).Seconds() })
 	m.set.NewGauge("gradetiller_reads_store", func() float64 { return number(n.readsStore.Load()) })
 	m.set.NewGauge("gradetiller_configurations_refused_total", func() float64 { return float64(n.configsRefused.Load()) })
 	m.set.NewGauge("gradetiller_members_live", func() float64 { return float64(n.liveNodes.Load()) })
-	m.set.NewGauge("gradetiller_store_lost", func() float64 { return number(n.storeLost.Load()) })
+	m.set.NewGauge("gradetiller_store_lost", func() float64 { return number(n.storeLost[callConfig].Load() || n.storeLost[callList].Load()) })
 	m.set.NewGauge("gradetiller_draining", func() float64 { return number(n.stopping()) })
 	m.set.NewGauge("gradetiller_cells_led", func() float64 { return float64(bits.OnesCount64(n.leads.Load())) })
 	if n.droppedLines != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,10 +67,12 @@
 	budget      *lockedBudget
 	stageBudget *lockedBudget
 
-	// viewMu is held by changes of the view and the list.
+	// viewMu is held by changes of the view, the list and what this node read
+	// itself.
 	viewMu sync.Mutex
 	view   atomic.Pointer[view]
 	list   *discovery.List
+	own    discovery.FirstHand
 
 	membersMu sync.Mutex
 	members   *member.Node
@@ -93,11 +95,9 @@
 	leadingSet atomic.Uint64
 	hasJoined  atomic.Bool
 
-	storeLost atomic.Bool
-	// configHeard is when the store last told this node that it knows the newest
-	// configuration, as nanoseconds since its start, or 0; readsStore tells whether
-	// it read the store when it last looked.
-	configHeard    atomic.Int64
+	// storeLost tells whether the last call of each kind to the store failed,
+	// readsStore whether this node read the store when it last looked.
+	storeLost      [storeCalls]atomic.Bool
 	readsStore     atomic.Bool
 	configsRefused atomic.Int64
 	inFlight       atomic.Int64
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -18,9 +18,6 @@
 const (
 	// silentPeer closes an incoming connection from which nothing comes.
 	silentPeer = 40 * time.Second
-	// viewAge is the age of the list of endpoints from which on peers are
-	// asked for theirs.
-	viewAge    = 1300 * time.Millisecond
 	askViewGap = 300 * time.Millisecond
 	// suspectFor is how long a node that did not answer leads nothing.
 	suspectFor  = 2 * time.Second
@@ -142,7 +139,7 @@
 	v := n.view.Load()
 	own := v.version()
 	behind := ahead != "" && version > own
-	old := now.Sub(v.readAt) > viewAge
+	old := n.readers.Load().Overdue(now, v.fresh)
 	if !behind && !old && own > 0 || now.Sub(n.askedView) < askViewGap {
 		return
 	}
@@ -162,7 +159,7 @@
 // one small node after the other was asked for some hundred whole views at once.
 func (n *Node) knowing(v *view) string {
 	others := *n.entries.Load()
-	if v.readAt.IsZero() {
+	if v.fresh.List.IsZero() {
 		if readers := entriesOf(others, n.readers.Load().Readers(0)); len(readers) > 0 {
 			others = readers
 		}
--- a/internal/node/readers_test.go
+++ b/internal/node/readers_test.go
@@ -45,6 +45,12 @@
 		doors[r.node.settings.Node] = door
 		all = append(all, r)
 	}
+	t.Cleanup(func() {
+		// They stop side by side.
+		for _, r := range all {
+			r.stop()
+		}
+	})
 	eventually(t, "all nodes know each other", func() bool {
 		return !slices.ContainsFunc(all, func(r *running) bool { return r.node.liveNodes.Load() != nodes || !r.node.serves() })
 	})
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -22,10 +22,10 @@
 	file   *configFile
 	// endpoints is the list as of a revision.
 	endpoints []catalog.Endpoint
-	// revision orders such lists; readAt is when this node last knew that the
-	// list was current.
+	// revision orders such lists.
 	revision uint64
-	readAt   time.Time
+	// fresh is as of when all this is known to be the store's.
+	fresh discovery.Freshness
 }
 
 // version is the version of the configuration in force, or 0.
@@ -79,18 +79,38 @@
 
 // readEndpoints takes a list in that was read from the store at a moment.
 func (n *Node) readEndpoints(list []catalog.Endpoint, revision uint64, at time.Time) {
-	n.changeEndpoints(at, func() bool { return n.list.Read(at, list, revision) })
+	fresh := n.readItself(func(own *discovery.FirstHand) { own.ReadList(at) })
+	n.changeEndpoints(fresh, func() bool { return n.list.Read(at, list, revision) })
 }
 
-// changeEndpoints changes the list and puts it in force if anything changed.
-func (n *Node) changeEndpoints(at time.Time, change func() bool) {
+// readConfig notes that the store told this node its newest configuration as of a
+// moment, whether it could be put in force or not.
+func (n *Node) readConfig(at time.Time) {
+	fresh := n.readItself(func(own *discovery.FirstHand) { own.ReadConfig(at) })
+	n.changeEndpoints(fresh, func() bool { return false })
+}
+
+// readItself notes a read of the store and returns what this node knows by its own
+// reads.
+func (n *Node) readItself(note func(*discovery.FirstHand)) discovery.Freshness {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	note(&n.own)
+	return n.own.Freshness(n.readers.Load().Usual(n.settings.Node))
+}
+
+// changeEndpoints changes the list and puts it in force if anything changed, and
+// notes as of when the view is the store's.
+func (n *Node) changeEndpoints(fresh discovery.Freshness, change func() bool) {
 	n.viewMu.Lock()
 	changed := change()
 	old := n.view.Load()
 	next := *old
 	next.revision = n.list.Revision()
-	if at.After(next.readAt) {
-		next.readAt = at
+	next.fresh = old.fresh.Later(fresh)
+	if next.fresh.Readers.IsZero() {
+		// The readers are given their time before others stand in for them.
+		next.fresh.Readers = next.fresh.List
 	}
 	if changed {
 		next.endpoints = n.list.Endpoints()
@@ -137,9 +157,10 @@
 	v := n.view.Load()
 	delta := n.list.Above(m.EndpointsAbove)
 	n.viewMu.Unlock()
+	now := time.Now()
 	out := wire.View{
 		Revision: delta.Revision, Whole: delta.Whole, Gone: delta.Gone, Digest: delta.Digest,
-		Age: time.Since(v.readAt).Milliseconds(),
+		Age: age(now, v.fresh.List), ConfigAge: age(now, v.fresh.Config), ReadersAge: age(now, v.fresh.Readers),
 	}
 	for _, e := range delta.Changed {
 		out.Changed = append(out.Changed, wire.Worker(e))
@@ -154,6 +175,25 @@
 	_ = answer(out)
 }
 
+// longAgo is the age, in milliseconds, of what was never known.
+const longAgo = int64(24 * time.Hour / time.Millisecond)
+
+// age is how long ago a moment was, in milliseconds.
+func age(now, at time.Time) int64 {
+	if at.IsZero() {
+		return longAgo
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+// moment is the one that has an age, or zero.
+func moment(now time.Time, age int64) time.Time {
+	if age >= longAgo {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
+
 // takeView takes a peer's answer in.
 func (n *Node) takeView(m *wire.View) {
 	if len(m.Config) > 0 && m.ConfigVersion > n.view.Load().version() {
@@ -166,8 +206,13 @@
 	for _, w := range m.Changed {
 		delta.Changed = append(delta.Changed, catalog.Endpoint(w))
 	}
-	at := time.Now().Add(-time.Duration(m.Age) * time.Millisecond)
-	n.changeEndpoints(at, func() bool { return n.list.Apply(at, delta) })
+	now := time.Now()
+	fresh := discovery.Freshness{List: moment(now, m.Age), Readers: moment(now, m.ReadersAge)}
+	if m.ConfigVersion <= n.view.Load().version() {
+		// What the peer holds is in force here too.
+		fresh.Config = moment(now, m.ConfigAge)
+	}
+	n.changeEndpoints(fresh, func() bool { return n.list.Apply(fresh.List, delta) })
 }
 
 // takePeerConfig takes a configuration that a peer sent.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -14,18 +14,18 @@
 )
 
 const (
-	// configWait is how long the store holds a question for changes. It is
-	// short, because a lost answer is noticed only after it.
-	configWait     = 1500 * time.Millisecond
 	configEvery    = 400 * time.Millisecond
 	endpointsEvery = 700 * time.Millisecond
-	// askEvery is how often a node that is no reader asks one, askStale the
-	// age at which its answer counts as a failure.
+	// askEvery is how often a node that is no reader asks one, askStale the age of
+	// its view at which another reader is asked. A reader's answer is 0.75 s old at
+	// most, and 0.35 s older when the next one is asked for.
 	askEvery = 350 * time.Millisecond
-	askStale = 1000 * time.Millisecond
+	askStale = 1200 * time.Millisecond
 	// firstPoll is how often a node that knows nothing yet looks whether it
-	// reads the store.
-	firstPoll = 50 * time.Millisecond
+	// reads the store, and standInPoll how often one that serves looks whether it
+	// stands in for the readers: a change has few seconds to be in force.
+	firstPoll   = 50 * time.Millisecond
+	standInPoll = 100 * time.Millisecond
 )
 
 // watchConfig keeps the configuration current until ctx ends. A node that is
@@ -34,30 +34,30 @@
 	revision := uint64(0)
 	failed := 0
 	for ctx.Err() == nil {
-		now := time.Now()
-		if !n.noteReads(now, n.reads(now)) {
+		asked := time.Now()
+		if !n.noteReads(asked, n.reads(asked)) {
 			revision, failed = 0, 0
 			pause(ctx, n.untilAsked())
 			continue
 		}
-		asked := time.Now()
-		r, err := n.nextConfig(ctx, revision, failed)
+		wait := n.readers.Load().ConfigWait()
+		r, err := n.nextConfig(ctx, revision, failed, wait)
+		n.storeState(callConfig, err)
 		if err != nil {
 			if errors.Is(err, platform.ErrHistoryGone) {
 				revision = 0
 			}
-			n.storeState(err)
 			failed++
 			pause(ctx, discovery.RetryPause(n.serves(), failed))
 			continue
 		}
 		failed = 0
-		n.storeState(nil)
-		n.configHeard.Store(int64(time.Since(n.started)))
-		revision = r.Revision
 		if r.Data != nil {
 			n.takeConfig(r.Data, "store")
 		}
+		// A whole read is no wait, and tells the configuration as of its question.
+		n.readConfig(discovery.AnswerAsOf(asked, time.Now(), wait, r.Data != nil || revision == 0))
+		revision = r.Revision
 		// Other rows of the table also end the store's wait.
 		pause(ctx, configEvery-time.Since(asked))
 	}
@@ -69,20 +69,20 @@
 	if n.view.Load().config == nil {
 		return firstPoll
 	}
-	return askEvery
+	return standInPoll
 }
 
 // serves reports whether this node has a configuration and a list to serve by.
 func (n *Node) serves() bool {
 	v := n.view.Load()
-	return v.config != nil && !v.readAt.IsZero()
+	return v.config != nil && !v.fresh.List.IsZero()
 }
 
-func (n *Node) nextConfig(ctx context.Context, after uint64, failed int) (platform.ConfigRevision, error) {
+func (n *Node) nextConfig(ctx context.Context, after uint64, failed int, wait time.Duration) (platform.ConfigRevision, error) {
 	if after == 0 {
 		return n.store.ReadConfig(ctx, discovery.ReadLimit(n.serves(), failed))
 	}
-	return n.store.AwaitConfig(ctx, after, configWait)
+	return n.store.AwaitConfig(ctx, after, wait)
 }
 
 // watchEndpoints keeps the list of endpoints current until ctx ends: readers
@@ -93,6 +93,7 @@
 		asked := time.Now()
 		if n.reads(asked) {
 			list, revision, err := n.store.Endpoints(ctx, discovery.ReadLimit(n.serves(), inVain))
+			n.storeState(callList, err)
 			if err != nil {
 				inVain++
 				pause(ctx, discovery.RetryPause(n.serves(), inVain))
@@ -100,30 +101,37 @@
 			}
 			inVain = 0
 			n.readEndpoints(list, revision, asked)
+			if !n.readers.Load().Usual(n.settings.Node) {
+				// A node that stands in leaves it to the readers once they are back.
+				silent++
+				n.askReader(n.readers.Load().Readers(0), silent)
+			}
 			pause(ctx, endpointsEvery-time.Since(asked))
 			continue
 		}
-		if n.view.Load().readAt.IsZero() {
+		v := n.view.Load()
+		if v.fresh.List.IsZero() {
 			// The first list is also asked for with each beat, of any node.
 			pause(ctx, firstPoll)
 			continue
 		}
-		n.askReader(silent)
-		pause(ctx, askEvery)
-		if n.view.Load().readAt.Before(asked.Add(-askStale)) {
+		if asked.Sub(v.fresh.Current()) > askStale {
 			silent++
 		}
+		n.askReader(n.readers.Load().Readers(asked.Sub(v.fresh.Readers)), silent)
+		pause(ctx, askEvery)
 	}
 }
 
-// reads reports whether this node reads the store: it is a reader, or the
-// readers fall silent and it is among those that stand in.
+// reads reports whether this node reads the store: it is a reader, or none of the
+// readers has had the store's whole state for a while and it is among those that
+// stand in.
 func (n *Node) reads(now time.Time) bool {
-	known := n.view.Load().readAt
-	if known.IsZero() {
+	fresh := n.view.Load().fresh
+	if fresh.List.IsZero() {
 		return len(n.settings.Seeds) == 0 || n.readers.Load().ReadsFirst(n.settings.Node, now.Sub(n.started))
 	}
-	return n.readers.Load().Reads(n.settings.Node, now.Sub(known))
+	return n.readers.Load().Reads(n.settings.Node, now.Sub(fresh.Readers))
 }
 
 // noteReads logs when this node begins or ceases to read the store, and returns
@@ -132,11 +140,11 @@
 	if n.readsStore.Swap(reads) == reads {
 		return reads
 	}
-	age := now.Sub(n.view.Load().readAt)
-	if n.view.Load().readAt.IsZero() {
-		age = 0
+	v := n.view.Load()
+	fields := []zap.Field{
+		zap.Int64("list_age_ms", age(now, v.fresh.List)), zap.Int64("config_age_ms", age(now, v.fresh.Config)),
+		zap.Int64("readers_age_ms", age(now, v.fresh.Readers)), zap.Uint64("config", v.version()),
 	}
-	fields := []zap.Field{zap.Duration("list_age", age), zap.Uint64("config", n.view.Load().version())}
 	if reads {
 		n.log.Info(eventReadsStore, fields...)
 		return true
@@ -172,27 +180,39 @@
 	return names
 }
 
-// askReader asks the reader of this node for what is new.
-func (n *Node) askReader(failed int) {
+// askReader asks one of the readers for what is new, the next one after each try that
+// failed.
+func (n *Node) askReader(readers []string, failed int) {
 	v := n.view.Load()
-	readers := n.readers.Load().Readers(time.Since(v.readAt))
 	name := discovery.ReaderFor(readers, n.settings.Node, failed)
 	for _, e := range entriesOf(*n.entries.Load(), []string{name}) {
 		n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.version(), EndpointsAbove: v.revision, TakesPacked: true})
 	}
 }
 
-// storeState logs when the store is lost or regained.
-func (n *Node) storeState(err error) {
+// storeCall is a kind of call to the store.
+type storeCall int
+
+const (
+	callConfig storeCall = iota
+	callList
+	storeCalls
+)
+
+// String returns the name in log lines.
+func (c storeCall) String() string { return [...]string{"configuration", "endpoints"}[c] }
+
+// storeState logs when the store is lost or regained for a kind of call.
+func (n *Node) storeState(call storeCall, err error) {
 	lost := err != nil
-	if n.storeLost.Swap(lost) == lost {
+	if n.storeLost[call].Swap(lost) == lost {
 		return
 	}
 	if lost {
-		n.log.Warn(eventStoreLost, zap.Error(err))
+		n.log.Warn(eventStoreLost, zap.Stringer("call", call), zap.Error(err))
 		return
 	}
-	n.log.Info(eventStoreReached)
+	n.log.Info(eventStoreReached, zap.Stringer("call", call))
 }
 
 func pause(ctx context.Context, d time.Duration) {
