--- /dev/null
+++ b/internal/node/slowbody_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gradetiller.example/platform/platformtest"
+)
+
+// TestSlowBodyEndsWithTheRoutesTime has a client send half of a body and then nothing:
+// it is told at the end of its route's time that the request has not run. Before, the
+// node waited for the rest without end, whatever time the configuration gives the
+// route.
+func TestSlowBodyEndsWithTheRoutesTime(t *testing.T) {
+	site, c := desk(t)
+	worker := site.AddWorkers("desk", 1)[0]
+	c.Version = 2
+	c.Routes = append(c.Routes, platformtest.Route{Prefix: "/short/", Kind: "unsafe", Service: "desk", Timeout: 300 * time.Millisecond})
+	site.Publish(c)
+	r := startNode(t, site)
+	r.awaitReady(t)
+	conn, err := net.Dial("tcp", r.Front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const whole = "the whole body"
+	half := whole[:len(whole)/2]
+	fmt.Fprintf(conn, "POST /short/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Request-Id: slow-1\r\nContent-Length: %d\r\n\r\n%s", platformtest.Host, key, len(whole), half)
+	// Without an answer the test would wait for ever; no verdict depends on when it
+	// comes.
+	_ = conn.SetReadDeadline(time.Now().Add(15 * time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	if answer.StatusCode != http.StatusRequestTimeout || worker.Runs("slow-1") > 0 {
+		t.Errorf("answered %d, ran %d times", answer.StatusCode, worker.Runs("slow-1"))
+	}
+}
+
+// TestBodyTimeEndsWithTheBody keeps a connection that has sent whole bodies: the time
+// that bodies had is no bound on what comes after them.
+func TestBodyTimeEndsWithTheBody(t *testing.T) {
+	site, c := desk(t)
+	worker := site.AddWorkers("desk", 1)[0]
+	c.Version = 2
+	c.Routes = append(c.Routes, platformtest.Route{Prefix: "/short/", Kind: "unsafe", Service: "desk", Timeout: 300 * time.Millisecond})
+	site.Publish(c)
+	r := startNode(t, site)
+	r.awaitReady(t)
+	transport := &http.Transport{MaxConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	for i := range 3 {
+		id := fmt.Sprintf("kept-%d", i)
+		a := platformtest.DoOn(t.Context(), transport, r.Front, platformtest.Request{ID: id, Path: "/short/x", Key: key, Body: "body"})
+		if a.Err != nil || a.Status != http.StatusOK || worker.Runs(id) != 1 {
+			t.Errorf("%s: %d, %v, ran %d times", id, a.Status, a.Err, worker.Runs(id))
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+}
