internal/node: a body has the request's time and no more

Cause: the body was read before the request's deadline was in force, without one of its own. Class: a wait without a bound in front of the bounded part. Ruled out: that this was the reported case; its clients send bodies at once. Change: readBody sets the request's deadline on the connection while it reads and takes it back; a body that has not come by then ends the request with 408, as not run. Measured: TestSlowBodyEndsWithTheRoutesTime failed (no answer in 15 s), passes now; TestBodyTimeEndsWithTheBody held before and after.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -72,11 +73,15 @@
 	if s := n.stop.Load(); s != nil {
 		q.afterStop = q.arrived.Sub(s.asked)
 	}
-	if status := n.accept(w, q); status != 0 {
-		if status == http.StatusServiceUnavailable {
-			n.refuse(w, q, status, "not ready", againSoon)
-			return
-		}
+	switch status := n.accept(w, q); status {
+	case 0:
+	case http.StatusServiceUnavailable:
+		n.refuse(w, q, status, "not ready", againSoon)
+		return
+	case http.StatusRequestTimeout:
+		n.refuse(w, q, status, "body came too slowly", 0)
+		return
+	default:
 		n.refuse(w, q, status, "not allowed", 0)
 		return
 	}
@@ -131,16 +136,31 @@
 	if limit <= 0 {
 		limit = maxBody
 	}
+	return n.readBody(w, q, limit)
+}
+
+// readBody reads the request's body and returns a status when the request ends here.
+// A body that has not come when the request's time is over ends it as not run: without
+// a bound, a client that stops in the middle would be held for ever.
+func (n *Node) readBody(w http.ResponseWriter, q *request, limit int64) int {
+	if q.source.ContentLength == 0 {
+		return 0
+	}
+	reads := http.NewResponseController(w)
+	_ = reads.SetReadDeadline(q.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, q.source.Body, limit))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return http.StatusRequestEntityTooLarge
-		}
-		return http.StatusBadRequest
-	}
-	q.body = body
-	return 0
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		_ = reads.SetReadDeadline(time.Time{})
+		q.body = body
+		return 0
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
 }
 
 // tellClose tells a client, before an answer's head goes out, that its connection
