internal/soak, platform/platformtest: workers that leave, in the check of bounds

Change: workers are replaced all the time; a probe tells its node, so that what reaches a worker too late is held against the bound of the node that sent it.

--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -40,6 +40,7 @@
 	ApplyMS         int64 `yaml:"applyMs"`
 	RollbackSlackMS int64 `yaml:"rollbackSlackMs"`
 	ContactMS       int64 `yaml:"contactMs"`
+	DrainMS         int64 `yaml:"drainMs"`
 	SkewMS          int64 `yaml:"skewMs"`
 	ManyRoutes      int   `yaml:"manyRoutes"`
 }
@@ -65,15 +66,17 @@
 
 // boundsRun is one seed's system, its operator and its probes.
 type boundsRun struct {
-	t      *testing.T
-	rand   *rand.Rand
-	of     deployment
-	site   *platformtest.Site
-	doors  []*platformtest.Door
-	nodes  []*process
-	logs   string
-	desks  map[string]string // service by worker
-	probes atomic.Int64
+	t     *testing.T
+	rand  *rand.Rand
+	of    deployment
+	site  *platformtest.Site
+	doors []*platformtest.Door
+	nodes []*process
+	logs  string
+	desks map[string]string // service by worker
+	// staying are the workers of "desk", retired those that have said they leave.
+	staying, retired []*platformtest.Worker
+	probes           atomic.Int64
 
 	mu      sync.Mutex
 	history history
@@ -119,6 +122,7 @@
 		// Its answers take long.
 		busy.Go(func() { r.watch(ctx, i, askMute) })
 	}
+	busy.Go(func() { r.replaceWorkers(ctx, rand.New(rand.NewPCG(seed, 5))) })
 	busy.Go(func() { r.operate(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	for i := range *clientCount {
 		busy.Go(func() { r.load(ctx, i) })
@@ -136,6 +140,9 @@
 	for _, service := range []string{"desk", "second-desk", "model", "encode", "rank"} {
 		for _, w := range r.site.AddWorkers(service, 4) {
 			r.desks[w.ID] = service
+			if service == "desk" {
+				r.staying = append(r.staying, w)
+			}
 		}
 	}
 	for _, w := range r.site.AddWorkers("mute-desk", 2) {
@@ -199,6 +206,46 @@
 	}
 }
 
+// replaceWorkers has one worker after the other say that it leaves; another one takes
+// its place.
+func (r *boundsRun) replaceWorkers(ctx context.Context, draw *rand.Rand) {
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(1000+draw.IntN(3000))*time.Millisecond)
+		next := r.site.AddWorkers("desk", 1)[0]
+		r.mu.Lock()
+		r.desks[next.ID] = "desk"
+		r.mu.Unlock()
+		gone := r.staying[0]
+		r.staying = append(r.staying[1:], next)
+		gone.Drain()
+		r.retired = append(r.retired, gone)
+	}
+}
+
+// probeName is the id of a probe, which tells the node it was sent to.
+func probeName(node int, number int64) string { return fmt.Sprintf("%s%d-%d", probeID, node, number) }
+
+// undrained finds the probes that nodes in touch sent to workers which had said long
+// before that they leave.
+func (r *boundsRun) undrained() []string {
+	var found []string
+	for _, w := range r.retired {
+		for _, late := range w.Late() {
+			var node int
+			var number int64
+			if n, _ := fmt.Sscanf(late.ID, probeID+"%d-%d", &node, &number); n < 2 || late.After <= ms(r.of.DrainMS) {
+				continue
+			}
+			calm := late.At.Add(-r.history.contact - ms(r.of.DrainMS))
+			if overlaps(r.history.disturbed[node], calm, late.At) || overlaps(r.history.store, calm, late.At) {
+				continue
+			}
+			found = append(found, fmt.Sprintf("%s node-%d DRAIN: sent a request to %s %v after it had said that it leaves", late.At.Format("05.000"), node+1, w.ID, late.After.Round(time.Millisecond)))
+		}
+	}
+	return found
+}
+
 // publishInvalid writes a configuration that nodes must refuse as a whole, and
 // that a valid one with a higher version soon follows.
 func (r *boundsRun) publishInvalid() {
@@ -304,14 +351,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	o := observation{node: node, life: life, asks: asks, about: about, sent: time.Now()}
-	a := platformtest.DoOn(ctx, transport, p.Front, platformtest.Request{ID: fmt.Sprintf("%s%d", probeID, r.probes.Add(1)), Path: path, Key: key, Deadline: 2 * time.Second})
+	a := platformtest.DoOn(ctx, transport, p.Front, platformtest.Request{ID: probeName(node, r.probes.Add(1)), Path: path, Key: key, Deadline: 2 * time.Second})
 	o.got = time.Now()
 	if a.Err != nil || p.lifeNumber() != life {
 		return
 	}
 	o.status = a.Status
 	if parts := strings.Split(a.Stamp, "."); len(parts) > 1 {
+		r.mu.Lock()
 		o.service = r.desks[parts[1]]
+		r.mu.Unlock()
 	}
 	r.mu.Lock()
 	r.seen = append(r.seen, o)
@@ -394,13 +443,16 @@
 			found = append(found, fmt.Sprintf("node-%d %s", life[0]+1, why))
 		}
 	}
+	if timed {
+		found = append(found, r.undrained()...)
+	}
 	if timed && held > mostHeld && held > askedMute/4 {
 		found = append(found, fmt.Sprintf("HELD: %d of %d requests had no answer %v after their route's time", held, askedMute, slowEnd))
 	}
 	if timed && askedMany > 20 && refusedMany > askedMany/4 {
 		found = append(found, fmt.Sprintf("ADDED: %d of %d requests on added routes were not served", refusedMany, askedMany))
 	}
-	r.t.Logf("%d versions, %d must be refused, %d answers, %d from nodes in touch, %d of %d held; %v", len(r.history.versions), len(r.refused), len(r.seen), inTouch, held, askedMute, counts)
+	r.t.Logf("%d versions, %d must be refused, %d workers replaced, %d answers, %d from nodes in touch, %d of %d held; %v", len(r.history.versions), len(r.refused), len(r.retired), len(r.seen), inTouch, held, askedMute, counts)
 	r.logDelays()
 	if len(found) > 0 {
 		sort.Strings(found)
