internal/core/discovery, internal/node: when those that stand in are lost too, others search the store

Same class: the bound went by who should read, not by whether anybody does. TestReadersLost with the stand-ins lost too: read again within 4 s at 61 and 295 nodes, 8 searchers at most.

--- a/internal/core/discovery/freshness.go
+++ b/internal/core/discovery/freshness.go
@@ -13,6 +13,11 @@
 	// itself. What others have read in the readers' place does not count: it is no
 	// sign that the readers are back.
 	Readers time.Time
+	// StandIns is as of when one of the usual readers, or of those that stand in for
+	// them first, had both from the store itself.
+	StandIns time.Time
+	// Own is as of when the node itself had both from the store.
+	Own time.Time
 }
 
 // Current is as of when all that the node holds is known to be the store's.
@@ -25,7 +30,10 @@
 
 // Later joins what is known from two sources.
 func (f Freshness) Later(o Freshness) Freshness {
-	return Freshness{List: later(f.List, o.List), Config: later(f.Config, o.Config), Readers: later(f.Readers, o.Readers)}
+	return Freshness{
+		List: later(f.List, o.List), Config: later(f.Config, o.Config),
+		Readers: later(f.Readers, o.Readers), StandIns: later(f.StandIns, o.StandIns), Own: later(f.Own, o.Own),
+	}
 }
 
 func later(a, b time.Time) time.Time {
@@ -44,12 +52,15 @@
 // ReadConfig notes a read of the configuration as of a moment.
 func (h *FirstHand) ReadConfig(at time.Time) { h.config = later(h.config, at) }
 
-// Freshness is what a node knows by its own reads, as one of the usual readers or
-// in their place.
-func (h *FirstHand) Freshness(usual bool) Freshness {
+// Freshness is what a node knows by its own reads, by its place among the readers.
+func (h *FirstHand) Freshness(r Ranking, node string) Freshness {
 	f := Freshness{List: h.list, Config: h.config}
-	if usual {
-		f.Readers = f.Current()
+	f.Own = f.Current()
+	if r.StandsIn(node) {
+		f.StandIns = f.Own
+	}
+	if r.Usual(node) {
+		f.Readers = f.Own
 	}
 	return f
 }
--- a/internal/core/discovery/freshness_test.go
+++ b/internal/core/discovery/freshness_test.go
@@ -11,14 +11,15 @@
 func TestOneAgeForAllThatIsRead(t *testing.T) {
 	var own FirstHand
 	own.ReadList(testTime)
-	if f := own.Freshness(true); !f.Current().IsZero() || !f.Readers.IsZero() {
+	r := Rank([]string{"reader"}, nil)
+	if f := own.Freshness(r, "reader"); !f.Current().IsZero() || !f.Readers.IsZero() {
 		t.Errorf("without a configuration the view is current as of %v, of readers as of %v", f.Current(), f.Readers)
 	}
 	own.ReadConfig(testTime)
 	for i := range 10 {
 		own.ReadList(testTime.Add(time.Duration(i) * time.Second))
 	}
-	if f := own.Freshness(true); !f.Current().Equal(testTime) || !f.Readers.Equal(testTime) {
+	if f := own.Freshness(r, "reader"); !f.Current().Equal(testTime) || !f.Readers.Equal(testTime) {
 		t.Errorf("the configuration was read last at %v; the view is current as of %v, of readers as of %v", testTime, f.Current(), f.Readers)
 	}
 }
@@ -30,7 +31,8 @@
 	var own FirstHand
 	own.ReadList(testTime.Add(time.Minute))
 	own.ReadConfig(testTime.Add(time.Minute))
-	f := readers.Later(own.Freshness(false))
+	r := Rank(nodeNames(61), nil)
+	f := readers.Later(own.Freshness(r, r.Readers(time.Hour)[r.usual]))
 	if !f.Readers.Equal(testTime) || !f.Current().Equal(testTime.Add(time.Minute)) {
 		t.Errorf("after a stand-in's reads the view is current as of %v, of readers as of %v", f.Current(), f.Readers)
 	}
@@ -63,10 +65,15 @@
 	for _, size := range []int{9, 61, 295} {
 		for _, onlyConfig := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d nodes, only configurations %v", size, onlyConfig), func(t *testing.T) {
-				newExchange(size, onlyConfig).run(t)
+				newExchange(size, onlyConfig, false).run(t, standInTime)
 			})
 		}
 	}
+	for _, size := range []int{61, 295} {
+		t.Run(fmt.Sprintf("%d nodes, stand-ins too", size), func(t *testing.T) {
+			newExchange(size, false, true).run(t, searchTime)
+		})
+	}
 }
 
 // The course of an exchange.
@@ -81,51 +88,65 @@
 	// standInTime is how long after the loss some other node has read the
 	// configuration, restTime how long after the return all leave it to the readers.
 	standInTime = 2 * time.Second
-	restTime    = 4 * time.Second
+	// searchTime is standInTime when those that stand in first are lost too.
+	searchTime = 4 * time.Second
+	// mostSearching bounds the nodes that read besides the readers and those that
+	// stand in first.
+	mostSearching = 2 * searchers
+	restTime      = 4 * time.Second
 )
 
 // exchange is a system in which nodes read and ask as they do in the product.
 type exchange struct {
 	ranking    Ranking
 	onlyConfig bool
-	names      []string
-	index      map[string]int
-	own        []FirstHand
-	known      []Freshness
-	tries      []int
-	lastRead   time.Duration
+	// standInsToo tells that those that stand in first are lost as well.
+	standInsToo bool
+	names       []string
+	index       map[string]int
+	own         []FirstHand
+	known       []Freshness
+	tries       []int
+	others      []int
+	lastRead    time.Duration
 }
 
-func newExchange(size int, onlyConfig bool) *exchange {
+func newExchange(size int, onlyConfig, standInsToo bool) *exchange {
 	names := nodeNames(size)
 	e := &exchange{
-		ranking: Rank(names, nil), onlyConfig: onlyConfig, names: names, index: make(map[string]int),
-		own: make([]FirstHand, size), known: make([]Freshness, size), tries: make([]int, size),
+		ranking: Rank(names, nil), onlyConfig: onlyConfig, standInsToo: standInsToo, names: names, index: make(map[string]int),
+		own: make([]FirstHand, size), known: make([]Freshness, size), tries: make([]int, size), others: make([]int, size),
 	}
 	for i, name := range names {
 		e.index[name] = i
-		e.known[i] = Freshness{List: testTime, Config: testTime, Readers: testTime}
+		e.known[i] = Freshness{List: testTime, Config: testTime, Readers: testTime, StandIns: testTime}
 	}
 	return e
 }
 
-func (e *exchange) run(t *testing.T) {
+func (e *exchange) run(t *testing.T, foundAfter time.Duration) {
 	for at := time.Duration(0); at <= exchangeEnd; at += exchangeStep {
-		standIns := 0
+		standIns, searching := 0, 0
 		for i := range e.names {
-			if e.step(i, at) && !e.ranking.Usual(e.names[i]) {
+			switch reads := e.step(i, at); {
+			case reads && !e.ranking.StandsIn(e.names[i]):
+				searching++
+			case reads && !e.ranking.Usual(e.names[i]):
 				standIns++
 			}
 		}
+		if searching > mostSearching || searching > searchers && !e.standInsToo {
+			t.Fatalf("%v after the start %d nodes search the store", at, searching)
+		}
 		allowed := readEvery + askEvery
-		if at >= lostAt && at < lostAt+standInTime {
-			allowed += standInTime
+		if at >= lostAt && at < lostAt+foundAfter {
+			allowed += foundAfter
 		}
 		if at-e.lastRead > allowed {
 			t.Fatalf("%v after the start nobody has read the configuration for %v", at, at-e.lastRead)
 		}
-		if at >= backAt+restTime && standIns > 0 {
-			t.Fatalf("%v after the readers were back %d nodes stand in", at-backAt, standIns)
+		if at >= backAt+restTime && standIns+searching > 0 {
+			t.Fatalf("%v after the readers were back %d nodes stand in", at-backAt, standIns+searching)
 		}
 	}
 }
@@ -134,14 +155,22 @@
 func (e *exchange) step(i int, at time.Duration) bool {
 	now, phase := testTime.Add(at), time.Duration(i)*exchangeStep
 	away := now.Sub(e.known[i].Readers)
-	usual := e.ranking.Usual(e.names[i])
+	name := e.names[i]
+	if (at+phase)%askEvery == 0 && e.ranking.Overdue(now, e.known[i]) {
+		e.others[i]++
+		e.ask(i, e.names, e.others[i])
+	}
 	switch {
-	case e.ranking.Reads(e.names[i], away):
+	case e.ranking.Reads(name, now, e.known[i]):
 		if (at+phase)%readEvery == 0 {
-			e.read(i, at, usual)
-			if !usual {
-				e.tries[i]++
-				e.ask(i, e.ranking.Readers(0))
+			e.read(i, at)
+			e.tries[i]++
+			switch {
+			case e.ranking.Usual(name):
+			case e.ranking.StandsIn(name):
+				e.ask(i, e.ranking.Readers(0), e.tries[i])
+			default:
+				e.ask(i, e.ranking.Readers(away), e.tries[i])
 			}
 		}
 		return true
@@ -149,13 +178,13 @@
 		if now.Sub(e.known[i].Current()) > stale {
 			e.tries[i]++
 		}
-		e.ask(i, e.ranking.Readers(away))
+		e.ask(i, e.ranking.Readers(away), e.tries[i])
 	}
 	return false
 }
 
-func (e *exchange) read(i int, at time.Duration, usual bool) {
-	lost := usual && at >= lostAt && at < backAt
+func (e *exchange) read(i int, at time.Duration) {
+	lost := at >= lostAt && at < backAt && (e.ranking.Usual(e.names[i]) || e.standInsToo && e.ranking.StandsIn(e.names[i]))
 	if !lost || e.onlyConfig {
 		e.own[i].ReadList(testTime.Add(at))
 	}
@@ -163,10 +192,12 @@
 		e.own[i].ReadConfig(testTime.Add(at))
 		e.lastRead = at
 	}
-	e.known[i] = e.known[i].Later(e.own[i].Freshness(usual))
+	e.known[i] = e.known[i].Later(e.own[i].Freshness(e.ranking, e.names[i]))
 }
 
-func (e *exchange) ask(i int, readers []string) {
-	j := e.index[ReaderFor(readers, e.names[i], e.tries[i])]
-	e.known[i] = e.known[i].Later(e.known[j])
+func (e *exchange) ask(i int, readers []string, turn int) {
+	j := e.index[ReaderFor(readers, e.names[i], turn)]
+	told := e.known[j]
+	told.Own = time.Time{}
+	e.known[i] = e.known[i].Later(told)
 }
--- a/internal/core/discovery/readers_test.go
+++ b/internal/core/discovery/readers_test.go
@@ -15,6 +15,11 @@
 	return names
 }
 
+// readsAt reports whether a node reads the store when all that it knows has an age.
+func readsAt(r Ranking, node string, age time.Duration) bool {
+	return r.Reads(node, testTime.Add(age), Freshness{List: testTime, Config: testTime, Readers: testTime, StandIns: testTime})
+}
+
 // TestStoreAwayFromAll has the list of every node grow old, as when the store is
 // away: the nodes that call it in vain are few at any size and any age, and the
 // readers are always among them.
@@ -25,7 +30,7 @@
 		for age := time.Duration(0); age < 12*time.Second; age += 100 * time.Millisecond {
 			reading := 0
 			for _, n := range nodes {
-				if r.Reads(n, age) {
+				if readsAt(r, n, age) {
 					reading++
 				}
 			}
@@ -33,7 +38,7 @@
 				t.Errorf("%d nodes, a list of %v: %d read the store", size, age, reading)
 			}
 			for _, n := range r.Readers(0) {
-				if !r.Reads(n, age) {
+				if !readsAt(r, n, age) {
 					t.Errorf("%d nodes, a list of %v: reader %s does not read", size, age, n)
 				}
 			}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -100,7 +100,7 @@
 	n.viewMu.Lock()
 	defer n.viewMu.Unlock()
 	note(&n.own)
-	return n.own.Freshness(n.readers.Load().Usual(n.settings.Node))
+	return n.own.Freshness(*n.readers.Load(), n.settings.Node)
 }
 
 // changeEndpoints changes the list and puts it in force if anything changed, and
@@ -116,6 +116,9 @@
 		// The readers are given their time before others stand in for them.
 		next.fresh.Readers = next.fresh.List
 	}
+	if next.fresh.StandIns.IsZero() {
+		next.fresh.StandIns = next.fresh.List
+	}
 	if changed {
 		next.endpoints = n.list.Endpoints()
 		n.logEndpoints(old.endpoints, next.endpoints)
@@ -165,6 +168,7 @@
 	out := wire.View{
 		Revision: delta.Revision, Whole: delta.Whole, Gone: delta.Gone, Digest: delta.Digest,
 		Age: age(now, v.fresh.List), ConfigAge: age(now, v.fresh.Config), ReadersAge: age(now, v.fresh.Readers),
+		StandInsAge: age(now, v.fresh.StandIns),
 	}
 	for _, e := range delta.Changed {
 		out.Changed = append(out.Changed, wire.Worker(e))
@@ -211,7 +215,7 @@
 		delta.Changed = append(delta.Changed, catalog.Endpoint(w))
 	}
 	now := time.Now()
-	fresh := discovery.Freshness{List: moment(now, m.Age), Readers: moment(now, m.ReadersAge)}
+	fresh := discovery.Freshness{List: moment(now, m.Age), Readers: moment(now, m.ReadersAge), StandIns: moment(now, m.StandInsAge)}
 	if m.ConfigVersion <= n.view.Load().version() {
 		// What the peer holds is in force here too.
 		fresh.Config = moment(now, m.ConfigAge)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -105,11 +105,8 @@
 			}
 			inVain = 0
 			n.readEndpoints(list, revision, asked)
-			if !n.readers.Load().Usual(n.settings.Node) {
-				// A node that stands in leaves it to the readers once they are back.
-				silent++
-				n.askReader(n.readers.Load().Readers(0), silent)
-			}
+			silent++
+			n.askIfBack(silent)
 			pause(ctx, endpointsEvery-time.Since(asked))
 			continue
 		}
@@ -127,15 +124,13 @@
 	}
 }
 
-// reads reports whether this node reads the store: it is a reader, or none of the
-// readers has had the store's whole state for a while and it is among those that
-// stand in.
+// reads reports whether this node reads the store itself.
 func (n *Node) reads(now time.Time) bool {
 	fresh := n.view.Load().fresh
 	if fresh.List.IsZero() {
 		return len(n.settings.Seeds) == 0 || n.readers.Load().ReadsFirst(n.settings.Node, now.Sub(n.started))
 	}
-	return n.readers.Load().Reads(n.settings.Node, now.Sub(fresh.Readers))
+	return n.readers.Load().Reads(n.settings.Node, now, fresh)
 }
 
 // noteReads logs when this node begins or ceases to read the store, and returns
@@ -184,6 +179,19 @@
 	return names
 }
 
+// askIfBack has a node that reads in the place of others ask one of these, so that it
+// leaves it to them once they are back.
+func (n *Node) askIfBack(turn int) {
+	readers := n.readers.Load()
+	switch {
+	case readers.Usual(n.settings.Node):
+	case readers.StandsIn(n.settings.Node):
+		n.askReader(readers.Readers(0), turn)
+	default:
+		n.askReader(readers.Readers(time.Since(n.view.Load().fresh.Readers)), turn)
+	}
+}
+
 // askReader asks one of the readers for what is new, the next one after each try that
 // failed.
 func (n *Node) askReader(readers []string, failed int) {
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -122,12 +122,14 @@
 	Gone     []string
 	Digest   uint64
 	// Age is how long ago the sender's list was current, ConfigAge how long ago its
-	// configuration was, and ReadersAge how long ago one of the usual readers had
-	// both from the store itself, in milliseconds. Nodes of an earlier version tell
-	// the first only; the others are 0 then.
-	Age        int64
-	ConfigAge  int64
-	ReadersAge int64
+	// configuration was, and ReadersAge and StandInsAge how long ago one of the usual
+	// readers, and of those that stand in first, had both from the store itself, in
+	// milliseconds. Nodes of an earlier version tell the first only; the others are 0
+	// then.
+	Age         int64
+	ConfigAge   int64
+	ReadersAge  int64
+	StandInsAge int64
 	// Packed tells that Config is compressed.
 	Packed bool
 }
