internal/node: a node that leaves the store to others forgets what failed there

Cause: reading the change again: a node that had stood in kept the mark of a lost store, in gradetiller_store_lost too, and began its next turn with the long pauses of failures long past. Change: both are reset when it ceases to read. Measured: tests of readers, histories and refusals pass.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -110,6 +110,7 @@
 			pause(ctx, endpointsEvery-time.Since(asked))
 			continue
 		}
+		inVain = 0
 		v := n.view.Load()
 		if v.fresh.List.IsZero() {
 			// The first list is also asked for with each beat, of any node.
@@ -148,6 +149,10 @@
 		n.log.Info(eventReadsStore, fields...)
 		return true
 	}
+	// It asks nothing any more that could fail.
+	for call := range n.storeLost {
+		n.storeLost[call].Store(false)
+	}
 	n.log.Info(eventReadsStoreNoMore, fields...)
 	return false
 }
