--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 PROGRAMS := gradetiller gradetiller-entry gradetiller-control gradetiller-load gradetiller-standin
 
-.PHONY: all build run pwani test capacity measure faults soak ablation
+.PHONY: all build run pwani test capacity measure faults soak bounds ablation
 
 all: build
 
@@ -42,3 +42,9 @@
 PROCESSES ?= 4
 soak:
 	go test ./internal/soak -count=1 -timeout 120m -v -args -first $(FIRST) -seeds $(SEEDS) -seconds $(SECONDS_EACH) -processes $(PROCESSES)
+
+# a whole deployment on real processes, each answer held against its bounds of
+# configuration changes
+DEPLOYMENT ?= 61-nodes
+bounds:
+	go test ./internal/soak -run TestConfigurationBounds -count=1 -timeout 120m -v -args -bounds $(DEPLOYMENT) -first $(FIRST) -seeds $(SEEDS) -seconds $(SECONDS_EACH) -clients 40
--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -86,6 +86,29 @@
 	refused []uint64
 }
 
+// boundsCase is one run of the check of bounds.
+type boundsCase struct {
+	seed uint64
+	// fault is the only kind of fault that comes; empty brings all.
+	fault string
+	cause string
+}
+
+// boundsRegressions are the runs that ever failed, with the cause. They are run again
+// whenever a deployment is given and no kind of fault is.
+var boundsRegressions = []boundsCase{
+	{11, "cut readers", standInsLeft},
+	{12, "configurations refused", listForAll},
+	{13, "configurations hang", listForAll},
+	{82, "cut readers", nobodyElse},
+}
+
+const (
+	listForAll   = "readers that got no configuration were taken for sound, since their lists were read"
+	standInsLeft = "nodes that stood in for the readers ceased to as soon as they had read a list"
+	nobodyElse   = "when those that stood in were cut off too, no other node tried the store"
+)
+
 // unhurried is the deployment that is run when none is given.
 const unhurried = "12-nodes"
 
@@ -99,13 +122,20 @@
 	if program == "" {
 		program = build(t, t.TempDir())
 	}
+	var cases []boundsCase
+	if *boundsOf != "" && *onlyFault == "" {
+		cases = boundsRegressions
+	}
 	for i := range *seeds {
-		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { checkBounds(t, program, seed) })
+		cases = append(cases, boundsCase{seed: *firstSeed + uint64(i), fault: *onlyFault})
+	}
+	for _, c := range cases {
+		t.Run(strings.TrimSpace(fmt.Sprintf("seed-%d %s", c.seed, c.fault)), func(t *testing.T) { checkBounds(t, program, c) })
 	}
 }
 
-func checkBounds(t *testing.T, program string, seed uint64) {
+func checkBounds(t *testing.T, program string, c boundsCase) {
+	seed := c.seed
 	d := readDeployment(t, cmp.Or(*boundsOf, unhurried))
 	r := &boundsRun{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), of: d, site: platformtest.NewSite(t), desks: make(map[string]string),
@@ -127,7 +157,7 @@
 	for i := range *clientCount {
 		busy.Go(func() { r.load(ctx, i) })
 	}
-	r.trouble(time.Duration(*secondsEach * float64(time.Second)))
+	r.trouble(time.Duration(*secondsEach*float64(time.Second)), c.fault)
 	time.Sleep(healTime)
 	stop()
 	busy.Wait()
--- a/internal/soak/disturb_test.go
+++ b/internal/soak/disturb_test.go
@@ -36,13 +36,14 @@
 	{name: "store away", do: (*boundsRun).storeAway, share: 1},
 }
 
-// trouble brings faults in series, overlapping, for a while.
-func (r *boundsRun) trouble(lasts time.Duration) {
+// trouble brings faults in series, overlapping, for a while: those of one kind, or of
+// all if it is empty.
+func (r *boundsRun) trouble(lasts time.Duration, only string) {
 	end := time.Now().Add(lasts)
 	var open sync.WaitGroup
 	for time.Now().Before(end) {
 		f := faults[r.rand.IntN(len(faults))]
-		for *onlyFault != "" && f.name != *onlyFault {
+		for only != "" && f.name != only {
 			f = faults[r.rand.IntN(len(faults))]
 		}
 		count := max(1, int(f.share*float64(len(r.nodes))))
