internal/core/discovery, internal/node: when a node asks, and whom, is decided in the core

Cause: the intervals at which nodes read and ask, and the age at which they move on, stood in the shell and again in the test of the exchange. Change: ReadEvery, AskEvery and Freshness.Stale in the core, used by both; set-ups that stood twice in tests are one each; docs of the check of bounds. No behaviour changes. Measured: TestReadersLost and the tests of readers, bodies and histories pass.

--- a/internal/core/discovery/freshness.go
+++ b/internal/core/discovery/freshness.go
@@ -28,6 +28,9 @@
 	return f.List
 }
 
+// Stale reports whether another reader is to be asked than the last time.
+func (f Freshness) Stale(now time.Time) bool { return now.Sub(f.Current()) > askStale }
+
 // Later joins what is known from two sources.
 func (f Freshness) Later(o Freshness) Freshness {
 	return Freshness{
@@ -66,12 +69,19 @@
 }
 
 const (
+	// ReadEvery is how often a reader reads the list, AskEvery how often a node that is
+	// none asks a reader, and askStale the age of its view at which it asks another
+	// one. A reader's answer is 0.75 s old at most, and 0.35 s older when the next one
+	// is asked for.
+	ReadEvery = 700 * time.Millisecond
+	AskEvery  = 350 * time.Millisecond
+	askStale  = 1200 * time.Millisecond
 	// sharedWait and ownWait are how long the store holds a question for changes of
 	// the configuration, of a node that reads for others and of one that reads for
 	// itself. That the configuration is still the newest is known only when the
-	// question ends, so a reader's must end about as often as it reads the list
-	// (0.7 s); the shorter wait is 0.8 calls a second more at each reader.
-	sharedWait = 700 * time.Millisecond
+	// question ends, so a reader's must end about as often as it reads the list; the
+	// shorter wait is 0.8 calls a second more at each reader.
+	sharedWait = ReadEvery
 	ownWait    = 1500 * time.Millisecond
 	// listOld is the age of the list from which on peers are asked for theirs.
 	listOld = 1300 * time.Millisecond
--- a/internal/core/discovery/freshness_test.go
+++ b/internal/core/discovery/freshness_test.go
@@ -79,9 +79,6 @@
 // The course of an exchange.
 const (
 	exchangeStep = 50 * time.Millisecond
-	readEvery    = 700 * time.Millisecond
-	askEvery     = 350 * time.Millisecond
-	stale        = 1200 * time.Millisecond
 	lostAt       = 3 * time.Second
 	backAt       = 12 * time.Second
 	exchangeEnd  = 20 * time.Second
@@ -138,7 +135,7 @@
 		if searching > mostSearching || searching > searchers && !e.standInsToo {
 			t.Fatalf("%v after the start %d nodes search the store", at, searching)
 		}
-		allowed := readEvery + askEvery
+		allowed := ReadEvery + AskEvery
 		if at >= lostAt && at < lostAt+foundAfter {
 			allowed += foundAfter
 		}
@@ -156,13 +153,13 @@
 	now, phase := testTime.Add(at), time.Duration(i)*exchangeStep
 	away := now.Sub(e.known[i].Readers)
 	name := e.names[i]
-	if (at+phase)%askEvery == 0 && e.ranking.Overdue(now, e.known[i]) {
+	if (at+phase)%AskEvery == 0 && e.ranking.Overdue(now, e.known[i]) {
 		e.others[i]++
 		e.ask(i, e.names, e.others[i])
 	}
 	switch {
 	case e.ranking.Reads(name, now, e.known[i]):
-		if (at+phase)%readEvery == 0 {
+		if (at+phase)%ReadEvery == 0 {
 			e.read(i, at)
 			e.tries[i]++
 			switch {
@@ -174,8 +171,8 @@
 			}
 		}
 		return true
-	case (at+phase)%askEvery == 0:
-		if now.Sub(e.known[i].Current()) > stale {
+	case (at+phase)%AskEvery == 0:
+		if e.known[i].Stale(now) {
 			e.tries[i]++
 		}
 		e.ask(i, e.ranking.Readers(away), e.tries[i])
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -68,13 +68,20 @@
 	}
 }
 
-// TestForgottenHistory has the store forget its history while a node waits for changes:
-// the node reads the whole, and hears of the changes after that.
-func TestForgottenHistory(t *testing.T) {
+// startDesk starts a node that serves.
+func startDesk(t *testing.T) (*platformtest.Site, platformtest.Config, *running) {
+	t.Helper()
 	site, c := desk(t)
 	site.AddWorkers("desk", 1)
 	r := startNode(t, site)
 	r.awaitReady(t)
+	return site, c, r
+}
+
+// TestForgottenHistory has the store forget its history while a node waits for changes:
+// the node reads the whole, and hears of the changes after that.
+func TestForgottenHistory(t *testing.T) {
+	site, c, r := startDesk(t)
 	for range 3 {
 		site.Store.Forget()
 		c.Version++
@@ -87,10 +94,7 @@
 // before stays in force as a whole, the refusal is counted, and the next version that
 // can be read is taken.
 func TestRefusedConfiguration(t *testing.T) {
-	site, c := desk(t)
-	site.AddWorkers("desk", 1)
-	r := startNode(t, site)
-	r.awaitReady(t)
+	site, c, r := startDesk(t)
 	for range 3 {
 		before := c.Version
 		refused := r.node.configsRefused.Load()
--- a/internal/node/slowbody_test.go
+++ b/internal/node/slowbody_test.go
@@ -12,11 +12,9 @@
 	"gradetiller.example/platform/platformtest"
 )
 
-// TestSlowBodyEndsWithTheRoutesTime has a client send half of a body and then nothing:
-// it is told at the end of its route's time that the request has not run. Before, the
-// node waited for the rest without end, whatever time the configuration gives the
-// route.
-func TestSlowBodyEndsWithTheRoutesTime(t *testing.T) {
+// startShort starts a node with a route "/short/" that has little time, and its worker.
+func startShort(t *testing.T) (*running, *platformtest.Worker) {
+	t.Helper()
 	site, c := desk(t)
 	worker := site.AddWorkers("desk", 1)[0]
 	c.Version = 2
@@ -24,6 +22,15 @@
 	site.Publish(c)
 	r := startNode(t, site)
 	r.awaitReady(t)
+	return r, worker
+}
+
+// TestSlowBodyEndsWithTheRoutesTime has a client send half of a body and then nothing:
+// it is told at the end of its route's time that the request has not run. Before, the
+// node waited for the rest without end, whatever time the configuration gives the
+// route.
+func TestSlowBodyEndsWithTheRoutesTime(t *testing.T) {
+	r, worker := startShort(t)
 	conn, err := net.Dial("tcp", r.Front)
 	if err != nil {
 		t.Fatal(err)
@@ -48,13 +55,7 @@
 // TestBodyTimeEndsWithTheBody keeps a connection that has sent whole bodies: the time
 // that bodies had is no bound on what comes after them.
 func TestBodyTimeEndsWithTheBody(t *testing.T) {
-	site, c := desk(t)
-	worker := site.AddWorkers("desk", 1)[0]
-	c.Version = 2
-	c.Routes = append(c.Routes, platformtest.Route{Prefix: "/short/", Kind: "unsafe", Service: "desk", Timeout: 300 * time.Millisecond})
-	site.Publish(c)
-	r := startNode(t, site)
-	r.awaitReady(t)
+	r, worker := startShort(t)
 	transport := &http.Transport{MaxConnsPerHost: 1}
 	defer transport.CloseIdleConnections()
 	for i := range 3 {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -14,13 +14,9 @@
 )
 
 const (
-	configEvery    = 400 * time.Millisecond
-	endpointsEvery = 700 * time.Millisecond
-	// askEvery is how often a node that is no reader asks one, askStale the age of
-	// its view at which another reader is asked. A reader's answer is 0.75 s old at
-	// most, and 0.35 s older when the next one is asked for.
-	askEvery = 350 * time.Millisecond
-	askStale = 1200 * time.Millisecond
+	// configEvery is how often the store is asked for configurations at most: in a
+	// storm of changes each is replaced before it matters.
+	configEvery = 400 * time.Millisecond
 	// firstPoll is how often a node that knows nothing yet looks whether it
 	// reads the store, and standInPoll how often one that serves looks whether it
 	// stands in for the readers: a change has few seconds to be in force.
@@ -107,7 +103,7 @@
 			n.readEndpoints(list, revision, asked)
 			silent++
 			n.askIfBack(silent)
-			pause(ctx, endpointsEvery-time.Since(asked))
+			pause(ctx, discovery.ReadEvery-time.Since(asked))
 			continue
 		}
 		inVain = 0
@@ -117,11 +113,11 @@
 			pause(ctx, firstPoll)
 			continue
 		}
-		if asked.Sub(v.fresh.Current()) > askStale {
+		if v.fresh.Stale(asked) {
 			silent++
 		}
 		n.askReader(n.readers.Load().Readers(asked.Sub(v.fresh.Readers)), silent)
-		pause(ctx, askEvery)
+		pause(ctx, discovery.AskEvery)
 	}
 }
 
