--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -495,10 +495,24 @@
 		for _, f := range found[:min(len(found), 40)] {
 			fmt.Fprintln(&b, f)
 		}
-		r.t.Errorf("%d answers out of bounds, logs in %s:\n%s", len(found), r.logs, b.String())
+		r.t.Errorf("%d answers out of bounds (%v), logs in %s:\n%s", len(found), kindsOf(found), r.logs, b.String())
 	}
 }
 
+// kindsOf counts what was found by its kind, the word in capitals.
+func kindsOf(found []string) map[string]int {
+	kinds := make(map[string]int)
+	for _, f := range found {
+		for _, word := range strings.Fields(f) {
+			if strings.HasSuffix(word, ":") && word == strings.ToUpper(word) {
+				kinds[strings.TrimSuffix(word, ":")]++
+				break
+			}
+		}
+	}
+	return kinds
+}
+
 // logDelays logs how long after its acknowledgement a version was first seen on
 // nodes in touch.
 func (r *boundsRun) logDelays() {
