internal/core/discovery: the search in a file of its own; the package's usage tells who reads and whom to ask

Cause: reading the change as a newcomer: the package comment told of the list only, and readers.go held three matters. No behaviour changes.

--- a/internal/core/discovery/readers.go
+++ b/internal/core/discovery/readers.go
@@ -75,56 +75,6 @@
 
 func (r Ranking) first() []string { return r.names[:min(r.usual<<mostDoublings, len(r.names))] }
 
-// The search for any node that reaches the store, when neither the usual readers nor
-// those that stand in first do.
-const (
-	// searchAge is how long ago any of these had the store's state from which on
-	// others try. When the stand-ins begin to read 1.7 s after the readers were lost,
-	// nearly all nodes know of it a second later.
-	searchAge = 2800 * time.Millisecond
-	// searchers try at a time, in the place of the last that stand in, the next ones
-	// after searchStep: while the store is away from all, no more nodes call it than
-	// without the search.
-	searchers  = 4
-	searchStep = 1200 * time.Millisecond
-	// searchHold is how long after its own last read a node that found the store
-	// goes on.
-	searchHold = 1500 * time.Millisecond
-)
-
-// Reads reports whether a node reads the store itself: as one of the usual readers, in
-// their place, or, when none of all these reaches the store, in its turn.
-func (r Ranking) Reads(node string, now time.Time, f Freshness) bool {
-	away := now.Sub(f.Readers)
-	searching := now.Sub(f.StandIns) > searchAge
-	switch {
-	case !searching:
-		return slices.Contains(r.Readers(away), node)
-	case now.Sub(f.Own) < searchHold:
-		return true
-	}
-	steady := r.steady()
-	return slices.Contains(steady, node) || searches(r.names[len(steady):], node, now.Sub(f.Current()))
-}
-
-// steady are the readers that go on trying during a search.
-func (r Ranking) steady() []string {
-	first := r.first()
-	return first[:max(len(first)-searchers, min(r.usual, len(first)))]
-}
-
-// searches reports whether it is a node's turn among others to try the store when its
-// view has an age.
-func searches(others []string, node string, age time.Duration) bool {
-	at := slices.Index(others, node)
-	if at < 0 || age <= searchAge {
-		return false
-	}
-	turns := (len(others) + searchers - 1) / searchers
-	// The first turn was that of the ones that stood in.
-	return at/searchers == (1+int((age-searchAge)/searchStep))%turns
-}
-
 const (
 	// greetTime is what a node that was just started leaves the others to make
 	// themselves known before it reads the store in its turn as a reader.
