--- a/internal/core/drain/drain_test.go
+++ b/internal/core/drain/drain_test.go
@@ -153,3 +153,22 @@
 		}
 	}
 }
+
+// TestLongAfterManyShort has streams of events that come at a fixed pace, the first at
+// once: 92 events take 2.275 s, four take 75 ms, which is less in proportion. After many
+// short ones and a few long ones the bound for a long one is no less than what it takes.
+func TestLongAfterManyShort(t *testing.T) {
+	const pause, tokens, long = 25 * time.Millisecond, 10, 92
+	takes := func(events int) time.Duration { return time.Duration(events-1) * pause }
+	var d Durations
+	for i := range 120 {
+		events := 4
+		if i%16 == 0 {
+			events = 20 + i/2
+		}
+		d.Add(Bound(events*tokens), takes(events))
+	}
+	if got, _ := d.Likely(Bound(long * tokens)); got < takes(long) {
+		t.Errorf("a stream of %d events that takes %v hardly exceeds %v", long, takes(long), got)
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,8 @@
 	{707, takenLate + "; and idle connections were closed just when their request had been read"},
 	{708, takenLate},
 	{709, takenLate},
+	// With six nodes.
+	{1044, takenTooLong},
 }
 
 type regression struct {
@@ -58,6 +60,8 @@
 
 const takenLate = "a node that was stopping took streams that it could not end in its grace period"
 
+const takenTooLong = "a node that was stopping foretold a long stream too short by what many short ones had taken, and cut it before its last event"
+
 const noViewYet = "a node that was sent work before its first list of endpoints ended with a nil pointer"
 
 // run is one seed's whole system.
