--- /dev/null
+++ b/internal/soak/operator_test.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"gradetiller.example/platform/platformtest"
+)
+
+// publish changes the configuration and writes it to the store.
+func (r *boundsRun) publish(change func(*platformtest.Config)) {
+	r.mu.Lock()
+	next := platformtest.Config{
+		Version: r.config.Version, Models: []string{"model"}, Stages: []string{"encode", "rank"},
+	}
+	change(&next)
+	service := []string{"desk", "second-desk"}[next.Version%2]
+	timeout := []time.Duration{400 * time.Millisecond, 900 * time.Millisecond}[next.Version/2%2]
+	next.Keys = map[string]string{apiKey: account, versionKey(next.Version): account}
+	next.Routes = append(deskRoutes(),
+		platformtest.Route{Prefix: "/moved/", Kind: "safe", Service: service},
+		platformtest.Route{Prefix: "/mute/", Kind: "safe", Service: "mute-desk", Timeout: timeout},
+		platformtest.Route{Prefix: versionPath(next.Version), Kind: "safe", Service: "desk"})
+	if r.many {
+		for i := range r.of.ManyRoutes {
+			next.Routes = append(next.Routes, platformtest.Route{Prefix: manyPath(i), Kind: "safe", Service: "desk"})
+		}
+	}
+	r.config = next
+	r.history.versions = append(r.history.versions, published{version: next.Version, service: service, many: r.many, timeout: timeout, sent: time.Now()})
+	at := len(r.history.versions) - 1
+	r.mu.Unlock()
+	r.site.Publish(next)
+	r.mu.Lock()
+	r.history.versions[at].acknowledged = time.Now()
+	r.mu.Unlock()
+}
+
+func versionKey(version uint64) string { return fmt.Sprintf("key-v%d", version) }
+
+func manyPath(i int) string { return fmt.Sprintf("/many/%d/", i) }
+
+// operate changes the configuration until ctx ends: single changes, storms, many
+// routes more or less, and now and then one that must be refused.
+func (r *boundsRun) operate(ctx context.Context, draw *rand.Rand) {
+	for ctx.Err() == nil {
+		count, gap := 1, time.Duration(0)
+		switch draw.IntN(5) {
+		case 0:
+			count, gap = 4+draw.IntN(12), time.Duration(60+draw.IntN(360))*time.Millisecond
+		case 1:
+			r.mu.Lock()
+			r.many = !r.many
+			r.mu.Unlock()
+		case 2:
+			r.publishInvalid()
+		}
+		for range count {
+			r.publish(func(c *platformtest.Config) { c.Version += 1 + 2*uint64(draw.IntN(3)) })
+			sleep(ctx, gap)
+		}
+		sleep(ctx, time.Duration(300+draw.IntN(5200))*time.Millisecond)
+	}
+}
+
+// replaceWorkers has one worker after the other say that it leaves; another one takes
+// its place.
+func (r *boundsRun) replaceWorkers(ctx context.Context, draw *rand.Rand) {
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(1000+draw.IntN(3000))*time.Millisecond)
+		next := r.site.AddWorkers("desk", 1)[0]
+		r.mu.Lock()
+		r.desks[next.ID] = "desk"
+		r.mu.Unlock()
+		gone := r.staying[0]
+		r.staying = append(r.staying[1:], next)
+		gone.Drain()
+		r.retired = append(r.retired, gone)
+	}
+}
+
+// publishInvalid writes a configuration that nodes must refuse as a whole, and
+// that a valid one with a higher version soon follows.
+func (r *boundsRun) publishInvalid() {
+	r.mu.Lock()
+	r.config.Version++
+	bad := r.config
+	r.refused = append(r.refused, bad.Version)
+	r.mu.Unlock()
+	bad.Routes = append([]platformtest.Route{}, bad.Routes...)
+	for i := range bad.Routes {
+		if strings.HasPrefix(bad.Routes[i].Prefix, "/v/") {
+			bad.Routes[i].Prefix = versionPath(bad.Version)
+		}
+	}
+	r.site.PublishInvalid(bad)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/soak/verdict_test.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+)
+
+// probeName is the id of a probe, which tells the node it was sent to.
+func probeName(node int, number int64) string { return fmt.Sprintf("%s%d-%d", probeID, node, number) }
+
+// undrained finds the probes that nodes in touch sent to workers which had said long
+// before that they leave.
+func (r *boundsRun) undrained() []string {
+	var found []string
+	for _, w := range r.retired {
+		for _, late := range w.Late() {
+			var node int
+			var number int64
+			if n, _ := fmt.Sscanf(late.ID, probeID+"%d-%d", &node, &number); n < 2 || late.After <= ms(r.of.DrainMS) {
+				continue
+			}
+			calm := late.At.Add(-r.history.contact - ms(r.of.DrainMS))
+			if overlaps(r.history.disturbed[node], calm, late.At) || overlaps(r.history.store, calm, late.At) {
+				continue
+			}
+			found = append(found, fmt.Sprintf("%s node-%d DRAIN: sent a request to %s %v after it had said that it leaves", late.At.Format("05.000"), node+1, w.ID, late.After.Round(time.Millisecond)))
+		}
+	}
+	return found
+}
+
+// awaitNewest waits until every node serves the newest version.
+func (r *boundsRun) awaitNewest() {
+	waiting := &run{t: r.t}
+	waiting.config.Version = r.history.versions[len(r.history.versions)-1].version
+	waiting.nodes = r.nodes
+	waiting.awaitConfig()
+	for _, f := range waiting.failures {
+		r.t.Error(f)
+	}
+}
+
+// mostHeld is how many answers may come more than slowEnd after their route's time, if
+// they are no more than a quarter of those on the route.
+const (
+	mostHeld = 7
+	slowEnd  = 500 * time.Millisecond
+)
+
+// judge holds all answers against the bounds; those that the machine's speed decides
+// only if timed.
+func (r *boundsRun) judge(timed bool) {
+	lives := make(map[[2]int][]observation)
+	counts := make(map[string]int)
+	var found []string
+	report := func(o observation, text string) {
+		found = append(found, fmt.Sprintf("%s node-%d %s", o.sent.Format("05.000"), o.node+1, text))
+	}
+	inTouch, refusedMany, askedMany, held, askedMute := 0, 0, 0, 0, 0
+	for _, o := range r.seen {
+		lives[[2]int{o.node, o.life}] = append(lives[[2]int{o.node, o.life}], o)
+		counts[fmt.Sprintf("%s %d", o.asks, o.status)]++
+		if why := r.history.late(o); timed && why != "" {
+			report(o, why)
+		}
+		if !overlaps(r.history.disturbed[o.node], o.sent.Add(-r.history.contact), o.got) {
+			inTouch++
+			if o.asks == askMute {
+				askedMute++
+				if r.history.held(o) > slowEnd {
+					held++
+				}
+			}
+			if o.asks == askMany && o.status != http.StatusNotFound {
+				askedMany++
+				if o.status != http.StatusOK {
+					refusedMany++
+				}
+			}
+		}
+		for _, v := range r.refused {
+			if (o.asks == askMark || o.asks == askKey) && o.about == v && o.status == http.StatusOK {
+				report(o, fmt.Sprintf("INVALID: version %d was served", v))
+			}
+		}
+	}
+	for life, list := range lives {
+		for _, why := range r.history.backward(list) {
+			found = append(found, fmt.Sprintf("node-%d %s", life[0]+1, why))
+		}
+	}
+	if timed {
+		found = append(found, r.undrained()...)
+	}
+	if timed && held > mostHeld && held > askedMute/4 {
+		found = append(found, fmt.Sprintf("HELD: %d of %d requests had no answer %v after their route's time", held, askedMute, slowEnd))
+	}
+	if timed && askedMany > 20 && refusedMany > askedMany/4 {
+		found = append(found, fmt.Sprintf("ADDED: %d of %d requests on added routes were not served", refusedMany, askedMany))
+	}
+	r.t.Logf("%d versions, %d must be refused, %d workers replaced, %d answers, %d from nodes in touch, %d of %d held; %v", len(r.history.versions), len(r.refused), len(r.retired), len(r.seen), inTouch, held, askedMute, counts)
+	r.logDelays()
+	if len(found) > 0 {
+		sort.Strings(found)
+		var b bytes.Buffer
+		for _, f := range found[:min(len(found), 40)] {
+			fmt.Fprintln(&b, f)
+		}
+		r.t.Errorf("%d answers out of bounds (%v), logs in %s:\n%s", len(found), kindsOf(found), r.logs, b.String())
+	}
+}
+
+// kindsOf counts what was found by its kind, the word in capitals.
+func kindsOf(found []string) map[string]int {
+	kinds := make(map[string]int)
+	for _, f := range found {
+		for _, word := range strings.Fields(f) {
+			if strings.HasSuffix(word, ":") && word == strings.ToUpper(word) {
+				kinds[strings.TrimSuffix(word, ":")]++
+				break
+			}
+		}
+	}
+	return kinds
+}
+
+// logDelays logs how long after its acknowledgement a version was first seen on
+// nodes in touch.
+func (r *boundsRun) logDelays() {
+	var delays []time.Duration
+	first := make(map[[2]uint64]bool)
+	sort.Slice(r.seen, func(i, j int) bool { return r.seen[i].got.Before(r.seen[j].got) })
+	for _, o := range r.seen {
+		i := r.history.index(o.about)
+		key := [2]uint64{uint64(o.node), o.about}
+		if i == 0 || o.asks != askMark || o.status != http.StatusOK || first[key] {
+			continue
+		}
+		first[key] = true
+		calm := r.history.versions[i].acknowledged.Add(-r.history.contact)
+		if overlaps(r.history.disturbed[o.node], calm, o.got) || overlaps(r.history.store, calm, o.got) {
+			continue
+		}
+		delays = append(delays, o.got.Sub(r.history.versions[i].acknowledged))
+	}
+	if len(delays) == 0 {
+		return
+	}
+	sort.Slice(delays, func(i, j int) bool { return delays[i] < delays[j] })
+	r.t.Logf("%d first answers by a version on nodes in touch: median %v, 95th %v, 99th %v, latest %v after its acknowledgement", len(delays),
+		delays[len(delays)/2].Round(time.Millisecond), delays[len(delays)*95/100].Round(time.Millisecond), delays[len(delays)*99/100].Round(time.Millisecond), delays[len(delays)-1].Round(time.Millisecond))
+}
