internal/node, internal/core/discovery: logs and metrics tell which endpoints are kept, and who said that one is gone

Cause: lines of the list of endpoints told neither how long it had not been renewed nor whether the store or another node had spoken, and nothing told that endpoints are used which the store does not list; so the hypotheses of the incident can't be told apart. No logic changed; tests of internal/node and internal/core/discovery pass.

--- a/internal/core/discovery/list.go
+++ b/internal/core/discovery/list.go
@@ -27,6 +27,8 @@
 	// until when endpoints that a read lacks are kept.
 	current   time.Time
 	keepUntil time.Time
+	// kept counts the endpoints that the last whole list lacked and that were kept.
+	kept int
 }
 
 const (
@@ -68,6 +70,13 @@
 // Revision returns up to which revision of the store all changes are in.
 func (l *List) Revision() uint64 { return l.revision }
 
+// Kept returns how many endpoints are listed only because the store is taken to have
+// been away.
+func (l *List) Kept() int { return l.kept }
+
+// Current returns when the list was last known to be the store's.
+func (l *List) Current() time.Time { return l.current }
+
 // Endpoints returns the list by id.
 func (l *List) Endpoints() []catalog.Endpoint {
 	list := make([]catalog.Endpoint, 0, len(l.endpoints))
@@ -117,8 +126,13 @@
 		listed[e.ID] = true
 		changed = l.put(e) || changed
 	}
+	l.kept = 0
 	for id := range l.endpoints {
-		if !listed[id] && !keep {
+		switch {
+		case listed[id]:
+		case keep:
+			l.kept++
+		default:
 			l.remove(id)
 			changed = true
 		}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -41,6 +41,9 @@
 	eventEndpointListed = "endpoint listed"
 	// An endpoint left the list.
 	eventEndpointGone = "endpoint gone"
+	// The number of endpoints that are used although the store does not list them
+	// changed.
+	eventEndpointsKept = "endpoints kept"
 	// The number of known nodes changed.
 	eventMembersChanged = "members changed"
 	// The platform's store does not answer this node.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,9 @@
 	storeLost      [storeCalls]atomic.Bool
 	readsStore     atomic.Bool
 	configsRefused atomic.Int64
+	// keptEndpoints counts the endpoints that are used although the store does not
+	// list them.
+	keptEndpoints atomic.Int64
 	inFlight       atomic.Int64
 	// stop is the planned stop under way, or nil.
 	stop atomic.Pointer[stop]
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -84,14 +84,14 @@
 // readEndpoints takes a list in that was read from the store at a moment.
 func (n *Node) readEndpoints(list []catalog.Endpoint, revision uint64, at time.Time) {
 	fresh := n.readItself(func(own *discovery.FirstHand) { own.ReadList(at) })
-	n.changeEndpoints(fresh, func() bool { return n.list.Read(at, list, revision) })
+	n.changeEndpoints(sourceStore, fresh, func() bool { return n.list.Read(at, list, revision) })
 }
 
 // readConfig notes that the store told this node its newest configuration as of a
 // moment, whether it could be put in force or not.
 func (n *Node) readConfig(at time.Time) {
 	fresh := n.readItself(func(own *discovery.FirstHand) { own.ReadConfig(at) })
-	n.changeEndpoints(fresh, func() bool { return false })
+	n.changeEndpoints(sourceStore, fresh, func() bool { return false })
 }
 
 // readItself notes a read of the store and returns what this node knows by its own
@@ -103,11 +103,22 @@
 	return n.own.Freshness(*n.readers.Load(), n.settings.Node)
 }
 
+// Where news of the view come from, in log lines.
+const (
+	sourceStore = "store"
+	sourcePeer  = "peer"
+)
+
 // changeEndpoints changes the list and puts it in force if anything changed, and
 // notes as of when the view is the store's.
-func (n *Node) changeEndpoints(fresh discovery.Freshness, change func() bool) {
+func (n *Node) changeEndpoints(source string, fresh discovery.Freshness, change func() bool) {
 	n.viewMu.Lock()
+	before, kept := n.list.Current(), n.list.Kept()
 	changed := change()
+	n.keptEndpoints.Store(int64(n.list.Kept()))
+	if n.list.Kept() != kept {
+		n.log.Info(eventEndpointsKept, zap.Int("count", n.list.Kept()), zap.String("source", source), zap.Int64("list_age_ms", age(time.Now(), before)))
+	}
 	old := n.view.Load()
 	next := *old
 	next.revision = n.list.Revision()
@@ -121,7 +132,7 @@
 	}
 	if changed {
 		next.endpoints = n.list.Endpoints()
-		n.logEndpoints(old.endpoints, next.endpoints)
+		n.logEndpoints(source, age(time.Now(), before), old.endpoints, next.endpoints)
 	}
 	n.view.Store(&next)
 	n.viewMu.Unlock()
@@ -130,7 +141,8 @@
 	}
 }
 
-func (n *Node) logEndpoints(before, after []catalog.Endpoint) {
+// logEndpoints logs what a list that was not renewed for some milliseconds became.
+func (n *Node) logEndpoints(source string, listAge int64, before, after []catalog.Endpoint) {
 	known := make(map[string]catalog.Endpoint, len(before))
 	for _, e := range before {
 		known[e.ID] = e
@@ -139,11 +151,11 @@
 		old, ok := known[e.ID]
 		delete(known, e.ID)
 		if !ok || old.Draining != e.Draining {
-			n.log.Info(eventEndpointListed, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Bool("draining", e.Draining))
+			n.log.Info(eventEndpointListed, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Bool("draining", e.Draining), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 		}
 	}
 	for id, e := range known {
-		n.log.Info(eventEndpointGone, zap.String("endpoint", id), zap.String("service", e.Service))
+		n.log.Info(eventEndpointGone, zap.String("endpoint", id), zap.String("service", e.Service), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 	}
 }
 
@@ -220,7 +232,7 @@
 		// What the peer holds is in force here too.
 		fresh.Config = moment(now, m.ConfigAge)
 	}
-	n.changeEndpoints(fresh, func() bool { return n.list.Apply(fresh.List, delta) })
+	n.changeEndpoints(sourcePeer, fresh, func() bool { return n.list.Apply(fresh.List, delta) })
 }
 
 // takePeerConfig takes a configuration that a peer sent.
@@ -229,12 +241,12 @@
 	if m.Packed {
 		unpacked, err := packed.Unpack(data)
 		if err != nil {
-			n.log.Error(eventConfigurationRefused, zap.String("source", "peer"), zap.Error(err))
+			n.log.Error(eventConfigurationRefused, zap.String("source", sourcePeer), zap.Error(err))
 			return
 		}
 		data = unpacked
 	}
-	n.takeConfig(data, "peer")
+	n.takeConfig(data, sourcePeer)
 }
 
 // specs returns the endpoints of a service that take new work.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -53,7 +53,7 @@
 		}
 		failed = 0
 		if r.Data != nil {
-			n.takeConfig(r.Data, "store")
+			n.takeConfig(r.Data, sourceStore)
 		}
 		// A whole read is no wait, and tells the configuration as of its question.
 		n.readConfig(discovery.AnswerAsOf(asked, time.Now(), wait, r.Data != nil || revision == 0))
