--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,7 +103,7 @@
 	// keptEndpoints counts the endpoints that are used although the store does not
 	// list them.
 	keptEndpoints atomic.Int64
-	inFlight       atomic.Int64
+	inFlight      atomic.Int64
 	// stop is the planned stop under way, or nil.
 	stop atomic.Pointer[stop]
 	// serving is the context of all requests; giveUp ends it with a cause.
