internal/core/discovery: whether the store was away is told by its list, not by who read it last

Root cause: a node took the age of its own list for an absence of the store. A stand-in's list is always old when it begins to read; and the moment as of which a list was the store's stood still while its revision did, so it was as old as the last change (list_age_ms 4099 on a node told 0.8 s before). It then kept endpoints that had left for 2.2 s, and passed them on as listed, to nodes that had dropped them too. Class: the liveness of one thing told by the silence of another. Change: lapsedSince asks the store's list: no list for two heartbeats, and a quarter of the entries gone or put anew. Kept endpoints are a belief of the node, in no delta, and expire by time. An unchanged list is renewed by an answer of the same revision.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -187,4 +187,7 @@
 	Domain   string
 	Slots    int
 	Draining bool
+	// Listed is the store's count of changes at which the entry took its present form,
+	// or 0 when that is not known. An entry that went and came back has a higher one.
+	Listed uint64
 }
--- a/internal/core/discovery/leaving_test.go
+++ b/internal/core/discovery/leaving_test.go
@@ -213,6 +213,7 @@
 // list puts an endpoint's entry into the store.
 func (w *leavingWorld) list(e *listedEndpoint) {
 	w.revision++
+	e.entry.Listed = w.revision
 	e.inStore = true
 	e.beat = w.now
 }
@@ -345,6 +346,7 @@
 // step has a node do what is due.
 func (w *leavingWorld) step(n *listNode) {
 	now := w.at()
+	n.list.Expire(now)
 	if w.ranking.Reads(n.name, now, n.known) {
 		if w.now >= n.nextRead {
 			w.read(n)
--- a/internal/core/discovery/list.go
+++ b/internal/core/discovery/list.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -14,7 +16,8 @@
 // revision lies before the oldest of them gets the whole list.
 const mostGone = 512
 
-// List is the endpoints as of a revision. It is not safe for concurrent use.
+// List is the endpoints as of a revision, and those whose entries lapsed. It is not
+// safe for concurrent use.
 type List struct {
 	revision  uint64
 	endpoints map[string]known
@@ -23,22 +26,22 @@
 	floor uint64
 	// digest is the sum of the endpoints' hashes.
 	digest uint64
-	// current is when the list was last known to be the store's, and keepUntil
-	// until when endpoints that a read lacks are kept.
+	// differs tells that the list is not that of the node asked last, so that a whole
+	// one is asked for next. The revision still tells which of them are older.
+	differs bool
+	// current is as of when the list was last known to be the store's.
 	current   time.Time
-	keepUntil time.Time
-	// kept counts the endpoints that the last whole list lacked and that were kept.
-	kept int
-}
-
-const (
-	// storeAway is the time without a current list from which on the store is
-	// taken to have been away.
-	storeAway = 1500 * time.Millisecond
-	// returnTime is how long endpoints take to list themselves again after the
-	// store's return; their entries may have lapsed meanwhile.
-	returnTime = 2200 * time.Millisecond
-)
+	heartbeat time.Duration
+	lapses    lapses
+}
+
+// ListOption changes a new list.
+type ListOption func(*List)
+
+// WithHeartbeat sets how often endpoints confirm their entries; 0 changes nothing.
+func WithHeartbeat(d time.Duration) ListOption {
+	return func(l *List) { l.heartbeat = cmp.Or(d, l.heartbeat) }
+}
 
 type known struct {
 	endpoint catalog.Endpoint
@@ -65,25 +68,46 @@
 }
 
 // NewList returns an empty list of revision 0.
-func NewList() *List { return &List{endpoints: make(map[string]known)} }
-
-// Revision returns up to which revision of the store all changes are in.
-func (l *List) Revision() uint64 { return l.revision }
+func NewList(options ...ListOption) *List {
+	l := &List{
+		endpoints: make(map[string]known), heartbeat: DefaultHeartbeat,
+		lapses: lapses{endpoints: make(map[string]catalog.Endpoint)},
+	}
+	for _, o := range options {
+		o(l)
+	}
+	return l
+}
 
-// Kept returns how many endpoints are listed only because the store is taken to have
-// been away.
-func (l *List) Kept() int { return l.kept }
+// Revision returns up to which revision of the store all changes are in, or 0 when the
+// whole list is wanted.
+func (l *List) Revision() uint64 {
+	if l.differs {
+		return 0
+	}
+	return l.revision
+}
 
-// Current returns when the list was last known to be the store's.
+// Current returns as of when the list was last known to be the store's.
 func (l *List) Current() time.Time { return l.current }
 
-// Endpoints returns the list by id.
+// Endpoints returns the endpoints to use by id: those listed, and those whose entries
+// lapsed.
 func (l *List) Endpoints() []catalog.Endpoint {
-	list := make([]catalog.Endpoint, 0, len(l.endpoints))
+	list := l.listed()
+	for _, e := range l.lapses.endpoints {
+		list = append(list, e)
+	}
+	sortByID(list)
+	return list
+}
+
+// listed returns what the store lists.
+func (l *List) listed() []catalog.Endpoint {
+	list := make([]catalog.Endpoint, 0, len(l.endpoints)+len(l.lapses.endpoints))
 	for _, k := range l.endpoints {
 		list = append(list, k.endpoint)
 	}
-	sortByID(list)
 	return list
 }
 
@@ -93,54 +117,61 @@
 
 // Read takes the store's whole list as of a revision in, as read at a time, and
 // reports whether anything but the revision changed. An older list than the
-// present one is ignored. After the store was away, endpoints that the list
-// lacks are kept for returnTime: those that live and reach the store are listed
-// again by then.
+// present one is ignored.
 func (l *List) Read(at time.Time, endpoints []catalog.Endpoint, revision uint64) bool {
 	if revision < l.revision || revision == 0 {
-		return false
-	}
-	if !l.current.IsZero() && at.Sub(l.current) > storeAway {
-		l.keepUntil = at.Add(returnTime)
+		return l.Expire(at)
 	}
-	l.advance(at)
-	return l.replace(endpoints, revision, at.Before(l.keepUntil))
+	return l.replace(at, maps.Collect(byID(endpoints)), revision)
 }
 
-func (l *List) advance(at time.Time) {
-	if at.After(l.current) {
-		l.current = at
+// byID yields endpoints with their ids.
+func byID(endpoints []catalog.Endpoint) iter.Seq2[string, catalog.Endpoint] {
+	return func(yield func(string, catalog.Endpoint) bool) {
+		for _, e := range endpoints {
+			if !yield(e.ID, e) {
+				return
+			}
+		}
 	}
 }
 
-// replace puts a whole list in the place of the present one; endpoints that it
-// lacks stay if keep is true.
-func (l *List) replace(endpoints []catalog.Endpoint, revision uint64, keep bool) bool {
+// replace puts a whole list, as of a time, in the place of the present one.
+func (l *List) replace(at time.Time, listed map[string]catalog.Endpoint, revision uint64) bool {
 	if l.revision == 0 {
 		l.floor = revision
 	}
-	l.revision = revision
+	l.begin(at, func() map[string]catalog.Endpoint { return listed })
+	l.revision, l.differs = revision, false
 	changed := false
-	listed := make(map[string]bool, len(endpoints))
-	for _, e := range endpoints {
-		listed[e.ID] = true
+	for _, e := range listed {
 		changed = l.put(e) || changed
 	}
-	l.kept = 0
 	for id := range l.endpoints {
-		switch {
-		case listed[id]:
-		case keep:
-			l.kept++
-		default:
-			l.remove(id)
+		if _, ok := listed[id]; !ok {
+			l.remove(at, id)
 			changed = true
 		}
 	}
-	return changed
+	return l.Expire(at) || changed
+}
+
+// begin notes what the list as of a time tells of the store.
+func (l *List) begin(at time.Time, listed func() map[string]catalog.Endpoint) {
+	if l.lapsedSince(at, listed) {
+		l.lapses.until = at.Add(returnTime)
+	}
+	l.advance(at)
+}
+
+func (l *List) advance(at time.Time) {
+	if at.After(l.current) {
+		l.current = at
+	}
 }
 
 func (l *List) put(e catalog.Endpoint) bool {
+	delete(l.lapses.endpoints, e.ID)
 	old, ok := l.endpoints[e.ID]
 	if ok && old.endpoint == e {
 		return false
@@ -158,8 +189,10 @@
 	return hash.Of(text)
 }
 
-func (l *List) remove(id string) {
-	l.digest -= digestOf(l.endpoints[id].endpoint)
+func (l *List) remove(at time.Time, id string) {
+	e := l.endpoints[id].endpoint
+	l.lapses.keep(at, e)
+	l.digest -= digestOf(e)
 	delete(l.endpoints, id)
 	l.gone = append(l.gone, departed{id: id, changed: l.revision})
 	if len(l.gone) > mostGone {
@@ -168,12 +201,17 @@
 	}
 }
 
-// Above returns what changed above a revision.
+// Above returns what changed above a revision, or an empty answer from a list that is
+// known to differ from the store's.
 func (l *List) Above(revision uint64) Delta {
+	if l.differs {
+		return Delta{}
+	}
 	d := Delta{Revision: l.revision, Digest: l.digest}
 	if revision < l.floor || revision == 0 {
 		d.Whole = true
-		d.Changed = l.Endpoints()
+		d.Changed = l.listed()
+		sortByID(d.Changed)
 		return d
 	}
 	for _, k := range l.endpoints {
@@ -190,22 +228,29 @@
 	return d
 }
 
-// Apply takes another node's answer in, whose list was current at a time, and
-// reports whether anything but the revision changed. An answer that is not ahead is ignored. When the lists
-// differ all the same, the revision becomes 0, so that the whole list is asked
-// for next.
+// Apply takes another node's answer in, whose list was the store's as of a time, and
+// reports whether anything but the revision changed. An answer that is behind is
+// ignored, whatever was asked for: a list never goes back. One that is not ahead still
+// renews the list. When the lists differ all the same, the whole one is asked for next.
 func (l *List) Apply(at time.Time, d Delta) bool {
-	if d.Whole {
-		if d.Revision < l.revision || d.Revision == 0 {
-			return false
+	switch {
+	case d.Revision == 0 || d.Revision < l.revision:
+		return l.Expire(at)
+	case d.Whole:
+		return l.replace(at, maps.Collect(byID(d.Changed)), d.Revision)
+	case d.Revision == l.revision:
+		l.differs = l.digest != d.Digest
+		if !l.differs {
+			l.advance(at)
 		}
-		l.advance(at)
-		return l.replace(d.Changed, d.Revision, false)
-	}
-	if d.Revision <= l.revision {
-		return false
+		return l.Expire(at)
 	}
-	l.advance(at)
+	return l.change(at, d)
+}
+
+// change takes in what changed above the present revision.
+func (l *List) change(at time.Time, d Delta) bool {
+	l.begin(at, func() map[string]catalog.Endpoint { return l.listedAfter(d) })
 	l.revision = d.Revision
 	changed := false
 	for _, e := range d.Changed {
@@ -213,12 +258,10 @@
 	}
 	for _, id := range d.Gone {
 		if _, ok := l.endpoints[id]; ok {
-			l.remove(id)
+			l.remove(at, id)
 			changed = true
 		}
 	}
-	if l.digest != d.Digest {
-		l.revision = 0
-	}
-	return changed
+	l.differs = l.digest != d.Digest
+	return l.Expire(at) || changed
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,7 @@
 	readsStore     atomic.Bool
 	configsRefused atomic.Int64
 	// keptEndpoints counts the endpoints that are used although the store does not
-	// list them.
+	// list them, since their entries lapsed.
 	keptEndpoints atomic.Int64
 	inFlight      atomic.Int64
 	// stop is the planned stop under way, or nil.
@@ -159,7 +159,7 @@
 	n.meters = newMeters(n)
 	n.leaders.meters = n.meters
 	n.view.Store(&view{})
-	n.list = discovery.NewList()
+	n.list = discovery.NewList(discovery.WithHeartbeat(s.Heartbeat))
 	n.members = member.New(wire.Member{
 		Node: s.Node, Incarnation: n.incarnation, Address: n.peerAddress, Domain: s.Domain, Region: s.Region,
 		Entries: []wire.Entry{n.entry(false)},
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -107,17 +107,20 @@
 const (
 	sourceStore = "store"
 	sourcePeer  = "peer"
+	// sourceTime is none: what was believed has expired.
+	sourceTime = "time"
 )
 
 // changeEndpoints changes the list and puts it in force if anything changed, and
 // notes as of when the view is the store's.
 func (n *Node) changeEndpoints(source string, fresh discovery.Freshness, change func() bool) {
+	now := time.Now()
 	n.viewMu.Lock()
-	before, kept := n.list.Current(), n.list.Kept()
+	listAge := age(now, n.list.Current())
 	changed := change()
-	n.keptEndpoints.Store(int64(n.list.Kept()))
-	if n.list.Kept() != kept {
-		n.log.Info(eventEndpointsKept, zap.Int("count", n.list.Kept()), zap.String("source", source), zap.Int64("list_age_ms", age(time.Now(), before)))
+	changed = n.list.Expire(now) || changed
+	if kept := int64(n.list.Kept()); n.keptEndpoints.Swap(kept) != kept {
+		n.log.Info(eventEndpointsKept, zap.Int64("count", kept), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 	}
 	old := n.view.Load()
 	next := *old
@@ -132,7 +135,7 @@
 	}
 	if changed {
 		next.endpoints = n.list.Endpoints()
-		n.logEndpoints(source, age(time.Now(), before), old.endpoints, next.endpoints)
+		n.logEndpoints(source, listAge, old.endpoints, next.endpoints)
 	}
 	n.view.Store(&next)
 	n.viewMu.Unlock()
@@ -141,6 +144,14 @@
 	}
 }
 
+// expireEndpoints drops the endpoints that had time to come back since the store did,
+// also while no news come.
+func (n *Node) expireEndpoints() {
+	if n.keptEndpoints.Load() > 0 {
+		n.changeEndpoints(sourceTime, discovery.Freshness{}, func() bool { return false })
+	}
+}
+
 // logEndpoints logs what a list that was not renewed for some milliseconds became.
 func (n *Node) logEndpoints(source string, listAge int64, before, after []catalog.Endpoint) {
 	known := make(map[string]catalog.Endpoint, len(before))
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -91,6 +91,7 @@
 	inVain, silent := 0, 0
 	for ctx.Err() == nil {
 		asked := time.Now()
+		n.expireEndpoints()
 		if n.reads(asked) {
 			list, revision, err := n.store.Endpoints(ctx, discovery.ReadLimit(n.serves(), inVain))
 			n.storeState(callList, err)
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -108,6 +108,8 @@
 	Domain   string
 	Slots    int
 	Draining bool
+	// Listed is 0 from nodes of an earlier version.
+	Listed uint64
 }
 
 // View answers a ViewRequest. A configuration that is not newer is left out.
