--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -76,6 +76,8 @@
 	// staying are the workers of "desk", retired those that have said they leave.
 	staying, retired []*platformtest.Worker
 	probes           atomic.Int64
+	// lapsing is held while entries lapse.
+	lapsing sync.Mutex
 
 	mu      sync.Mutex
 	history history
--- a/internal/soak/disturb_test.go
+++ b/internal/soak/disturb_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -37,15 +39,35 @@
 	{name: "store away", do: (*boundsRun).storeAway, share: 1},
 }
 
+// laterFaults are kinds that came later. Runs of the kinds above draw as before.
+var laterFaults = []fault{
+	{name: "lapse", do: (*boundsRun).lapse, share: 1},
+	{name: "leave as readers die", do: (*boundsRun).kill, share: 0.3, readers: true},
+	{name: "leave as readers freeze", do: (*boundsRun).freeze, share: 0.3, readers: true},
+	{name: "leave as readers are cut", do: (*boundsRun).cut, share: 0.3, readers: true},
+}
+
+// leaves tells the kinds at whose beginning workers leave.
+const leaves = "leave as readers"
+
+// kinds are those among which a run draws when it brings one kind, or all.
+func kinds(only string) []fault {
+	if slices.ContainsFunc(faults, func(f fault) bool { return f.name == only }) {
+		return faults
+	}
+	return slices.Concat(faults, laterFaults)
+}
+
 // trouble brings faults in series, overlapping, for a while: those of one kind, or of
 // all if it is empty.
 func (r *boundsRun) trouble(lasts time.Duration, only string) {
 	end := time.Now().Add(lasts)
+	list := kinds(only)
 	var open sync.WaitGroup
 	for time.Now().Before(end) {
-		f := faults[r.rand.IntN(len(faults))]
+		f := list[r.rand.IntN(len(list))]
 		for only != "" && f.name != only {
-			f = faults[r.rand.IntN(len(faults))]
+			f = list[r.rand.IntN(len(list))]
 		}
 		count := max(1, int(f.share*float64(len(r.nodes))))
 		nodes := r.rand.Perm(len(r.nodes))[:count]
@@ -55,6 +77,11 @@
 		length := time.Duration(1500+r.rand.IntN(5500)) * time.Millisecond
 		r.t.Logf("%s %s: %d nodes, %v", time.Now().Format("05.000"), f.name, count, length)
 		open.Go(func() { f.do(r, nodes, length) })
+		if strings.HasPrefix(f.name, leaves) {
+			time.Sleep(leaveAfter)
+			r.replaceWorker()
+			r.replaceWorker()
+		}
 		time.Sleep(time.Duration(500+r.rand.IntN(5000)) * time.Millisecond)
 	}
 	open.Wait()
@@ -193,14 +220,53 @@
 	}
 }
 
+const (
+	// leaveAfter is how long after the readers were lost workers leave: before any
+	// other node has read the store in their place.
+	leaveAfter = 50 * time.Millisecond
+	// workerBeat is how often workers confirm their entries, which live for entryBeats
+	// of these.
+	workerBeat = 1200 * time.Millisecond
+	entryBeats = 3
+	// lapseSeconds is how long after the store's return lapsed entries count.
+	lapseSeconds = 2500 * time.Millisecond
+)
+
+// lapse takes the store away from all nodes and workers, for longer than entries live.
+// All workers serve on, and list themselves again after its return. One absence ends
+// before the next one begins: in a store that is there, no entry lapses.
+func (r *boundsRun) lapse(_ []int, length time.Duration) {
+	r.lapsing.Lock()
+	defer r.lapsing.Unlock()
+	end := r.unsteady()
+	r.site.Store.SetDown(true)
+	time.Sleep(workerBeat * entryBeats)
+	back := r.site.Lapse()
+	time.Sleep(length / 2)
+	r.site.Store.SetDown(false)
+	end()
+	now := time.Now()
+	r.mu.Lock()
+	r.history.lapsed = append(r.history.lapsed, span{from: now, to: now.Add(lapseSeconds)})
+	r.mu.Unlock()
+	back(workerBeat)
+}
+
 // storeAway takes the store away from all nodes.
 func (r *boundsRun) storeAway(nodes []int, length time.Duration) {
+	defer r.unsteady()()
+	r.close(nodes, platformtest.AllCalls, platformtest.Refuses, length)
+}
+
+// unsteady notes that the store is away from all, and returns what ends it.
+func (r *boundsRun) unsteady() func() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.history.store = append(r.history.store, span{from: time.Now()})
 	at := len(r.history.store) - 1
-	r.mu.Unlock()
-	r.close(nodes, platformtest.AllCalls, platformtest.Refuses, length)
-	r.mu.Lock()
-	r.history.store[at].to = time.Now()
-	r.mu.Unlock()
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.history.store[at].to = time.Now()
+	}
 }
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -66,20 +66,29 @@
 	}
 }
 
-// replaceWorkers has one worker after the other say that it leaves; another one takes
-// its place.
+// replaceWorkers has one worker after the other leave; another one takes its place.
 func (r *boundsRun) replaceWorkers(ctx context.Context, draw *rand.Rand) {
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(1000+draw.IntN(3000))*time.Millisecond)
-		next := r.site.AddWorkers("desk", 1)[0]
-		r.mu.Lock()
-		r.desks[next.ID] = "desk"
-		r.mu.Unlock()
-		gone := r.staying[0]
-		r.staying = append(r.staying[1:], next)
+		r.replaceWorker()
+	}
+}
+
+// replaceWorker has a worker leave. Every second one says so; the entry of the others
+// goes, and they serve on.
+func (r *boundsRun) replaceWorker() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := r.site.AddWorkers("desk", 1)[0]
+	r.desks[next.ID] = "desk"
+	gone := r.staying[0]
+	r.staying = append(r.staying[1:], next)
+	if len(r.retired)%2 == 0 {
 		gone.Drain()
-		r.retired = append(r.retired, gone)
+	} else {
+		gone.Unlist()
 	}
+	r.retired = append(r.retired, gone)
 }
 
 // publishInvalid writes a configuration that nodes must refuse as a whole, and
--- a/internal/soak/verdict_test.go
+++ b/internal/soak/verdict_test.go
@@ -12,8 +12,8 @@
 // probeName is the id of a probe, which tells the node it was sent to.
 func probeName(node int, number int64) string { return fmt.Sprintf("%s%d-%d", probeID, node, number) }
 
-// undrained finds the probes that nodes in touch sent to workers which had said long
-// before that they leave.
+// undrained finds the probes that nodes in touch sent to workers which had left long
+// before, with or without a word.
 func (r *boundsRun) undrained() []string {
 	var found []string
 	for _, w := range r.retired {
@@ -27,12 +27,32 @@
 			if overlaps(r.history.disturbed[node], calm, late.At) || overlaps(r.history.store, calm, late.At) {
 				continue
 			}
-			found = append(found, fmt.Sprintf("%s node-%d DRAIN: sent a request to %s %v after it had said that it leaves", late.At.Format("05.000"), node+1, w.ID, late.After.Round(time.Millisecond)))
+			found = append(found, fmt.Sprintf("%s node-%d DRAIN: sent a request to %s %v after the store had taken that it leaves", late.At.Format("05.000"), node+1, w.ID, late.After.Round(time.Millisecond)))
 		}
 	}
 	return found
 }
 
+// lapsed counts the questions in the seconds after the store's return, when entries had
+// lapsed, and those that were refused for want of a worker. The workers served all the
+// while.
+func (r *boundsRun) lapsed() (asked, refused int) {
+	for _, o := range r.seen {
+		if !overlaps(r.history.lapsed, o.sent, o.sent) || overlaps(r.history.disturbed[o.node], o.sent.Add(-r.history.contact), o.got) {
+			continue
+		}
+		asked++
+		if o.status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	return asked, refused
+}
+
+// mostRefused is the part of the questions after the store's return, as a divisor, that
+// may be refused.
+const mostRefused = 20
+
 // awaitNewest waits until every node serves the newest version.
 func (r *boundsRun) awaitNewest() {
 	waiting := &run{t: r.t}
@@ -96,13 +116,17 @@
 	if timed {
 		found = append(found, r.undrained()...)
 	}
+	afterReturn, refusedThen := r.lapsed()
+	if timed && refusedThen*mostRefused > afterReturn {
+		found = append(found, fmt.Sprintf("LAPSED: %d of %d questions after the store's return were refused, though the workers served", refusedThen, afterReturn))
+	}
 	if timed && held > mostHeld && held > askedMute/4 {
 		found = append(found, fmt.Sprintf("HELD: %d of %d requests had no answer %v after their route's time", held, askedMute, slowEnd))
 	}
 	if timed && askedMany > 20 && refusedMany > askedMany/4 {
 		found = append(found, fmt.Sprintf("ADDED: %d of %d requests on added routes were not served", refusedMany, askedMany))
 	}
-	r.t.Logf("%d versions, %d must be refused, %d workers replaced, %d answers, %d from nodes in touch, %d of %d held; %v", len(r.history.versions), len(r.refused), len(r.retired), len(r.seen), inTouch, held, askedMute, counts)
+	r.t.Logf("%d versions, %d must be refused, %d workers replaced, %d answers, %d from nodes in touch, %d of %d held, %d of %d refused after lapses; %v", len(r.history.versions), len(r.refused), len(r.retired), len(r.seen), inTouch, held, askedMute, refusedThen, afterReturn, counts)
 	r.logDelays()
 	if len(found) > 0 {
 		sort.Strings(found)
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -77,6 +77,9 @@
 	// the store for all, partly what was wrong with it for some nodes only.
 	disturbed     map[int][]span
 	store, partly []span
+	// lapsed lists the seconds after the store's return in which workers whose entries
+	// had lapsed listed themselves again.
+	lapsed []span
 }
 
 // shows reports whether an answer is one that a version gives. An answer that
