internal/core/discovery, internal/core/member, internal/node: news of the list spread by heartbeats when the readers are lost

Cause: with the usual readers and all that stand in for them first lost at one moment, the search began 2.8 s later, and others went on asking lost nodes one after the other. Change: heartbeats tell the revision of the list; a node whose view is old asks one that is ahead; the first news after a while is told to the neighbors at once. In ordinary times no message is added: a node whose view is fresh asks nobody more.

--- a/internal/core/discovery/lapse.go
+++ b/internal/core/discovery/lapse.go
@@ -44,10 +44,11 @@
 	}
 }
 
-// expire drops the endpoints whose time to come back is over, and reports whether there
-// were any.
-func (p *lapses) expire(now time.Time) bool {
-	if len(p.endpoints) == 0 || now.Before(p.until) {
+// expire drops the endpoints that a list lacks which was the store's when their time to
+// come back was over, and reports whether there were any. The time alone drops none:
+// without news, a node can't know whether they came back.
+func (p *lapses) expire(at time.Time) bool {
+	if len(p.endpoints) == 0 || at.Before(p.until) {
 		return false
 	}
 	clear(p.endpoints)
@@ -86,10 +87,6 @@
 // Kept returns how many endpoints are used although the store does not list them.
 func (l *List) Kept() int { return len(l.lapses.endpoints) }
 
-// Expire drops the endpoints whose entries lapsed and did not come back in time, and
-// reports whether there were any.
-func (l *List) Expire(now time.Time) bool { return l.lapses.expire(now) }
-
 // listedAfter is the list that a delta leads to.
 func (l *List) listedAfter(d Delta) map[string]catalog.Endpoint {
 	next := make(map[string]catalog.Endpoint, len(l.endpoints))
--- a/internal/core/discovery/leaving_test.go
+++ b/internal/core/discovery/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -127,6 +128,11 @@
 const (
 	worldStep = 25 * time.Millisecond
 	worldRest = 6 * time.Second
+	// flushEvery is how often a node sends its neighbors what is due, beatEvery how
+	// often it beats in any case, and aheadGap how often one asks a node that is ahead.
+	flushEvery = 100 * time.Millisecond
+	beatEvery  = time.Second
+	aheadGap   = 300 * time.Millisecond
 	// judgeEvery is how often the lists of all nodes are looked at.
 	judgeEvery = 100 * time.Millisecond
 	// endpointBeat is how often an endpoint confirms its entry, which goes after
@@ -177,7 +183,16 @@
 	// lostUntil is when the node is back that neither reads, asks nor answers;
 	// cutUntil when one reaches the store again; touched when either ended last.
 	lostUntil, cutUntil, touched time.Duration
-	missing                      map[string]time.Duration
+	// neighbors are those that it beats to, phase when in flushEvery it does; tells
+	// tells that a beat is due before its time.
+	neighbors []*listNode
+	phase     time.Duration
+	tells     bool
+	// ahead told a revision above this node's; askedAhead is when it was asked last.
+	ahead      *listNode
+	aheadOf    uint64
+	askedAhead time.Duration
+	missing    map[string]time.Duration
 }
 
 func newLeavingWorld(s script, seed uint64) *leavingWorld {
@@ -204,10 +219,23 @@
 		n.take(w.at(), w.entries(), w.revision, w.ranking)
 		w.nodes = append(w.nodes, n)
 		w.byName[name] = n
+		n.phase = time.Duration(w.draw.Int64N(int64(beatEvery))) / worldStep * worldStep
 	}
+	w.link()
 	return w
 }
 
+// link gives the nodes their neighbors: those at some distances on a ring.
+func (w *leavingWorld) link() {
+	size := len(w.nodes)
+	root := math.Sqrt(float64(size))
+	for i, n := range w.nodes {
+		for _, d := range []int{1, 2, int(root), int(root * math.Sqrt(root))} {
+			n.neighbors = append(n.neighbors, w.nodes[(i+d)%size], w.nodes[(i-d+size)%size])
+		}
+	}
+}
+
 func (w *leavingWorld) at() time.Time { return testTime.Add(w.now) }
 
 // list puts an endpoint's entry into the store.
@@ -346,7 +374,7 @@
 // step has a node do what is due.
 func (w *leavingWorld) step(n *listNode) {
 	now := w.at()
-	n.list.Expire(now)
+	w.beat(n)
 	if w.ranking.Reads(n.name, now, n.known) {
 		if w.now >= n.nextRead {
 			w.read(n)
@@ -367,6 +395,31 @@
 	}
 }
 
+// beat has a node beat to its neighbors, and ask one that is ahead when its own list is
+// old.
+func (w *leavingWorld) beat(n *listNode) {
+	if (w.now+n.phase)%flushEvery != 0 {
+		return
+	}
+	if n.tells || (w.now+n.phase)%beatEvery == 0 {
+		n.tells = false
+		for _, other := range n.neighbors {
+			if w.now >= other.lostUntil && n.list.Revision() > other.list.Revision() {
+				other.ahead, other.aheadOf = n, n.list.Revision()
+			}
+		}
+	}
+	if n.ahead != nil && n.aheadOf > n.list.Revision() && n.known.Stale(w.at()) && w.now-n.askedAhead >= aheadGap {
+		n.askedAhead = w.now
+		w.ask(n, n.ahead.name)
+	}
+}
+
+// renewed has a node tell its neighbors at once if it had no news for a while.
+func (n *listNode) renewed(stale bool, before uint64) {
+	n.tells = n.tells || stale && n.list.Revision() != before
+}
+
 // read has a node read the store.
 func (w *leavingWorld) read(n *listNode) {
 	if w.away() || w.now < n.cutUntil {
@@ -376,7 +429,9 @@
 	}
 	n.failed = 0
 	n.nextRead = w.now + ReadEvery
+	stale, before := n.known.Stale(w.at()), n.list.Revision()
 	n.take(w.at(), w.entries(), w.revision, w.ranking)
+	n.renewed(stale, before)
 	n.silent++
 	switch {
 	case w.ranking.Usual(n.name):
@@ -405,6 +460,8 @@
 	if delta.Revision == 0 {
 		return
 	}
+	stale, before := n.known.Stale(w.at()), n.list.Revision()
+	defer func() { n.renewed(stale, before) }()
 	told := other.known
 	told.Own = time.Time{}
 	n.known = n.known.Later(told)
@@ -416,23 +473,27 @@
 	return w.now-n.touched >= w.script.contact && w.now-w.unsteady >= w.script.contact
 }
 
+// uses reports whether a node sends an endpoint new work.
+func (n *listNode) uses(id string) bool {
+	if k, ok := n.list.endpoints[id]; ok {
+		return !k.endpoint.Draining
+	}
+	e, ok := n.list.lapses.endpoints[id]
+	return ok && !e.Draining
+}
+
 // judge holds a node's list against what it must hold by now.
 func (w *leavingWorld) judge(n *listNode) []string {
 	var found []string
-	used := make(map[string]bool)
-	for _, e := range n.list.Endpoints() {
-		if !e.Draining {
-			used[e.ID] = true
-		}
-	}
 	for _, e := range w.endpoints {
 		id := e.entry.ID
+		used := n.uses(id)
 		switch {
 		case e.leftAt > 0:
-			if since := w.now - e.leftAt; used[id] && since > w.script.bound {
+			if since := w.now - e.leftAt; used && since > w.script.bound {
 				found = append(found, fmt.Sprintf("%v: %s uses %s, which left %v ago", w.now, n.name, id, since))
 			}
-		case used[id]:
+		case used:
 			n.missing[id] = 0
 		default:
 			if n.missing[id] += judgeEvery; n.missing[id] > w.script.missing {
--- a/internal/core/discovery/list.go
+++ b/internal/core/discovery/list.go
@@ -120,7 +120,7 @@
 // present one is ignored.
 func (l *List) Read(at time.Time, endpoints []catalog.Endpoint, revision uint64) bool {
 	if revision < l.revision || revision == 0 {
-		return l.Expire(at)
+		return false
 	}
 	return l.replace(at, maps.Collect(byID(endpoints)), revision)
 }
@@ -153,7 +153,7 @@
 			changed = true
 		}
 	}
-	return l.Expire(at) || changed
+	return l.lapses.expire(at) || changed
 }
 
 // begin notes what the list as of a time tells of the store.
@@ -235,15 +235,16 @@
 func (l *List) Apply(at time.Time, d Delta) bool {
 	switch {
 	case d.Revision == 0 || d.Revision < l.revision:
-		return l.Expire(at)
+		return false
 	case d.Whole:
 		return l.replace(at, maps.Collect(byID(d.Changed)), d.Revision)
 	case d.Revision == l.revision:
 		l.differs = l.digest != d.Digest
-		if !l.differs {
-			l.advance(at)
+		if l.differs {
+			return false
 		}
-		return l.Expire(at)
+		l.advance(at)
+		return l.lapses.expire(at)
 	}
 	return l.change(at, d)
 }
@@ -263,5 +264,5 @@
 		}
 	}
 	l.differs = l.digest != d.Digest
-	return l.Expire(at) || changed
+	return l.lapses.expire(at) || changed
 }
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -192,3 +192,24 @@
 	})
 	t.Logf("40 members had it after %v", took)
 }
+
+// TestListRevisionSpreads checks that every node learns within moments that a neighbor
+// has a newer list when that is told at once, and that a node which has it is named.
+func TestListRevisionSpreads(t *testing.T) {
+	w := newNetwork(t, 40)
+	w.until(30*time.Second, "all members see each other", func() bool { return w.all(40) })
+	w.nodes[nodeName(0)].SetListRevision(7, true)
+	w.until(time.Second, "all have revision 7", func() bool {
+		done := true
+		for _, n := range w.nodes {
+			if name, v := n.HigherList(); v > 0 {
+				if w.nodes[name].list != v {
+					t.Fatalf("%s is said to have revision %d, and has %d", name, v, w.nodes[name].list)
+				}
+				n.SetListRevision(v, true)
+			}
+			done = done && n.list == 7
+		}
+		return done
+	})
+}
--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -67,6 +67,7 @@
 type Node struct {
 	self      wire.Member
 	config    uint64
+	list      uint64
 	records   map[string]*record
 	endpoints map[endpointKey]wire.Endpoint
 	links     map[string]*link
@@ -84,8 +85,11 @@
 	mostCapacity int
 	allowance    int // records left in this beat
 	listings     int // listings left in this beat
-	higher       map[string]uint64
-	changed      bool
+	// higher and higherList are the nodes that have told a higher version of the
+	// configuration, or revision of the list of endpoints, than this one's.
+	higher     map[string]uint64
+	higherList map[string]uint64
+	changed    bool
 }
 
 type record struct {
@@ -118,7 +122,7 @@
 		endpoints: make(map[endpointKey]wire.Endpoint),
 		links:     make(map[string]*link),
 		rand:      rand.New(rand.NewPCG(seed, self.Incarnation)),
-		higher:    make(map[string]uint64),
+		higher:    make(map[string]uint64), higherList: make(map[string]uint64),
 		ringStale: true,
 		allowance: startPace.records,
 	}
@@ -139,6 +143,20 @@
 		return
 	}
 	n.config = v
+	n.beatSoon()
+}
+
+// SetListRevision tells the revision of the list of endpoints in force here, with the
+// next beats, or at once when others may not hear of it soon.
+func (n *Node) SetListRevision(v uint64, atOnce bool) {
+	n.list = v
+	if atOnce {
+		n.beatSoon()
+	}
+}
+
+// beatSoon has the next tick send a beat on each link.
+func (n *Node) beatSoon() {
 	for _, l := range n.links {
 		l.wantBeat = true
 	}
@@ -146,13 +164,20 @@
 
 // HigherConfig returns a node that is known to have a configuration above
 // this one's, and its version.
-func (n *Node) HigherConfig() (node string, version uint64) {
-	for name, v := range n.higher {
+func (n *Node) HigherConfig() (node string, version uint64) { return highest(n.higher, n.config) }
+
+// HigherList returns a node that is known to have a list of endpoints of a revision
+// above this one's, and that revision.
+func (n *Node) HigherList() (node string, revision uint64) { return highest(n.higherList, n.list) }
+
+// highest returns the node that told the highest version, if it is above one's own.
+func highest(told map[string]uint64, own uint64) (node string, version uint64) {
+	for name, v := range told {
 		if v > version || v == version && name < node {
 			node, version = name, v
 		}
 	}
-	if version <= n.config {
+	if version <= own {
 		return "", 0
 	}
 	return node, version
--- a/internal/core/member/receive.go
+++ b/internal/core/member/receive.go
@@ -35,17 +35,23 @@
 		return []Send{{Node: g.Node, Address: r.m.Address, Gossip: out}}
 	}
 	n.heard(now, r, g)
-	if g.ConfigVersion > n.config {
-		n.higher[g.Node] = g.ConfigVersion
-	} else {
-		delete(n.higher, g.Node)
-	}
+	note(n.higher, g.Node, g.ConfigVersion, n.config)
+	note(n.higherList, g.Node, g.ListRevision, n.list)
 	if len(g.Listing) == 0 {
 		return nil
 	}
 	return n.answerListing(r, g)
 }
 
+// note remembers a node that told a higher version than one's own.
+func note(higher map[string]uint64, node string, told, own uint64) {
+	if told > own {
+		higher[node] = told
+		return
+	}
+	delete(higher, node)
+}
+
 // answerStranger makes this node known to a sender that it does not know. Such
 // a sender knew an earlier life of this node and would not hear of the present
 // one before it has given that up; the two could lead side by side until then.
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -100,6 +100,7 @@
 		case ended(r.m.State) && now.Sub(r.since) > forgetAfter:
 			delete(n.records, name)
 			delete(n.higher, name)
+			delete(n.higherList, name)
 		}
 	}
 }
@@ -141,7 +142,7 @@
 }
 
 func (n *Node) header() wire.Gossip {
-	return wire.Gossip{Node: n.self.Node, Incarnation: n.self.Incarnation, ViewHash: n.hash, ConfigVersion: n.config}
+	return wire.Gossip{Node: n.self.Node, Incarnation: n.self.Incarnation, ViewHash: n.hash, ConfigVersion: n.config, ListRevision: n.list}
 }
 
 func (n *Node) lookup(name string) (wire.Member, bool) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -54,18 +54,30 @@
 		n.greeted = now
 		sends = append(sends, n.members.Join()...)
 	}
-	ahead, version := n.members.HigherConfig()
-	address := n.members.Address(ahead)
+	ahead := n.aheadOf(now, n.view.Load())
 	entries, changed := n.changedEntries(now)
 	n.membersMu.Unlock()
 	n.sendGossip(sends)
 	if changed {
 		n.takeEntries(entries)
 	}
-	n.askForView(now, address, version)
+	n.askForView(now, ahead)
 	n.watchCells()
 }
 
+// aheadOf returns the address of a node that is known to have a newer configuration than
+// a view, or, when the view is old, a newer list of endpoints; the lock of the members is
+// held. While the readers answer, each node asks them for the list anyway.
+func (n *Node) aheadOf(now time.Time, v *view) string {
+	if node, version := n.members.HigherConfig(); version > v.version() {
+		return n.members.Address(node)
+	}
+	if node, revision := n.members.HigherList(); revision > v.revision && v.fresh.Stale(now) {
+		return n.members.Address(node)
+	}
+	return ""
+}
+
 // listGap is how often messages have the list of live nodes made anew at most; the
 // next beat has it made in any case. Making it for 295 nodes takes 0.23 ms of a whole
 // core, four times as long as taking in 32 records, and in a start of all nodes
@@ -133,17 +145,16 @@
 	}
 }
 
-// askForView asks a peer that is ahead for its configuration, and any peer
-// for its list of endpoints when the store does not tell.
-func (n *Node) askForView(now time.Time, ahead string, version uint64) {
+// askForView asks a peer that is ahead for what is new, or any peer when neither the
+// store nor the readers tell.
+func (n *Node) askForView(now time.Time, ahead string) {
 	v := n.view.Load()
 	own := v.version()
-	behind := ahead != "" && version > own
 	old := n.readers.Load().Overdue(now, v.fresh)
-	if !behind && !old && own > 0 || now.Sub(n.askedView) < askViewGap {
+	if ahead == "" && !old && own > 0 || now.Sub(n.askedView) < askViewGap {
 		return
 	}
-	if !behind {
+	if ahead == "" {
 		ahead = n.knowing(v)
 	}
 	if ahead == "" {
@@ -261,7 +272,7 @@
 	defer n.membersMu.Unlock()
 	self := n.members.Self()
 	return wire.Gossip{
-		Node: self.Node, Incarnation: self.Incarnation, ConfigVersion: n.view.Load().version(),
+		Node: self.Node, Incarnation: self.Incarnation, ConfigVersion: n.view.Load().version(), ListRevision: n.view.Load().revision,
 		Members: []wire.Member{self}, Courtesy: true,
 	}
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -107,8 +107,6 @@
 const (
 	sourceStore = "store"
 	sourcePeer  = "peer"
-	// sourceTime is none: what was believed has expired.
-	sourceTime = "time"
 )
 
 // changeEndpoints changes the list and puts it in force if anything changed, and
@@ -118,7 +116,6 @@
 	n.viewMu.Lock()
 	listAge := age(now, n.list.Current())
 	changed := change()
-	changed = n.list.Expire(now) || changed
 	if kept := int64(n.list.Kept()); n.keptEndpoints.Swap(kept) != kept {
 		n.log.Info(eventEndpointsKept, zap.Int64("count", kept), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 	}
@@ -139,17 +136,22 @@
 	}
 	n.view.Store(&next)
 	n.viewMu.Unlock()
+	if next.revision != old.revision {
+		n.tellRevision(next.revision, old.fresh.Stale(now))
+	}
 	if changed {
 		n.viewChanged()
 	}
 }
 
-// expireEndpoints drops the endpoints that had time to come back since the store did,
-// also while no news come.
-func (n *Node) expireEndpoints() {
-	if n.keptEndpoints.Load() > 0 {
-		n.changeEndpoints(sourceTime, discovery.Freshness{}, func() bool { return false })
-	}
+// tellRevision has the heartbeats tell the revision of the list, at once when it is the
+// first news in a while: then the readers are lost, and the nodes that would ask for
+// them may go on asking lost ones. With the readers and all that stand in for them first
+// lost, all of 61 nodes drop an endpoint 3 s after it left, in place of 3.8 s.
+func (n *Node) tellRevision(revision uint64, late bool) {
+	n.membersMu.Lock()
+	defer n.membersMu.Unlock()
+	n.members.SetListRevision(revision, late)
 }
 
 // logEndpoints logs what a list that was not renewed for some milliseconds became.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -91,7 +91,6 @@
 	inVain, silent := 0, 0
 	for ctx.Err() == nil {
 		asked := time.Now()
-		n.expireEndpoints()
 		if n.reads(asked) {
 			list, revision, err := n.store.Endpoints(ctx, discovery.ReadLimit(n.serves(), inVain))
 			n.storeState(callList, err)
--- a/internal/soak/disturb_test.go
+++ b/internal/soak/disturb_test.go
@@ -228,8 +228,8 @@
 	// of these.
 	workerBeat = 1200 * time.Millisecond
 	entryBeats = 3
-	// lapseSeconds is how long after the store's return lapsed entries count.
-	lapseSeconds = 2500 * time.Millisecond
+	// relistTime is how long after the store's return lapsed entries count.
+	relistTime = 2500 * time.Millisecond
 )
 
 // lapse takes the store away from all nodes and workers, for longer than entries live.
@@ -247,7 +247,7 @@
 	end()
 	now := time.Now()
 	r.mu.Lock()
-	r.history.lapsed = append(r.history.lapsed, span{from: now, to: now.Add(lapseSeconds)})
+	r.history.lapsed = append(r.history.lapsed, span{from: now, to: now.Add(relistTime)})
 	r.mu.Unlock()
 	back(workerBeat)
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -129,6 +129,9 @@
 	// Answer marks the answer to a listing. Its own listing is answered with
 	// records only, so that an exchange ends.
 	Answer bool
+	// ListRevision is that of the sender's list of endpoints, or 0 when it has none
+	// or is of an earlier version.
+	ListRevision uint64
 }
 
 // ConfigRequest asks a neighbor for a configuration above a version.
