internal/core/drain: work whose first unit comes at once grows more than in proportion to its size

Cause: the learned slope of time over size was cut at 1; streams of 92 events 25 ms apart take 30 times as long as those of four (a slope of 1.09), so a stopping node took one that it cut 4 ms before its last event. Ruled out: another spread or weight; it would turn more short streams away. Change: sizes that are bounds may show a slope of up to 1.25; estimates stay at 1, since their errors flatten it. Where the learned slope is below 1 nothing changes.

--- a/internal/core/drain/drain.go
+++ b/internal/core/drain/drain.go
@@ -66,6 +66,12 @@
 	// with roughSlope for estimates, whose errors make it look less.
 	boundSlope = 1
 	roughSlope = 0.5
+	// Work whose first unit comes at once takes more than in proportion to its size:
+	// with units of equal time, 92 take 30 times as long as four, a slope of 1.09.
+	// steepestBound leaves room for that. An estimate can't show it: its errors flatten the
+	// slope, and chance alone would make it steep.
+	steepestBound = 1.25
+	steepestRough = 1
 	// leastSpread leaves room above the mean where all took alike.
 	leastSpread = 0.25
 	// likely is how many standard deviations above the mean Likely lies: five of six
@@ -137,11 +143,11 @@
 func (d *Durations) slope(size Size) float64 {
 	// weight is what the start value still weighs.
 	weight := startSpread * startSpread * startWeight / (d.count + startWeight)
-	start := float64(boundSlope)
+	start, steepest := float64(boundSlope), float64(steepestBound)
 	if size.rough {
-		start = roughSlope
+		start, steepest = roughSlope, steepestRough
 	}
-	return min(max((d.both+start*weight)/(d.sizes+weight), 0), 1)
+	return min(max((d.both+start*weight)/(d.sizes+weight), 0), steepest)
 }
 
 // longest bounds what is foretold: no process waits that long.
