platform, internal/node, internal/soak: lives of endpoints, entries of other writers, leaving in the soak

Cause: an endpoint was known by its id alone, so one that began anew under it was taken for its old self (its suspicion, what it was believed to hold); an entry with an unknown state counted as ready, and one value that could not be decoded spoiled the whole page. Change: the name of an endpoint is the worker's id and its start, where it tells one; all that is kept goes by that name. ParseEndpoint refuses an entry with a typed error for each fault; refused ones are logged once each (256 at most) and counted by fault. The soak has entries of other writers, workers that begin anew under their id, workers that leave without a word, and a phase in which the readers are frozen just before two workers leave. Ruled out: a second key beside the id in every table, in nodes, leaders and messages.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -180,7 +180,8 @@
 
 // Endpoint is a worker as the platform lists it.
 type Endpoint struct {
-	// ID names one life of the worker.
+	// ID names one life of the worker: one that starts again under the name by which
+	// it knows itself is another endpoint. What is held of an endpoint goes by it.
 	ID       string
 	Service  string
 	Address  string
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -41,6 +41,8 @@
 	eventEndpointListed = "endpoint listed"
 	// An endpoint left the list.
 	eventEndpointGone = "endpoint gone"
+	// An entry of the list of endpoints names none to use.
+	eventEntryRefused = "entry refused"
 	// The number of endpoints that are used although the store does not list them
 	// changed.
 	eventEndpointsKept = "endpoints kept"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,8 @@
 	view   atomic.Pointer[view]
 	list   *discovery.List
 	own    discovery.FirstHand
+	// refused belongs to the goroutine that reads the list of endpoints.
+	refused refusedEntries
 
 	membersMu sync.Mutex
 	members   *member.Node
@@ -158,6 +160,7 @@
 	n.leaders = newLeaders(n.log, n.workers, newPools(hash.Of(s.Node), leaderPolicy, n.off), func() stagepool.Budget { return n.stageBudget }, n.off)
 	n.meters = newMeters(n)
 	n.leaders.meters = n.meters
+	n.refused = refusedEntries{logged: make(map[refusedEntry]bool), faults: make(map[platform.EntryFault]bool)}
 	n.view.Store(&view{})
 	n.list = discovery.NewList(discovery.WithHeartbeat(s.Heartbeat))
 	n.members = member.New(wire.Member{
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -92,7 +92,7 @@
 	for ctx.Err() == nil {
 		asked := time.Now()
 		if n.reads(asked) {
-			list, revision, err := n.store.Endpoints(ctx, discovery.ReadLimit(n.serves(), inVain))
+			list, err := n.store.Endpoints(ctx, discovery.ReadLimit(n.serves(), inVain))
 			n.storeState(callList, err)
 			if err != nil {
 				inVain++
@@ -100,7 +100,8 @@
 				continue
 			}
 			inVain = 0
-			n.readEndpoints(list, revision, asked)
+			n.noteRefused(list.Refused)
+			n.readEndpoints(list.Endpoints, list.Revision, asked)
 			silent++
 			n.askIfBack(silent)
 			pause(ctx, discovery.ReadEvery-time.Since(asked))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -75,6 +75,9 @@
 	config  platformtest.Config
 	workers map[string][]*platformtest.Worker
 	retired []retired
+	crashes int
+	// leaving are the workers that left while the readers were lost.
+	leaving []*platformtest.Worker
 	// unplanned counts the faults in force that are no planned work, and
 	// lastUnplanned is when the last one ended.
 	unplanned     atomic.Int64
@@ -92,7 +95,7 @@
 	found   []string
 }
 
-// retired is a worker that has said it leaves.
+// retired is a worker that has left, with or without a word.
 type retired struct {
 	worker *platformtest.Worker
 	at     time.Time
@@ -108,7 +111,7 @@
 	// settled is how long after the last unplanned fault only planned work
 	// counts as under way.
 	settled = 4 * time.Second
-	// drained is how long after a worker has said that it leaves nothing may
+	// drained is how long after the store has taken that a worker leaves nothing may
 	// reach it any more; it is generous, since the machine may be busy.
 	drained  = 8 * time.Second
 	healTime = 5 * time.Second
@@ -144,6 +147,8 @@
 	r.trouble(time.Duration(*secondsEach * float64(time.Second)))
 	time.Sleep(healTime)
 	r.awaitConfig()
+	r.leaveWithReadersLost()
+	r.awaitConfig()
 	r.rollAll()
 	stop()
 	sending.Wait()
@@ -167,10 +172,21 @@
 	for _, service := range []string{"desk", "model", "encode", "rank"} {
 		r.workers[service] = r.site.AddWorkers(service, 3)
 	}
+	for i, text := range otherEntries {
+		r.site.Store.PutEntry(fmt.Sprintf("other-%d", i), []byte(text))
+	}
 	r.startNodes(program, seed)
 	return r
 }
 
+// otherEntries are entries of another writer in the list of workers: none names a worker
+// to use.
+var otherEntries = []string{
+	"", "{", "[1]", "7", `{}`, `{"service":"desk","slots":"many"}`,
+	`{"service":"desk","addr":"127.0.0.1:1","zone":"zone-a","slots":4,"state":"paused"}`,
+	`{"service":"model","addr":"nowhere","zone":"zone-a","slots":4,"state":"ready"}`,
+}
+
 // deskRoutes are routes whose timeouts never come before the client's deadline.
 func deskRoutes() []platformtest.Route {
 	routes := platformtest.DeskRoutes()
@@ -269,6 +285,7 @@
 		r.checkNotLost(s, passedOn[s.id])
 	}
 	r.checkStops()
+	r.checkLeaving()
 	if served < len(r.record.list)/4 {
 		r.fail("%d of %d requests were served", served, len(r.record.list))
 	}
@@ -277,7 +294,7 @@
 	}
 	for _, gone := range r.retired {
 		if late := gone.worker.LastRun().Sub(gone.at); late > drained {
-			r.fail("%s of %s got a request %v after it had said that it leaves", gone.worker.ID, gone.worker.Service, late)
+			r.fail("%s of %s got a request %v after the store had taken that it leaves", gone.worker.ID, gone.worker.Service, late)
 		}
 	}
 	r.checkBudget(asked, runs)
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -148,25 +149,37 @@
 	r.unplannedFor(length, func() { w.Inject(f, f, f) }, w.Heal)
 }
 
-// crashWorker crashes a worker for good; another takes its place, and later its
-// entry goes.
+// crashWorker crashes a worker. Every second one begins anew under its id; the others
+// are gone for good, another one takes their place, and later their entry goes.
 func (r *run) crashWorker(length time.Duration) {
 	w := r.anyWorker()
+	r.crashes++
+	if r.crashes%2 == 0 && !r.hasLeft(w) {
+		r.unplannedFor(length, w.Crash, w.Restart)
+		return
+	}
 	r.workers[w.Service] = append(r.workers[w.Service], r.site.AddWorkers(w.Service, 1)...)
 	r.unplannedFor(length, w.Crash, w.Leave)
 }
 
-// drainWorker is planned work: another worker takes the place of one that says
-// that it leaves.
+// hasLeft reports whether a worker has left.
+func (r *run) hasLeft(w *platformtest.Worker) bool {
+	return slices.ContainsFunc(r.retired, func(gone retired) bool { return gone.worker == w })
+}
+
+// drainWorker is planned work: another worker takes the place of one that leaves. Every
+// second one says so; the entry of the others goes, and they serve on.
 func (r *run) drainWorker(time.Duration) {
 	w := r.anyWorker()
-	for _, gone := range r.retired {
-		if gone.worker == w {
-			return
-		}
+	if r.hasLeft(w) {
+		return
 	}
 	r.workers[w.Service] = append(r.workers[w.Service], r.site.AddWorkers(w.Service, 1)...)
-	w.Drain()
+	if len(r.retired)%2 == 0 {
+		w.Drain()
+	} else {
+		w.Unlist()
+	}
 	r.retired = append(r.retired, retired{worker: w, at: time.Now()})
 }
 
