--- a/internal/core/discovery/leavingworld_test.go
+++ b/internal/core/discovery/leavingworld_test.go
@@ -51,8 +51,9 @@
 	inStore bool
 	beat    time.Duration
 	phase   time.Duration
-	// leftAt is when the store acknowledged that it leaves, or zero.
-	leftAt time.Duration
+	// leftAt is when the store acknowledged that it leaves, or zero; since is when its
+	// life began.
+	leftAt, since time.Duration
 }
 
 // listNode is a node, as far as it keeps a list.
@@ -211,6 +212,10 @@
 				}
 			}
 		}
+	case "restart":
+		for _, id := range s.args {
+			w.restart(id)
+		}
 	case "lose", "cut":
 		length, _ := time.ParseDuration(s.args[1])
 		for _, name := range w.struck(s.args[0]) {
@@ -238,6 +243,23 @@
 	w.drop(e)
 }
 
+// restart has an endpoint begin anew under its id: in one change of the store its entry
+// is that of another life.
+func (w *leavingWorld) restart(id string) {
+	for _, e := range w.endpoints {
+		if e.entry.ID != id {
+			continue
+		}
+		e.leftAt = w.now
+		e.inStore = false
+		next := &listedEndpoint{entry: e.entry, phase: e.phase, since: w.now}
+		next.entry.ID += "/2"
+		w.list(next)
+		w.endpoints = append(w.endpoints, next)
+		return
+	}
+}
+
 // struck are the nodes that a word of a script means: the usual readers, these and
 // the first that stand in, or a share of all.
 func (w *leavingWorld) struck(word string) []string {
@@ -381,6 +403,8 @@
 			}
 		case used:
 			n.missing[id] = 0
+		case e.since > 0 && w.now-e.since <= w.script.bound:
+			// Its first news may take as long as those of one that left.
 		default:
 			if n.missing[id] += judgeEvery; n.missing[id] > w.script.missing {
 				found = append(found, fmt.Sprintf("%v: %s has not used %s, which lives, for %v", w.now, n.name, id, n.missing[id]))
