cmd/gradetiller-node: SIGHUP is taken from the first moment

Cause: the signal was asked for by a goroutine that began after the settings were read and the log was opened; until then it ends a process, without a line. Change: the program asks for the signal before anything else.

--- a/cmd/gradetiller-node/cmd/main.go
+++ b/cmd/gradetiller-node/cmd/main.go
@@ -34,13 +34,16 @@
 	PeerAddress string   `help:"IP address and port at which other nodes reach this one, where they differ from those that it listens on." env:"GRADETILLER_PEER_ADDRESS"`
 }
 
-// Main runs the program.
+// Main runs the program. SIGHUP is taken before anything else: one that comes while the
+// settings are read must not end the process.
 func Main() {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var c cli
-	settings.Run(&c, name, help, func() error { return c.run() })
+	settings.Run(&c, name, help, func() error { return c.run(hangups) })
 }
 
-func (c *cli) run() error {
+func (c *cli) run(hangups <-chan os.Signal) error {
 	off, err := mechanism.Parse(c.Without)
 	if err != nil {
 		return err
@@ -56,7 +59,7 @@
 	defer out.Stop()
 	debug.SetGCPercent(ownMemory)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	go reload(log)
+	go reload(log, hangups)
 	stop, _ := settings.Signals()
 	return node.New(s, node.WithLog(log), node.WithDroppedLines(out.DroppedOf), node.WithMetrics(s.MetricsAddress), node.WithPeerAddress(c.PeerAddress), node.Without(off)).Run(stop)
 }
@@ -64,9 +67,7 @@
 // reload checks the settings file again at each SIGHUP. Addresses and names
 // stay those of the start; the file is checked so that a mistake is told when
 // it is made, not at the next start.
-func reload(log *zap.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func reload(log *zap.Logger, hangups <-chan os.Signal) {
 	for range hangups {
 		if _, err := platform.LoadSettings(platform.SettingsPath()); err != nil {
 			log.Error("settings refused", zap.Error(err))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -240,7 +240,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	r.t.Fatalf("%s does not become ready, logs in %s", p.name, p.logs)
+	r.t.Fatalf("%s does not become ready, logs in %s, ends by itself: %v", p.name, p.logs, p.ownEnds())
 }
 
 func (r *run) fail(format string, values ...any) {
