--- a/cmd/gradetiller-node/cmd/hangup_test.go
+++ b/cmd/gradetiller-node/cmd/hangup_test.go
@@ -14,6 +14,9 @@
 // asProgram has the test's own program run as the node.
 const asProgram = "GRADETILLER_TEST_AS_PROGRAM"
 
+// badSettings is the exit status of a process whose settings make no sense.
+const badSettings = 2
+
 // TestMain runs the tests, or the program in a test's place.
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
@@ -53,7 +56,7 @@
 		t.Fatal(err)
 	}
 	var exit *exec.ExitError
-	if err := command.Wait(); !errors.As(err, &exit) || exit.ExitCode() != 1 {
-		t.Errorf("the process ended with %v, want status 1 for its empty settings", err)
+	if err := command.Wait(); !errors.As(err, &exit) || exit.ExitCode() != badSettings {
+		t.Errorf("the process ended with %v, want status %d for its empty settings", err, badSettings)
 	}
 }
