--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,6 +51,8 @@
 	{709, takenLate},
 	// With six nodes.
 	{1044, takenTooLong},
+	// With four nodes.
+	{1108, hungUpEarly},
 }
 
 type regression struct {
@@ -62,6 +64,8 @@
 
 const takenTooLong = "a node that was stopping foretold a long stream too short by what many short ones had taken, and cut it before its last event"
 
+const hungUpEarly = "likely: a node that got SIGHUP before it had read its settings ended without a line"
+
 const noViewYet = "a node that was sent work before its first list of endpoints ended with a nil pointer"
 
 // run is one seed's whole system.
