internal/node, internal/core/poison, internal/socket: logs tell which tries are one request, and whether an endpoint ended under a run

Cause of the lack: the lines of a broken run look the same after a crash, a reset, a cut or a lost answer, and nothing told that two tries are the same request, so the hypotheses could not be told apart. No decision depends on it yet. Tests of internal/node, internal/socket, internal/core/poison pass.

--- /dev/null
+++ b/internal/core/poison/identity_test.go
@@ -0,0 +1,58 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestIdentify checks that each part of a content makes another request of it, also where
+// a part's end is another one's beginning.
+func TestIdentify(t *testing.T) {
+	contents := []Content{
+		{},
+		{Caller: "a"},
+		{Method: "a"},
+		{Host: "a"},
+		{Target: "a"},
+		{Body: []byte("a")},
+		{Caller: "a", Method: "b"},
+		{Caller: "ab"},
+		{Host: "a", Target: "b"},
+		{Target: "ab"},
+		{Target: "a", Body: []byte("b")},
+	}
+	seen := make(map[ID]int)
+	for i, c := range contents {
+		id := Identify(c)
+		if id != Identify(c) || id.IsZero() {
+			t.Errorf("content %d has the identities %v and %v", i, id, Identify(c))
+		}
+		if other, ok := seen[id]; ok {
+			t.Errorf("contents %d and %d are taken for the same request", i, other)
+		}
+		seen[id] = i
+	}
+}
+
+// TestIDOf checks that an identity survives being told, and that others are refused.
+func TestIDOf(t *testing.T) {
+	id := Identify(Content{Caller: "clinics"})
+	if got, err := IDOf(id[:]); err != nil || got != id {
+		t.Errorf("got %v, %v", got, err)
+	}
+	if _, err := IDOf(id[:5]); err == nil {
+		t.Error("five bytes were taken for an identity")
+	}
+}
+
+func BenchmarkIdentify(b *testing.B) {
+	for _, size := range []int{800, 4 << 20} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			c := Content{Caller: "clinics", Method: "POST", Host: "host", Target: "/book/", Body: make([]byte, size)}
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				Identify(c)
+			}
+		})
+	}
+}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -56,6 +56,9 @@
 	eventReadsStore = "reads the store"
 	// This node leaves the store to its readers.
 	eventReadsStoreNoMore = "reads the store no more"
+	// A run of a request broke off without a whole answer, and whether its endpoint
+	// refuses connections now.
+	eventRunBroke = "run broke"
 	// A connection to a node broke or could not be opened.
 	eventPeerLost = "peer lost"
 	// A connection from a process that is no node of this system.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -14,6 +14,7 @@
 	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/poison"
 	"gradetiller.example/platform"
 )
 
@@ -45,6 +46,8 @@
 	arrived  time.Time
 	deadline time.Time
 	body     []byte
+	// content tells tries of the same request; each has an id of its own.
+	content poison.ID
 	// prefix is the part of the prompt that decides the placement.
 	prefix   uint64
 	source   *http.Request
@@ -136,7 +139,20 @@
 	if limit <= 0 {
 		limit = maxBody
 	}
-	return n.readBody(w, q, limit)
+	if status := n.readBody(w, q, limit); status != 0 {
+		return status
+	}
+	q.content = q.identify()
+	return 0
+}
+
+// identify returns what tells this try from those of other requests.
+func (q *request) identify() poison.ID {
+	caller := q.account
+	if caller == "" {
+		caller = q.in.Key
+	}
+	return poison.Identify(poison.Content{Caller: caller, Method: q.source.Method, Host: q.in.Host, Target: q.in.Target, Body: q.body})
 }
 
 // readBody reads the request's body and returns a status when the request ends here.
@@ -186,7 +202,7 @@
 		route = q.route.Name
 	}
 	fields := []zap.Field{
-		zap.String("id", q.in.RequestID), zap.String("route", route), zap.Int("status", status),
+		zap.String("id", q.in.RequestID), zap.Stringer("content", q.content), zap.String("route", route), zap.Int("status", status),
 		zap.String("outcome", q.outcome), zap.String("endpoint", q.endpoint), zap.Int("sent", q.sent),
 		zap.Uint64("config", q.view.version()), zap.String("leader", q.leader), zap.Duration("predicted", q.predicted),
 		zap.Duration("staged", q.staged), zap.Duration("first", q.first), zap.Duration("after_stop", q.afterStop), zap.Duration("took", time.Since(q.arrived)),
@@ -289,7 +305,7 @@
 	defer cancel()
 	a, err := n.workers.Send(limited, q.outbound(c.endpoint, time.Now()))
 	if err != nil {
-		return nil, nil, n.faulted(ctx, q, c, err)
+		return nil, nil, n.faulted(ctx, limited, q, c, err)
 	}
 	defer a.Body.Close()
 	event := a.Event
@@ -301,6 +317,7 @@
 		n.log.Info(eventAnswerBroke, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Error(err))
 		if event != attempt.RefuseByEndpoint {
 			event = attempt.Lose
+			n.runBroke(limited, c.endpoint, q.content)
 		}
 	}
 	if event == attempt.FirstByte {
@@ -330,8 +347,9 @@
 	return min(max(usual, leastPatience), left/2)
 }
 
-// faulted counts an attempt that has no answer.
-func (n *Node) faulted(ctx context.Context, q *request, c *placed, err error) attempt.Event {
+// faulted counts an attempt that has no answer; ctx is the request's, limited the
+// attempt's own.
+func (n *Node) faulted(ctx, limited context.Context, q *request, c *placed, err error) attempt.Event {
 	var fault *platform.Fault
 	sent := errors.As(err, &fault) && fault.Sent
 	// A client that left before its answer was late says nothing of the
@@ -343,6 +361,7 @@
 		return attempt.RefuseUnsent
 	}
 	q.sent++
+	n.runBroke(limited, c.endpoint, q.content)
 	return attempt.Lose
 }
 
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -97,6 +97,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_given_up_at_stop_total{route=%q}`, m.label(route))).Inc()
 }
 
+// brokenRuns counts runs that broke off at an endpoint that refuses connections now, or
+// does not.
+func (m *meters) brokenRuns(runs int, refuses bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_runs_broken_total{endpoint_refuses="%t"}`, refuses)).Add(runs)
+}
+
 // turnedAway counts a request that a stopping node could not end.
 func (m *meters) turnedAway(route string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_turned_away_at_stop_total{route=%q}`, m.label(route))).Inc()
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -21,7 +22,11 @@
 // maxEvent bounds one event.
 const maxEvent = 1 << 20
 
-var errEventTooLarge = errors.New("an event is larger than allowed")
+var (
+	errEventTooLarge = errors.New("an event is larger than allowed")
+	// errClientGone is why a stream ends whose events the client does not take.
+	errClientGone = errors.New("the client takes no events")
+)
 
 // stream is the passing on of a stream's events.
 type stream struct {
@@ -179,7 +184,7 @@
 	a, err := n.workers.Send(ctx, out)
 	hung.Stop()
 	if err != nil {
-		event := n.faulted(parent, q, c, err)
+		event := n.faulted(parent, ctx, q, c, err)
 		switch {
 		case parent.Err() != nil:
 		case event == attempt.RefuseUnsent:
@@ -195,13 +200,16 @@
 		q.sent++
 	}
 	if a.Event != attempt.FirstByte {
-		return a, n.declined(s, c, a)
+		return a, n.declined(ctx, s, c, a)
 	}
 	err = s.pass(a)
 	now := time.Now()
 	c.end(now, place.Result{OK: err == nil, Neutral: parent.Err() != nil, Load: load(a, now)})
 	if err != nil {
 		n.log.Info(eventStreamBroke, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("events", s.events), zap.Error(err))
+		if !errors.Is(err, errClientGone) {
+			n.runBroke(ctx, c.endpoint, q.content)
+		}
 		return a, attempt.Lose
 	}
 	return a, attempt.Complete
@@ -209,7 +217,7 @@
 
 // declined handles an answer that is no stream. Results that are gone are
 // made again.
-func (n *Node) declined(s *stream, c *placed, a *platform.Answer) attempt.Event {
+func (n *Node) declined(ctx context.Context, s *stream, c *placed, a *platform.Answer) attempt.Event {
 	now := time.Now()
 	if a.Status != http.StatusConflict {
 		s.note(c, wire.PlacementFailed)
@@ -228,6 +236,7 @@
 	}
 	body, err := io.ReadAll(a.Body)
 	if err != nil {
+		n.runBroke(ctx, c.endpoint, s.q.content)
 		return attempt.Lose
 	}
 	a.Body = io.NopCloser(bytes.NewReader(body))
@@ -283,9 +292,12 @@
 	}
 	s.events++
 	if _, err := s.w.Write(event); err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
-	return s.flush.Flush()
+	if err := s.flush.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errClientGone, err)
+	}
+	return nil
 }
 
 var idField = []byte("id:")
