internal/core/poison, internal/core/stagepool, internal/node: a request that crashes endpoints is refused by all nodes

Cause: nothing that a node learns of a request outlasts a try or is told to others, so each try of a request that crashes what runs it ended one endpoint more; and a batch of a stage whose endpoint ended was put together again with the same pieces, six times. Change: an end is told by an address that refuses connections or by another life of the endpoint in the list, and taken back if it lives on; the ends of a request meet at three nodes by rendezvous hashing; after the third it is refused with 503 and the time left, and the refusal spreads by heartbeats, to nodes that begin with the first ones. Tasks whose call broke off share calls with half as many others, then none.

--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -143,7 +143,7 @@
 		return
 	}
 	n.config = v
-	n.beatSoon()
+	n.BeatSoon()
 }
 
 // SetListRevision tells the revision of the list of endpoints in force here, with the
@@ -151,12 +151,12 @@
 func (n *Node) SetListRevision(v uint64, atOnce bool) {
 	n.list = v
 	if atOnce {
-		n.beatSoon()
+		n.BeatSoon()
 	}
 }
 
-// beatSoon has the next tick send a beat on each link.
-func (n *Node) beatSoon() {
+// BeatSoon has the next tick send a beat on each link.
+func (n *Node) BeatSoon() {
 	for _, l := range n.links {
 		l.wantBeat = true
 	}
--- /dev/null
+++ b/internal/core/poison/refusals.go
@@ -0,0 +1,283 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gradetiller.example/internal/core/hash"
+)
+
+const (
+	// firstRefusal is how long a request is refused at first, longestRefusal at most. In
+	// between it is twice as long each time.
+	firstRefusal   = 10 * time.Minute
+	longestRefusal = 4 * time.Hour
+	// mostRefusals bounds the refused requests. Those that end first make room: all nodes
+	// choose the same ones.
+	mostRefusals = 1024
+	// sameMoment is how far the ends of one refusal may lie apart on two nodes, by the
+	// time that the news takes between them.
+	sameMoment = 2 * time.Second
+	// resendGap is how long after a peer was told everything it may be told so again,
+	// resendEach what each entry adds to that: 1,024 entries of 30 bytes are sent at
+	// most each 12 s to a peer that goes on to know others.
+	resendGap  = 2 * time.Second
+	resendEach = 10 * time.Millisecond
+)
+
+// Refusal is a refused request as nodes tell each other.
+type Refusal struct {
+	Request ID
+	// Version orders what is said of one request.
+	Version uint64
+	// Left is how long it is refused still. It is negative while the request is on
+	// probation, and for Pardoned requests how long that is remembered.
+	Left time.Duration
+	// Times counts how often the request was refused.
+	Times int
+	// Pardoned requests are not refused: they were served, or the ends that counted
+	// against them were none.
+	Pardoned bool
+}
+
+// Refusals are the requests that are refused. They are the same on all nodes, but for what
+// is on its way. Not safe for concurrent use.
+type Refusals struct {
+	byID map[ID]*refusal
+	// last numbers the changes; peers tells up to which of them each peer was told.
+	last  uint64
+	peers map[string]*peer
+}
+
+type refusal struct {
+	version  uint64
+	until    time.Time
+	times    int
+	pardoned bool
+	change   uint64
+}
+
+// peer is what another node was told.
+type peer struct {
+	upTo   uint64
+	resent time.Time
+}
+
+// NewRefusals returns an empty set.
+func NewRefusals() *Refusals {
+	return &Refusals{byID: make(map[ID]*refusal), peers: make(map[string]*peer)}
+}
+
+// Len returns the number of refused, pardoned and probationary requests.
+func (r *Refusals) Len() int { return len(r.byID) }
+
+// life is how long the n-th refusal lasts.
+func life(times int) time.Duration {
+	d := firstRefusal
+	for range times - 1 {
+		d = min(2*d, longestRefusal)
+	}
+	return d
+}
+
+// forgotten is when nothing is known of the request any more: its probation lasts as long
+// as its refusal did.
+func (f *refusal) forgotten() time.Time {
+	if f.pardoned {
+		return f.until
+	}
+	return f.until.Add(life(f.times))
+}
+
+// Left reports whether a request is refused, and for how long still.
+func (r *Refusals) Left(now time.Time, id ID) (time.Duration, bool) {
+	f, ok := r.byID[id]
+	if !ok || f.pardoned || !now.Before(f.until) {
+		return 0, false
+	}
+	return f.until.Sub(now), true
+}
+
+// OnProbation reports whether a request was refused before and is let in again, so that
+// one more end is enough.
+func (r *Refusals) OnProbation(now time.Time, id ID) bool {
+	f, ok := r.byID[id]
+	return ok && !f.pardoned && !now.Before(f.until) && now.Before(f.forgotten())
+}
+
+// Refuse refuses a request for its time. It reports false when it is refused already.
+func (r *Refusals) Refuse(now time.Time, id ID) bool {
+	if _, refused := r.Left(now, id); refused {
+		return false
+	}
+	r.forget(now)
+	next := refusal{version: 1, times: 1}
+	if f, ok := r.byID[id]; ok {
+		next.version = f.version + 1
+		if !f.pardoned {
+			next.times = f.times + 1
+		}
+	}
+	next.until = now.Add(life(next.times))
+	r.put(id, next)
+	return true
+}
+
+// Pardon ends a refusal, and the probation after it. It reports whether there was one.
+func (r *Refusals) Pardon(now time.Time, id ID) bool {
+	f, ok := r.byID[id]
+	if !ok || f.pardoned {
+		return false
+	}
+	r.put(id, refusal{version: f.version + 1, until: now.Add(firstRefusal), pardoned: true})
+	return true
+}
+
+func (r *Refusals) put(id ID, f refusal) {
+	r.last++
+	f.change = r.last
+	r.byID[id] = &f
+	if len(r.byID) <= mostRefusals {
+		return
+	}
+	first := id
+	for other, f := range r.byID {
+		if c := f.until.Compare(r.byID[first].until); c < 0 || c == 0 && slices.Compare(other[:], first[:]) < 0 {
+			first = other
+		}
+	}
+	delete(r.byID, first)
+}
+
+// forget drops what has ended.
+func (r *Refusals) forget(now time.Time) {
+	for id, f := range r.byID {
+		if !now.Before(f.forgotten()) {
+			delete(r.byID, id)
+		}
+	}
+}
+
+// Take takes in what another node tells, and returns the requests that are refused now and
+// were not before. What has ended meanwhile is left out, so that no two nodes keep it alive
+// between them.
+func (r *Refusals) Take(now time.Time, told []Refusal) []ID {
+	var fresh []ID
+	for _, t := range told {
+		next := refusal{version: t.Version, until: now.Add(min(t.Left, longestRefusal)), times: max(t.Times, 1), pardoned: t.Pardoned}
+		if !now.Before(next.forgotten()) {
+			continue
+		}
+		if f, ok := r.byID[t.Request]; ok && !next.newer(f) {
+			continue
+		}
+		_, before := r.Left(now, t.Request)
+		r.put(t.Request, next)
+		if _, refused := r.Left(now, t.Request); refused && !before {
+			fresh = append(fresh, t.Request)
+		}
+	}
+	return fresh
+}
+
+// newer reports whether a refusal takes the place of another one of the same request. Of
+// two of one version a pardon holds, then the one that lasts longer.
+func (f *refusal) newer(old *refusal) bool {
+	switch {
+	case f.version != old.version:
+		return f.version > old.version
+	case f.pardoned != old.pardoned:
+		return f.pardoned
+	}
+	return f.until.After(old.until.Add(sameMoment))
+}
+
+// Sum is the same on nodes that know the same. Nodes compare it with each heartbeat.
+func (r *Refusals) Sum(now time.Time) uint64 {
+	if len(r.byID) == 0 {
+		return 0
+	}
+	r.forget(now)
+	sum := uint64(0)
+	for id, f := range r.byID {
+		part := f.version << 1
+		if f.pardoned {
+			part |= 1
+		}
+		sum ^= hash.Pair(id.Key(), hash.Mix(part))
+	}
+	return sum
+}
+
+// News returns what a peer was not told yet, most entries at a time, the oldest first. It
+// counts as told.
+func (r *Refusals) News(now time.Time, to string, most int) []Refusal {
+	if r.last == 0 {
+		return nil
+	}
+	p := r.peer(to)
+	if p.upTo == r.last {
+		return nil
+	}
+	type change struct {
+		id ID
+		*refusal
+	}
+	var changes []change
+	for id, f := range r.byID {
+		if f.change > p.upTo {
+			changes = append(changes, change{id, f})
+		}
+	}
+	if len(changes) <= most {
+		p.upTo = r.last
+	} else {
+		slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.change, b.change) })
+		changes = changes[:most]
+		p.upTo = changes[most-1].change
+	}
+	list := make([]Refusal, len(changes))
+	for i, c := range changes {
+		list[i] = Refusal{Request: c.id, Version: c.version, Left: c.until.Sub(now), Times: c.times, Pardoned: c.pardoned}
+	}
+	return list
+}
+
+func (r *Refusals) peer(name string) *peer {
+	p, ok := r.peers[name]
+	if !ok {
+		p = &peer{}
+		r.peers[name] = p
+	}
+	return p
+}
+
+// Compare takes in the sum of a peer. One that knows other things although it was told all
+// is told all again: it has begun anew, or some of it was lost on the way. It reports
+// whether there is anything to tell.
+func (r *Refusals) Compare(now time.Time, from string, sum uint64) bool {
+	if r.last == 0 || sum == r.Sum(now) {
+		return false
+	}
+	p := r.peer(from)
+	if p.upTo < r.last {
+		return true
+	}
+	gap := resendGap + time.Duration(len(r.byID))*resendEach
+	if !p.resent.IsZero() && now.Sub(p.resent) < gap {
+		return false
+	}
+	p.resent = now
+	p.upTo = 0
+	return true
+}
+
+// Forget drops what is known of peers that are gone.
+func (r *Refusals) Forget(gone func(peer string) bool) {
+	for name := range r.peers {
+		if gone(name) {
+			delete(r.peers, name)
+		}
+	}
+}
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -206,10 +206,11 @@
 	target := min((waiting+idle-1)/idle, s.conf.Batch)
 	room := w.room(now)
 	var items []itemRef
+	var together mates
 	for _, e := range s.queue {
 		st := &e.task.stages[e.stage]
 		n := len(st.waiting)
-		if !e.mayGoTo(w.spec.Domain) {
+		if !e.mayGoTo(w.spec.Domain) || !together.admit(e.task) {
 			continue
 		}
 		if len(items) > 0 && len(items)+n > s.conf.Batch {
@@ -225,6 +226,7 @@
 			continue
 		}
 		n = min(n, fits)
+		together.add(e.task)
 		for _, piece := range st.waiting[:n] {
 			items = append(items, itemRef{task: e.task, stage: e.stage, piece: piece, bytes: st.ResultBytes, live: true})
 		}
@@ -239,6 +241,34 @@
 	return items
 }
 
+// mates are the tasks that share a call.
+type mates struct {
+	list []*task
+	// most bounds them when their last calls broke off; then only such tasks share it.
+	most int
+}
+
+// admit reports whether a task may share the call.
+func (m *mates) admit(t *task) bool {
+	if len(m.list) == 0 || slices.Contains(m.list, t) {
+		return true
+	}
+	if m.most == 0 || t.mates == 0 {
+		return m.most == t.mates
+	}
+	return len(m.list) < min(m.most, t.mates)
+}
+
+func (m *mates) add(t *task) {
+	if slices.Contains(m.list, t) {
+		return
+	}
+	if len(m.list) == 0 || t.mates < m.most {
+		m.most = t.mates
+	}
+	m.list = append(m.list, t)
+}
+
 func (p *Pool) start(now time.Time, w *endpoint, items []itemRef) {
 	p.lastCall++
 	c := &call{id: p.lastCall, endpoint: w, items: items, sent: now, expected: w.service.expected(len(items))}
@@ -265,7 +295,7 @@
 
 func item(now time.Time, ref itemRef) Item {
 	st := &ref.task.stages[ref.stage]
-	it := Item{RequestID: ref.task.RequestID, Stage: ref.stage, Piece: ref.piece, Left: ref.task.Deadline.Sub(now)}
+	it := Item{RequestID: ref.task.RequestID, Content: ref.task.Content, Stage: ref.stage, Piece: ref.piece, Left: ref.task.Deadline.Sub(now)}
 	if len(st.After) == 0 {
 		it.Key = ref.task.Key
 		return it
--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -11,9 +11,11 @@
 
 const (
 	// mostTries bounds the calls for one stage, mostRestarts how often a task
-	// begins anew because a result is gone.
+	// begins anew because a result is gone, and mostBreaks how many calls in a row may
+	// break off with it: it may be what crashes their endpoints.
 	mostTries    = 6
 	mostRestarts = 2
+	mostBreaks   = 3
 	// overdueFactor and overdueMargin tell when pieces are made elsewhere
 	// although their call has not ended.
 	overdueFactor = 1.8
@@ -47,6 +49,9 @@
 	default:
 		w.rest(now)
 	}
+	if o.Ending == BrokenOff {
+		p.part(now, c)
+	}
 	for k, ref := range c.items {
 		r := ItemResult{Reason: Broken}
 		switch {
@@ -65,6 +70,36 @@
 	return p.take()
 }
 
+// tasks lists the tasks of a call that are still wanted.
+func (c *call) tasks() []*task {
+	var list []*task
+	for _, ref := range c.items {
+		if ref.live && !slices.Contains(list, ref.task) {
+			list = append(list, ref.task)
+		}
+	}
+	return list
+}
+
+// part has the tasks of a call that broke off share calls with half as many others, and
+// those that it happens to again with none. One of them may crash what runs it: with the
+// same mates it would end an endpoint with each call, and they with it. Of 24 staged
+// requests at once, one of which does, all others are served and three endpoints end;
+// four did when calls were put together as before (TestPoisonInBatches).
+func (p *Pool) part(now time.Time, c *call) {
+	list := c.tasks()
+	for _, t := range list {
+		t.breaks++
+		t.mates = (len(list) + 1) / 2
+		switch {
+		case t.breaks >= mostBreaks:
+			p.fail(now, t, "its calls broke off", failAgain)
+		case t.breaks > 1:
+			t.mates = 1
+		}
+	}
+}
+
 func (p *Pool) itemDone(now time.Time, c *call, ref itemRef, r ItemResult, answered bool) {
 	w := c.endpoint
 	st := &ref.task.stages[ref.stage]
@@ -76,6 +111,7 @@
 			return
 		}
 		w.add(made)
+		ref.task.breaks, ref.task.mates = 0, 0
 		st.results[ref.piece] = made
 		st.made++
 		p.unqueue(ref)
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -7,6 +7,7 @@
 
 	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/mechanism"
+	"gradetiller.example/internal/core/poison"
 )
 
 // Counters count what the pool did since its start.
@@ -147,6 +148,20 @@
 	return p.take()
 }
 
+// PoisonReason is the reason of tasks whose request is refused since it crashes endpoints.
+const PoisonReason = "the request crashes endpoints"
+
+// Drop gives the tasks of a request up, which is refused from now on.
+func (p *Pool) Drop(now time.Time, content poison.ID) []Action {
+	for _, id := range slices.Sorted(maps.Keys(p.tasks)) {
+		if t := p.tasks[id]; t.Content == content && !t.complete {
+			p.fail(now, t, PoisonReason, 0)
+		}
+	}
+	p.dispatchAll(now)
+	return p.take()
+}
+
 // Submit takes a task, or refuses it.
 func (p *Pool) Submit(now time.Time, t Task) (Verdict, []Action) {
 	planned, ok := p.plan(now, t)
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"gradetiller.example/internal/core/poison"
 )
 
 // TaskID names a task in its pool.
@@ -25,6 +27,8 @@
 // Task is the stages of one request.
 type Task struct {
 	RequestID string
+	// Content tells tries of the same request, or is zero when it is not known.
+	Content poison.ID
 	// Key is what the first stages work on.
 	Key    string
 	Stages []Stage
@@ -43,6 +47,7 @@
 // Item is one piece in a call.
 type Item struct {
 	RequestID string
+	Content   poison.ID
 	Stage     int
 	Piece     int
 	Left      time.Duration
@@ -92,6 +97,9 @@
 	WrongEndpoint
 	// Lost calls ended without an answer.
 	Lost
+	// BrokenOff calls were at work when their connection broke. Their endpoint may have
+	// crashed, by any of their pieces.
+	BrokenOff
 )
 
 // Outcome is the end of a call.
@@ -193,6 +201,10 @@
 	taken    time.Time
 	planned  time.Duration
 	restarts int
+	// breaks counts the calls that broke off with pieces of it, one after the other, and
+	// mates bounds the tasks that may share its next call, itself included, or is 0.
+	breaks   int
+	mates    int
 	worked   bool // a call was sent for it
 	complete bool
 }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -56,9 +56,18 @@
 	eventReadsStore = "reads the store"
 	// This node leaves the store to its readers.
 	eventReadsStoreNoMore = "reads the store no more"
-	// A run of a request broke off without a whole answer, and whether its endpoint
+	// Runs of requests broke off at an endpoint without a whole answer, and whether it
 	// refuses connections now.
 	eventRunBroke = "run broke"
+	// An endpoint ended under the requests that ran there, or did not although it was
+	// taken to have.
+	eventEndpointEnded = "endpoint ended under requests"
+	// A request is refused from now on, since endpoints ended under it.
+	eventPoison = "request crashes endpoints"
+	// Another node told that a request crashes endpoints.
+	eventPoisonHeard = "heard of a request that crashes endpoints"
+	// A request is refused no more, since it was served or the ends were none.
+	eventPoisonPardoned = "request refused no more"
 	// A connection to a node broke or could not be opened.
 	eventPeerLost = "peer lost"
 	// A connection from a process that is no node of this system.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -88,6 +88,9 @@
 		n.refuse(w, q, status, "not allowed", 0)
 		return
 	}
+	if n.refusePoison(w, q) {
+		return
+	}
 	if !n.endsInTime(q) {
 		n.turnAway(w, q)
 		return
@@ -246,6 +249,9 @@
 	n.budget.Fresh(q.arrived, q.service, 1)
 	var tried []string
 	for range mostSends {
+		if n.refusePoison(w, q) {
+			return
+		}
 		c, ok := n.pools.choose(time.Now(), need{service: q.service, tried: tried})
 		if !ok {
 			n.endNotRun(w, q, "no endpoint")
@@ -373,7 +379,7 @@
 	w.WriteHeader(a.Status)
 	_, err := w.Write(body)
 	if err == nil && a.Status < http.StatusBadRequest {
-		n.times.served(q, time.Now())
+		n.served(q)
 	}
 	n.logRequest(q, a.Status)
 }
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -1,13 +1,16 @@
 package node
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/poison"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
@@ -49,6 +52,8 @@
 	// asks tells that the engines are to be asked what they hold as soon as
 	// there is a view.
 	asks bool
+	// broke is told of calls that broke off at an endpoint, and of their requests.
+	broke func(ctx context.Context, e catalog.Endpoint, requests []poison.ID)
 }
 
 // leader runs one cell's stage pool.
@@ -132,6 +137,13 @@
 	c.carryOut(c.pool.GiveBack(now))
 }
 
+// drop gives the work of a request up that is refused from now on.
+func (c *leader) drop(content poison.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carryOut(c.pool.Drop(time.Now(), content))
+}
+
 // idle reports whether a cell has no task here.
 func (l *leaders) idle(cell int) bool {
 	c := l.get(cell)
@@ -162,6 +174,8 @@
 		Allowance: f.rest,
 		Deadline:  now.Add(time.Duration(m.Deadline) * time.Millisecond),
 	}
+	// Nodes of an earlier version do not tell the content.
+	t.Content, _ = poison.IDOf(m.Content)
 	for _, s := range m.Stages {
 		t.Stages = append(t.Stages, stagepool.Stage(s))
 	}
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -42,6 +42,8 @@
 	m.set.NewGauge("gradetiller_store_lost", func() float64 { return number(n.storeLost[callConfig].Load() || n.storeLost[callList].Load()) })
 	m.set.NewGauge("gradetiller_draining", func() float64 { return number(n.stopping()) })
 	m.set.NewGauge("gradetiller_cells_led", func() float64 { return float64(bits.OnesCount64(n.leads.Load())) })
+	m.set.NewGauge("gradetiller_poison_suspects", func() float64 { suspects, _ := n.poisons.sizes(); return float64(suspects) })
+	m.set.NewGauge("gradetiller_poison_known", func() float64 { _, known := n.poisons.sizes(); return float64(known) })
 	if n.droppedLines != nil {
 		m.droppedLines("ordinary", func() uint64 { return n.droppedLines(logging.Ordinary) })
 		m.droppedLines("urgent", func() uint64 { return n.droppedLines(logging.Urgent) })
@@ -97,10 +99,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_given_up_at_stop_total{route=%q}`, m.label(route))).Inc()
 }
 
-// brokenRuns counts runs that broke off at an endpoint that refuses connections now, or
+// probed counts an endpoint at which runs broke off and that refuses connections now, or
 // does not.
-func (m *meters) brokenRuns(runs int, refuses bool) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_runs_broken_total{endpoint_refuses="%t"}`, refuses)).Add(runs)
+func (m *meters) probed(refuses bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_runs_broken_total{endpoint_refuses="%t"}`, refuses)).Inc()
+}
+
+// endpointEnded counts an endpoint that ended under runs of this node.
+func (m *meters) endpointEnded() { m.set.GetOrCreateCounter("gradetiller_endpoints_ended_total").Inc() }
+
+// poisonRefused counts a request that is refused since it crashes endpoints.
+func (m *meters) poisonRefused(route string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_poison_refused_total{route=%q}`, m.label(route))).Inc()
 }
 
 // turnedAway counts a request that a stopping node could not end.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,7 +17,6 @@
 	"gradetiller.example/internal/core/lookup"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/member"
-	"gradetiller.example/internal/core/poison"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/logging"
 	"gradetiller.example/internal/peer"
@@ -106,9 +105,8 @@
 	// keptEndpoints counts the endpoints that are used although the store does not
 	// list them, since their entries lapsed.
 	keptEndpoints atomic.Int64
-	// broken are the runs that broke off lately.
-	broken   brokenRuns
-	inFlight atomic.Int64
+	poisons       *poisons
+	inFlight      atomic.Int64
 	// stop is the planned stop under way, or nil.
 	stop atomic.Pointer[stop]
 	// serving is the context of all requests; giveUp ends it with a cause.
@@ -161,9 +159,10 @@
 	n.budget = n.newBudget()
 	n.stageBudget = n.newBudget()
 	n.leaders = newLeaders(n.log, n.workers, newPools(hash.Of(s.Node), leaderPolicy, n.off), func() stagepool.Budget { return n.stageBudget }, n.off)
+	n.poisons = newPoisons(s.Heartbeat)
 	n.meters = newMeters(n)
 	n.leaders.meters = n.meters
-	n.broken.waits = make(map[string][]poison.ID)
+	n.leaders.broke = n.stageCallBroke
 	n.refused = refusedEntries{logged: make(map[refusedEntry]bool), faults: make(map[platform.EntryFault]bool)}
 	n.view.Store(&view{})
 	n.list = discovery.NewList(discovery.WithHeartbeat(s.Heartbeat))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -108,11 +108,11 @@
 
 // answerInPlace sends the messages without an address back the way the message
 // that they answer came, and returns the others.
-func answerInPlace(sends []member.Send, answer peer.Answer) []member.Send {
+func (n *Node) answerInPlace(sends []member.Send, answer peer.Answer) []member.Send {
 	var others []member.Send
 	for _, s := range sends {
 		if s.Address == "" {
-			_ = answer(s.Gossip)
+			_ = answer(n.withRefusals(s.Node, s.Gossip))
 			continue
 		}
 		others = append(others, s)
@@ -122,13 +122,14 @@
 
 func (n *Node) sendGossip(sends []member.Send) {
 	for _, s := range sends {
-		n.links.Send(s.Address, s.Gossip)
+		n.links.Send(s.Address, n.withRefusals(s.Node, s.Gossip))
 	}
 }
 
 // takeEntries keeps the list of live nodes for look-ups and leaders.
 func (n *Node) takeEntries(entries []wire.Entry) {
 	n.setEntries(entries)
+	n.poisons.forgetPeers(entries)
 	live := 0
 	for _, e := range entries {
 		if !e.Leaving {
@@ -217,6 +218,9 @@
 func (n *Node) receive(from wire.Hello, m wire.Message, answer peer.Answer) {
 	switch m := m.(type) {
 	case *wire.Gossip:
+		if n.takeRefusals(m) {
+			_ = answer(n.withRefusals(m.Node, n.news()))
+		}
 		n.membersMu.Lock()
 		n.jobs.heard(n.members.Address(m.Node))
 		now := time.Now()
@@ -227,10 +231,12 @@
 			entries, changed = n.changedEntries(now)
 		}
 		n.membersMu.Unlock()
-		n.sendGossip(answerInPlace(sends, answer))
+		n.sendGossip(n.answerInPlace(sends, answer))
 		if changed {
 			n.takeEntries(entries)
 		}
+	case *wire.Ends:
+		n.takeEnds(m)
 	case *wire.ViewRequest:
 		n.answerView(m, answer)
 	case *wire.View:
--- a/internal/node/stagecalls.go
+++ b/internal/node/stagecalls.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/poison"
 	"gradetiller.example/internal/core/stagepool"
 )
 
@@ -25,6 +27,9 @@
 		zap.String("endpoint", a.Endpoint), zap.String("service", a.Service), zap.Int("pieces", len(a.Items)),
 		zap.Int("ending", int(outcome.Ending)), zap.Duration("took", time.Since(started)),
 	}
+	if outcome.Ending == stagepool.BrokenOff {
+		c.group.broke(ctx, catalog.Endpoint{ID: a.Endpoint, Service: a.Service, Address: a.Address}, contents(a.Items))
+	}
 	switch {
 	case err != nil:
 		c.group.log.Warn(eventStageCallLost, append(fields, zap.Error(err))...)
@@ -38,6 +43,17 @@
 	c.carryOut(c.pool.Done(time.Now(), a.Call, outcome))
 }
 
+// contents lists the requests of a call, each once.
+func contents(items []stagepool.Item) []poison.ID {
+	var list []poison.ID
+	for _, it := range items {
+		if !slices.Contains(list, it.Content) {
+			list = append(list, it.Content)
+		}
+	}
+	return list
+}
+
 // unmadePieces counts the pieces without a result, and those of each reason.
 func unmadePieces(o stagepool.Outcome) (int, []zap.Field) {
 	counts := make(map[stagepool.Reason]int)
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -58,10 +58,10 @@
 			n.turnAway(w, q)
 			return
 		}
-		c, ok := n.pools.choose(time.Now(), need{
-			service: q.service, prefix: q.prefix, tried: tried, wanted: s.results.endpoint,
-			prompt: place.Prompt{Tokens: q.in.PromptTokens},
-		})
+		if !s.started && n.refusePoison(w, q) {
+			return
+		}
+		c, ok := n.pools.choose(time.Now(), s.need(tried))
 		if !ok {
 			n.endStream(ctx, s, attempt.AnswerNotRun, "no endpoint")
 			return
@@ -70,7 +70,7 @@
 		a, event := n.tryStream(ctx, s, c)
 		if event == attempt.Complete {
 			q.outcome = delivered
-			n.times.served(q, time.Now())
+			n.served(q)
 			n.logRequest(q, http.StatusOK)
 			return
 		}
@@ -84,6 +84,21 @@
 	n.endStream(ctx, s, attempt.AnswerUnknown, "no endpoint reached")
 }
 
+// need is what the next attempt asks of its endpoint. A suspect is kept apart from the
+// prompts that share its beginning: sent to the endpoint that holds it, as they are, it
+// would end with them each endpoint that they are sent to next, and make suspects of them.
+func (s *stream) need(tried []string) need {
+	q := s.q
+	asks := need{
+		service: q.service, prefix: q.prefix, tried: tried, wanted: s.results.endpoint,
+		prompt: place.Prompt{Tokens: q.in.PromptTokens},
+	}
+	if s.node.poisons.suspected(q.content) {
+		asks.prefix, asks.wanted = q.content.Key(), ""
+	}
+	return asks
+}
+
 func (s *stream) release() {
 	if s.results.release != nil {
 		s.results.release(s.placement)
@@ -107,7 +122,7 @@
 	}
 	work := stageWork{deadline: q.deadline, submit: wire.StagesSubmit{
 		RequestID: q.in.RequestID, Key: q.in.PieceKey, Priority: q.priority,
-		Model: q.service, Prefix: q.prefix, Tokens: q.in.PromptTokens, Parts: q.promptParts(),
+		Model: q.service, Prefix: q.prefix, Tokens: q.in.PromptTokens, Parts: q.promptParts(), Content: bytesOf(q.content),
 	}}
 	work.aim = q.arrived.Add(q.route.Objective)
 	if !n.off.Has(mechanism.Sizes) {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -136,6 +136,7 @@
 	}
 	n.view.Store(&next)
 	n.viewMu.Unlock()
+	n.endpointsListed(next.fresh.List, next.endpoints)
 	if next.revision != old.revision {
 		n.tellRevision(next.revision, old.fresh.Stale(now))
 	}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -26,6 +26,7 @@
 	kindViewRequest
 	kindView
 	kindStagesPing
+	kindEnds
 )
 
 // Role says what a process is; the receiver allows messages by role.
@@ -132,6 +133,11 @@
 	// ListRevision is that of the sender's list of endpoints, or 0 when it has none
 	// or is of an earlier version.
 	ListRevision uint64
+	// Refused are requests that crash endpoints, as far as the receiver may not know
+	// them; RefusedSum is the same on nodes that know the same ones, and 0 on those that
+	// know none or are of an earlier version.
+	Refused    []Refusal
+	RefusedSum uint64
 }
 
 // ConfigRequest asks a neighbor for a configuration above a version.
@@ -243,6 +249,8 @@
 		return &View{}
 	case kindStagesPing:
 		return &StagesPing{}
+	case kindEnds:
+		return &Ends{}
 	}
 	return nil
 }
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -30,6 +30,9 @@
 	// Extra is by how many tokens the prompt is longer than its route's usually
 	// are.
 	Extra int
+	// Content tells tries of the same request; it is empty from nodes of an earlier
+	// version.
+	Content []byte
 }
 
 // PromptPart is a part of a prompt; the last one is the request's own.
