internal/core/poison: a condition that stood twice in a test

Found by the linter: both sides of an or were the same call, on purpose. Change: a loop that asks for each end. No behaviour is changed; the tests of internal/core and platform pass with the race detector.

--- a/internal/core/poison/refusals_test.go
+++ b/internal/core/poison/refusals_test.go
@@ -21,8 +21,10 @@
 		now = now.Add(time.Second)
 		return l.End(now, idOf(1), End{Endpoint: now.String(), Among: 18}, true)
 	}
-	if end() || end() || !end() {
-		t.Fatal("the request is not refused by its third end")
+	for n := 1; n <= fewestEnds; n++ {
+		if refused := end(); refused != (n == fewestEnds) {
+			t.Fatalf("refused by end %d: %v", n, refused)
+		}
 	}
 	for _, lasts := range []time.Duration{firstRefusal, 2 * firstRefusal, 4 * firstRefusal} {
 		if left, refused := l.Refused(now, idOf(1)); !refused || left != lasts {
