internal/soak, platform/platformtest: requests that crash workers, in the soak and in the check of bounds

Both sides are held: workers crashed later than the contact time after the third, by nodes in touch, and that all nodes refuse the request in the end, those that begin anew included; and that no other request is refused so.

--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -76,12 +76,15 @@
 	// staying are the workers of "desk", retired those that have said they leave.
 	staying, retired []*platformtest.Worker
 	probes           atomic.Int64
+	poisons          *poisons
 	// lapsing is held while entries lapse.
 	lapsing sync.Mutex
 
 	mu      sync.Mutex
 	history history
 	seen    []observation
+	// wronged are requests that were refused as if they crashed workers.
+	wronged []string
 	config  platformtest.Config
 	many    bool
 	refused []uint64
@@ -160,7 +163,10 @@
 	for i := range *clientCount {
 		busy.Go(func() { r.load(ctx, i) })
 	}
-	r.trouble(time.Duration(*secondsEach*float64(time.Second)), c.fault)
+	lasts := time.Duration(*secondsEach * float64(time.Second))
+	r.poisons = newPoisons(r.site, r.fronts(), seed, c.poisons())
+	busy.Go(func() { r.poisons.send(ctx, lasts/2) })
+	r.trouble(lasts, c.fault)
 	time.Sleep(healTime)
 	stop()
 	busy.Wait()
@@ -168,6 +174,24 @@
 	r.judge(*boundsOf != "")
 }
 
+// poisons is how many requests that crash workers a run has: none when it brings one other
+// kind of fault.
+func (c boundsCase) poisons() int {
+	if c.fault == "" || c.fault == poisonFault {
+		return *poisonCount
+	}
+	return 0
+}
+
+// fronts lists where clients reach the nodes.
+func (r *boundsRun) fronts() []string {
+	var list []string
+	for _, p := range r.nodes {
+		list = append(list, p.Front)
+	}
+	return list
+}
+
 func (r *boundsRun) addWorkers() {
 	r.site.EventTokens, r.site.EventPause = eventTokens, eventPause
 	for _, service := range []string{"desk", "second-desk", "model", "encode", "rank"} {
@@ -263,11 +287,13 @@
 	}
 	p := r.nodes[node]
 	life := p.lifeNumber()
+	id := probeName(node, r.probes.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	o := observation{node: node, life: life, asks: asks, about: about, sent: time.Now()}
-	a := platformtest.DoOn(ctx, transport, p.Front, platformtest.Request{ID: probeName(node, r.probes.Add(1)), Path: path, Key: key, Deadline: 2 * time.Second})
+	a := platformtest.DoOn(ctx, transport, p.Front, platformtest.Request{ID: id, Path: path, Key: key, Deadline: 2 * time.Second})
 	o.got = time.Now()
+	r.noteRefusal(id, a)
 	if a.Err != nil || p.lifeNumber() != life {
 		return
 	}
@@ -282,6 +308,16 @@
 	r.mu.Unlock()
 }
 
+// noteRefusal notes a request that is refused as if it crashed workers.
+func (r *boundsRun) noteRefusal(id string, a platformtest.Response) {
+	if !refusedForLong(a) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wronged = append(r.wronged, id)
+}
+
 // load sends requests of all kinds to any node.
 func (r *boundsRun) load(ctx context.Context, number int) {
 	draw := rand.New(rand.NewPCG(uint64(number), 4))
@@ -289,10 +325,12 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		k := requestKinds[draw.IntN(len(requestKinds))]
 		limited, cancel := context.WithTimeout(ctx, clientDeadline)
-		platformtest.DoOn(limited, transport, r.nodes[draw.IntN(len(r.nodes))].Front, platformtest.Request{
-			ID: fmt.Sprintf("c%d-%d", number, n), Path: k.path + "x", Key: apiKey, Deadline: clientDeadline,
+		id := fmt.Sprintf("c%d-%d", number, n)
+		a := platformtest.DoOn(limited, transport, r.nodes[draw.IntN(len(r.nodes))].Front, platformtest.Request{
+			ID: id, Path: k.path + "x", Key: apiKey, Deadline: clientDeadline,
 			Streaming: k.stream, Pieces: k.pieces, Prefix: fmt.Sprintf("a%d:10,b%d:20", number, n%7),
 		})
+		r.noteRefusal(id, a)
 		cancel()
 		sleep(ctx, time.Duration(betweenMin+draw.IntN(betweenMax))*time.Millisecond)
 	}
--- a/internal/soak/disturb_test.go
+++ b/internal/soak/disturb_test.go
@@ -47,11 +47,18 @@
 	{name: "leave as readers are cut", do: (*boundsRun).cut, share: 0.3, readers: true},
 }
 
+// poisonFault is the kind of a run that brings requests which crash workers and nothing
+// else. Runs of all kinds have such requests beside.
+const poisonFault = "poison"
+
 // leaves tells the kinds at whose beginning workers leave.
 const leaves = "leave as readers"
 
 // kinds are those among which a run draws when it brings one kind, or all.
 func kinds(only string) []fault {
+	if only == poisonFault {
+		return []fault{{name: poisonFault, do: func(*boundsRun, []int, time.Duration) {}}}
+	}
 	if slices.ContainsFunc(faults, func(f fault) bool { return f.name == only }) {
 		return faults
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -80,6 +80,7 @@
 	workers map[string][]*platformtest.Worker
 	retired []retired
 	crashes int
+	poisons *poisons
 	// leaving are the workers that left while the readers were lost.
 	leaving []*platformtest.Worker
 	// unplanned counts the faults in force that are no planned work, and
@@ -97,6 +98,8 @@
 	// found are failures that were seen while troubles came.
 	foundMu sync.Mutex
 	found   []string
+	// calmSince is when the last fault ended that was no planned work.
+	calmSince time.Time
 }
 
 // retired is a worker that has left, with or without a word.
@@ -135,12 +138,16 @@
 	for i := range *seeds {
 		list = append(list, *firstSeed+uint64(i))
 	}
-	for _, seed := range list {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, program, seed) })
+	for i, seed := range list {
+		deadly := *poisonCount
+		if i < len(old) {
+			deadly = 0
+		}
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, program, seed, deadly) })
 	}
 }
 
-func soak(t *testing.T, program string, seed uint64) {
+func soak(t *testing.T, program string, seed uint64, deadly int) {
 	r := newRun(t, program, seed)
 	clients, stop := context.WithCancel(context.Background())
 	var sending sync.WaitGroup
@@ -148,7 +155,10 @@
 		c := newClient(r, seed, i)
 		sending.Go(func() { c.loop(clients) })
 	}
-	r.trouble(time.Duration(*secondsEach * float64(time.Second)))
+	lasts := time.Duration(*secondsEach * float64(time.Second))
+	r.poisons = newPoisons(r.site, r.fronts(), seed, deadly)
+	sending.Go(func() { r.poisons.send(clients, lasts/2) })
+	r.trouble(lasts)
 	time.Sleep(healTime)
 	r.awaitConfig()
 	r.leaveWithReadersLost()
@@ -156,6 +166,7 @@
 	r.rollAll()
 	stop()
 	sending.Wait()
+	r.failures = append(r.failures, r.poisons.settle()...)
 	r.check()
 	if len(r.failures) > 0 {
 		t.Errorf("seed %d, logs in %s:\n%s", seed, r.nodes[0].logs, strings.Join(r.failures, "\n"))
@@ -200,6 +211,15 @@
 	return routes
 }
 
+// fronts lists where clients reach the nodes.
+func (r *run) fronts() []string {
+	var list []string
+	for _, p := range r.nodes {
+		list = append(list, r.proxies.through(p.Front))
+	}
+	return list
+}
+
 func versionPath(version uint64) string { return fmt.Sprintf("/v/%d/", version) }
 
 func (r *run) startNodes(program string, seed uint64) {
@@ -263,6 +283,13 @@
 	return r.unplanned.Load() == 0 && time.Since(time.UnixMilli(r.lastUnplanned.Load())) > settled
 }
 
+// calmAt reports whether a moment lies some time after the last unplanned fault of the run.
+func (r *run) calmAt(at time.Time) bool {
+	r.foundMu.Lock()
+	defer r.foundMu.Unlock()
+	return at.Sub(r.calmSince) > settled
+}
+
 func (r *run) beginUnplanned() {
 	r.begun.Add(1)
 	r.unplanned.Add(1)
@@ -270,6 +297,9 @@
 
 func (r *run) endUnplanned() {
 	r.lastUnplanned.Store(time.Now().UnixMilli())
+	r.foundMu.Lock()
+	r.calmSince = time.Now()
+	r.foundMu.Unlock()
 	r.unplanned.Add(-1)
 }
 
@@ -290,6 +320,7 @@
 	}
 	r.checkStops()
 	r.checkLeaving()
+	r.checkPoisons()
 	if served < len(r.record.list)/4 {
 		r.fail("%d of %d requests were served", served, len(r.record.list))
 	}
@@ -355,7 +386,7 @@
 // sent. The client's own deadline is no loss.
 func (r *run) checkNotLost(s sent, passedOn bool) {
 	a := s.response
-	if a.Err == nil || errors.Is(a.Err, context.DeadlineExceeded) || !s.planned {
+	if a.Err == nil || errors.Is(a.Err, context.DeadlineExceeded) || !s.planned || r.poisons.struck(s.at, s.took) {
 		return
 	}
 	how := ""
@@ -371,6 +402,19 @@
 		r.sinceStop(s), s.took.Round(time.Millisecond), strings.Count(a.Body, "\n\n"), s.events, a.Err)
 }
 
+// checkPoisons holds that requests that crash workers are refused by all nodes, and no
+// others.
+func (r *run) checkPoisons() {
+	found, told := r.poisons.late(poisonContact, func(t poisonTry) bool { return r.calmAt(t.at) })
+	r.failures = append(r.failures, found...)
+	for _, s := range r.record.list {
+		if refusedForLong(s.response) {
+			r.fail("%s%s at %s is refused as if it crashed workers", s.kind.path, s.id, s.node)
+		}
+	}
+	r.t.Logf("requests that crash workers: %v", told)
+}
+
 // sinceStop tells how long after the SIGTERM of its node a request was sent, or
 // nothing when there was none.
 func (r *run) sinceStop(s sent) string {
--- a/internal/soak/verdict_test.go
+++ b/internal/soak/verdict_test.go
@@ -33,6 +33,25 @@
 	return found
 }
 
+// poisoned finds the requests that crash workers and are not refused by all nodes, and
+// others that are. How many workers they crash late is held against the bound only in runs
+// of a given deployment.
+func (r *boundsRun) poisoned(timed bool) []string {
+	found := r.poisons.settle()
+	late, told := r.poisons.late(r.history.contact, func(t poisonTry) bool {
+		calm := t.at.Add(-r.history.contact)
+		return !overlaps(r.history.disturbed[t.node], calm, t.at) && !overlaps(r.history.store, calm, t.at)
+	})
+	r.t.Logf("requests that crash workers: %v", told)
+	if timed {
+		found = append(found, late...)
+	}
+	for _, id := range r.wronged {
+		found = append(found, fmt.Sprintf("OTHERS: %s is refused as if it crashed workers", id))
+	}
+	return found
+}
+
 // lapsed counts the questions in the seconds after the store's return, when entries had
 // lapsed, and those that were refused for want of a worker. The workers served all the
 // while.
@@ -116,6 +135,7 @@
 	if timed {
 		found = append(found, r.undrained()...)
 	}
+	found = append(found, r.poisoned(timed)...)
 	afterReturn, refusedThen := r.lapsed()
 	if timed && refusedThen*mostRefused > afterReturn {
 		found = append(found, fmt.Sprintf("LAPSED: %d of %d questions after the store's return were refused, though the workers served", refusedThen, afterReturn))
