internal/core/stagepool: tasks beside one that crashes endpoints are not given up with it

Cause, found by tests of batches in simulated time: a task whose results were lost with a crashed endpoint was begun anew once for each of its pieces in the call that found it out, and given up at the third; and the bound on a stage's tries counted pieces, so that two lost calls of four pieces gave it up. Change: a call's other pieces of a task that began anew count for nothing; the bound is on the average of a stage's pieces; calls that broke off are bounded by their own number; a task begins anew as often as one that crashes endpoints may end those where its results lie (three times, two before).

--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -10,12 +10,13 @@
 )
 
 const (
-	// mostTries bounds the calls for one stage, mostRestarts how often a task
-	// begins anew because a result is gone, and mostBreaks how many calls in a row may
-	// break off with it: it may be what crashes their endpoints.
+	// mostTries bounds how often a stage's pieces are made again, each on the average,
+	// and mostBreaks how many calls in a row may break off with a task: it may be what
+	// crashes their endpoints. mostRestarts is how often a task begins anew because a result is gone:
+	// as often as one that crashes endpoints may end those where its results lie.
 	mostTries    = 6
-	mostRestarts = 2
 	mostBreaks   = 3
+	mostRestarts = mostBreaks
 	// overdueFactor and overdueMargin tell when pieces are made elsewhere
 	// although their call has not ended.
 	overdueFactor = 1.8
@@ -60,7 +61,7 @@
 		case o.Ending == NotRun:
 			r.Reason = NoRoom
 		}
-		p.itemDone(now, c, ref, r, o.Ending == Answered)
+		p.itemDone(now, c, ref, r, o.Ending)
 	}
 	if o.Ending == Answered && !slices.ContainsFunc(o.Items, func(r ItemResult) bool { return r.Reason == NoRoom }) {
 		w.foundRoom(now)
@@ -81,6 +82,17 @@
 	return list
 }
 
+// abandon has the other pieces of a task in the call count for nothing, as it began anew:
+// each of four pieces whose input is gone would have it begin anew once more, and be given
+// up at the third.
+func (c *call) abandon(t *task) {
+	for k := range c.items {
+		if c.items[k].task == t {
+			c.items[k].live = false
+		}
+	}
+}
+
 // part has the tasks of a call that broke off share calls with half as many others, and
 // those that it happens to again with none. One of them may crash what runs it: with the
 // same mates it would end an endpoint with each call, and they with it. Of 24 staged
@@ -100,7 +112,7 @@
 	}
 }
 
-func (p *Pool) itemDone(now time.Time, c *call, ref itemRef, r ItemResult, answered bool) {
+func (p *Pool) itemDone(now time.Time, c *call, ref itemRef, r ItemResult, ending Ending) {
 	w := c.endpoint
 	st := &ref.task.stages[ref.stage]
 	if r.Reason == Made {
@@ -122,20 +134,21 @@
 	}
 	switch r.Reason {
 	case NoRoom:
-		if answered {
+		if ending == Answered {
 			p.counters.NoRoom++
 			w.full(now, ref.bytes)
 		}
 	case Gone:
 		p.counters.Gone++
 		p.restart(now, ref.task)
+		c.abandon(ref.task)
 		return
 	case Late:
 		p.fail(now, ref.task, "late", failAgain)
 		return
 	}
 	if st.results[ref.piece] == nil {
-		p.requeue(now, ref, r.Reason != NoRoom)
+		p.requeue(now, ref, repeatOf(r.Reason, ending))
 	}
 }
 
@@ -151,8 +164,30 @@
 	}
 }
 
+// repeat is what it counts that a piece is made again.
+type repeat int
+
+const (
+	// free repeats cost nothing: the piece was not begun.
+	free repeat = iota
+	// afterBreak repeats take of the budget; the breaks of their task bound them.
+	afterBreak
+	// afterFailure repeats are bounded themselves besides.
+	afterFailure
+)
+
+func repeatOf(r Reason, ending Ending) repeat {
+	switch {
+	case r == NoRoom:
+		return free
+	case ending == BrokenOff:
+		return afterBreak
+	}
+	return afterFailure
+}
+
 // requeue has a piece made again.
-func (p *Pool) requeue(now time.Time, ref itemRef, counts bool) {
+func (p *Pool) requeue(now time.Time, ref itemRef, again repeat) {
 	if _, ok := p.tasks[ref.task.id]; !ok {
 		return
 	}
@@ -167,15 +202,17 @@
 			return
 		}
 	}
-	if counts {
+	if again == afterFailure {
 		st.tries++
+	}
+	if again != free {
 		p.counters.Again++
 		if p.budget != nil && !p.budget.Take(now, st.Service, 1) {
 			p.fail(now, ref.task, "no budget to make a piece again", failAgain)
 			return
 		}
 	}
-	if st.tries > mostTries {
+	if st.tries > mostTries*st.Pieces {
 		p.fail(now, ref.task, "a stage failed too often", failAgain)
 		return
 	}
@@ -314,7 +351,7 @@
 	w.measured = now
 	for _, ref := range c.items {
 		if _, ok := p.tasks[ref.task.id]; ok && ref.live && ref.task.stages[ref.stage].results[ref.piece] == nil {
-			p.requeue(now, ref, true)
+			p.requeue(now, ref, afterFailure)
 		}
 	}
 }
--- a/internal/core/stagepool/world_test.go
+++ b/internal/core/stagepool/world_test.go
@@ -15,14 +15,18 @@
 // a queue each, batches, limited room, results that live for a while. It
 // checks the promises of a pool while it carries its actions out.
 type world struct {
-	t         testing.TB
-	pool      *Pool
-	now       time.Time
-	rand      *rand.Rand
-	queue     []event
-	endpoints map[string]*simEndpoint
-	handles   map[string]*simResult
-	next      int
+	// crashes, if set, tells which calls crash the endpoint that begins to work on them;
+	// brokenMates counts the tasks of each of these.
+	crashes     func(StartCall) bool
+	brokenMates []int
+	t           testing.TB
+	pool        *Pool
+	now         time.Time
+	rand        *rand.Rand
+	queue       []event
+	endpoints   map[string]*simEndpoint
+	handles     map[string]*simResult
+	next        int
 	// release holds how long a finished task's results are needed.
 	release time.Duration
 	done    map[TaskID]time.Time
@@ -233,6 +237,10 @@
 	s.busy = true
 	s.calls++
 	w.stats.calls++
+	if w.crashes != nil && w.crashes(c) {
+		w.crash(s, c)
+		return
+	}
 	results := make([]ItemResult, len(c.Items))
 	made := 0
 	for k, it := range c.Items {
@@ -260,6 +268,20 @@
 	})
 }
 
+// crash ends an endpoint while it works on a call. It is back after a while.
+func (w *world) crash(s *simEndpoint, c StartCall) {
+	const down = 2 * time.Second
+	mates := make(map[string]bool)
+	for _, it := range c.Items {
+		mates[it.RequestID] = true
+	}
+	w.brokenMates = append(w.brokenMates, len(mates))
+	w.after(30*time.Millisecond, func() {
+		w.kill(s.spec.ID, down)
+		w.finish(c, Outcome{Ending: BrokenOff})
+	})
+}
+
 // turn takes one item in at its call's turn.
 func (w *world) turn(s *simEndpoint, it Item) ItemResult {
 	for _, h := range it.Inputs {
