internal/node, internal/core/poison: a resumed stream that crashes endpoints ends too; suspects are parted after two ends

Cause, found by reading the change: a stream that had begun and broke off by a crash was sent on within its try although its request was refused meanwhile; after one end every request that ran at a crashed endpoint lost the endpoint that holds its prompt; and a node that checked another's word logged it as a broken run of its own. Change: each of the three.

--- a/internal/core/poison/guard.go
+++ b/internal/core/poison/guard.go
@@ -19,9 +19,10 @@
 
 // Outcome is what follows from what a node learned.
 type Outcome struct {
-	// Ask are endpoints to be asked whether they take connections; the answers go to
+	// Ask are endpoints to be asked whether they take connections, since runs of this node
+	// broke off there, and Check those that other nodes said have ended. The answers go to
 	// Guard.Probed.
-	Ask []catalog.Endpoint
+	Ask, Check []catalog.Endpoint
 	// Found is what became known of broken runs.
 	Found []Finding
 	// Tell goes to the owners of each request.
@@ -93,8 +94,11 @@
 // Refused reports whether a request is refused, and for how long still.
 func (g *Guard) Refused(now time.Time, id ID) (time.Duration, bool) { return g.ledger.Refused(now, id) }
 
-// Suspected reports whether endpoints ended under a request, as far as this node knows.
-func (g *Guard) Suspected(now time.Time, id ID) bool { return len(g.ledger.Ends(now, id)) > 0 }
+// Suspected reports whether so many endpoints ended under a request, as far as this node
+// knows, that it is to be kept apart from others.
+func (g *Guard) Suspected(now time.Time, id ID) bool {
+	return len(g.ledger.Ends(now, id)) >= endsToPart
+}
 
 // Sizes returns how many requests are suspects, and how many refusals are known.
 func (g *Guard) Sizes() (suspects, refusals int) {
@@ -184,7 +188,7 @@
 // Served takes in that a request was served well: it crashes nothing.
 func (g *Guard) Served(now time.Time, id ID) Outcome {
 	var out Outcome
-	if !g.Suspected(now, id) && !g.ledger.Refusals().Knows(id) {
+	if len(g.ledger.Ends(now, id)) == 0 && !g.ledger.Refusals().Knows(id) {
 		return out
 	}
 	g.served(now, id, &out)
@@ -227,7 +231,7 @@
 	}
 	waiting := g.doubts[e.Endpoint]
 	if len(waiting) == 0 {
-		out.Ask = append(out.Ask, catalog.Endpoint{ID: e.Endpoint, Address: e.Address})
+		out.Check = append(out.Check, catalog.Endpoint{ID: e.Endpoint, Address: e.Address})
 	}
 	if len(waiting) < mostDoubts {
 		g.doubts[e.Endpoint] = append(waiting, doubt{request: id, end: e})
--- a/internal/core/poison/ledger.go
+++ b/internal/core/poison/ledger.go
@@ -15,6 +15,9 @@
 	// refused, when hardly any others end; mostEnds are always enough.
 	fewestEnds = 3
 	mostEnds   = 4
+	// endsToPart is after how many ends a request is kept apart: after one, all that ran
+	// at a crashed endpoint would lose the endpoints that hold their prompts.
+	endsToPart = 2
 	// mostKept bounds the ends that are remembered of a request, agreed or not.
 	mostKept = 2 * mostEnds
 	// byChance is how likely it may be at most that a request was there by chance
--- a/internal/core/poison/watch_test.go
+++ b/internal/core/poison/watch_test.go
@@ -147,7 +147,7 @@
 			out := one.Probed(start, e.ID, true)
 			refused += len(out.Refused)
 			told := owner.Reported(start, out.Tell)
-			for _, asked := range told.Ask {
+			for _, asked := range told.Check {
 				refused += len(owner.Probed(start, asked.ID, !alive).Refused)
 			}
 		}
--- a/internal/core/poison/world_test.go
+++ b/internal/core/poison/world_test.go
@@ -306,7 +306,7 @@
 
 // learn does what follows from what a node learned.
 func (w *world) learn(n *node, out poison.Outcome) {
-	for _, e := range out.Ask {
+	for _, e := range slices.Concat(out.Ask, out.Check) {
 		n.probes = append(n.probes, probe{due: w.now.Add(step), endpoint: e})
 	}
 	if out.Spread {
--- a/internal/node/poison.go
+++ b/internal/node/poison.go
@@ -40,7 +40,7 @@
 	return p.guard.Refused(time.Now(), id)
 }
 
-// suspected reports whether endpoints ended under a request, as far as this node knows.
+// suspected reports whether a request is to be kept apart from others.
 func (p *poisons) suspected(id poison.ID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -82,6 +82,9 @@
 	for _, e := range out.Ask {
 		go n.probe(e)
 	}
+	for _, e := range out.Check {
+		go n.ask(e)
+	}
 	for _, f := range out.Found {
 		n.log.Info(eventEndpointEnded, zap.String("endpoint", f.Endpoint.ID), zap.Bool("listed", f.Listed), zap.Bool("ended", f.Ended), zap.Stringers("contents", f.Requests))
 		if f.Ended {
@@ -155,14 +158,20 @@
 	return true
 }
 
-// probe asks whether an endpoint takes connections.
+// probe asks whether an endpoint takes connections at which runs of this node broke off.
 func (n *Node) probe(e catalog.Endpoint) {
+	refuses := n.ask(e)
+	n.meters.probed(refuses)
+	n.log.Info(eventRunBroke, zap.String("endpoint", e.ID), zap.Bool("refuses", refuses))
+}
+
+// ask asks whether an endpoint refuses connections.
+func (n *Node) ask(e catalog.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
 	defer cancel()
 	refuses := socket.Refuses(ctx, e.Address)
-	n.meters.probed(refuses)
-	n.log.Info(eventRunBroke, zap.String("endpoint", e.ID), zap.Bool("refuses", refuses))
 	n.learn(func(g *poison.Guard, now time.Time) poison.Outcome { return g.Probed(now, e.ID, refuses) })
+	return refuses
 }
 
 // endpointsListed holds the list of endpoints, current as of a moment, against the runs
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -58,7 +58,7 @@
 			n.turnAway(w, q)
 			return
 		}
-		if !s.started && n.refusePoison(w, q) {
+		if n.endPoison(ctx, s) {
 			return
 		}
 		c, ok := n.pools.choose(time.Now(), s.need(tried))
@@ -84,6 +84,19 @@
 	n.endStream(ctx, s, attempt.AnswerUnknown, "no endpoint reached")
 }
 
+// endPoison ends a stream whose request is refused since it crashes endpoints, and reports
+// whether it is.
+func (n *Node) endPoison(ctx context.Context, s *stream) bool {
+	if !s.started {
+		return n.refusePoison(s.w, s.q)
+	}
+	_, refused := n.poisons.refused(s.q.content)
+	if refused {
+		n.endStream(ctx, s, attempt.AnswerUnknown, poisonReason)
+	}
+	return refused
+}
+
 // need is what the next attempt asks of its endpoint. A suspect is kept apart from the
 // prompts that share its beginning: sent to the endpoint that holds it, as they are, it
 // would end with them each endpoint that they are sent to next, and make suspects of them.
