--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -77,6 +77,8 @@
 	desks    map[string]string // service by worker
 	// staying are the workers of "desk", retired those that have said they leave.
 	staying, retired []*platformtest.Worker
+	// engines are the workers of models and stages.
+	engines []*platformtest.Worker
 	probes           atomic.Int64
 	poisons          *poisons
 	// lapsing is held while entries lapse.
@@ -163,6 +165,9 @@
 		busy.Go(func() { r.watch(ctx, i, askMute) })
 	}
 	busy.Go(func() { r.replaceWorkers(ctx, rand.New(rand.NewPCG(seed, 5))) })
+	if c.of == newest {
+		busy.Go(func() { r.restartWorkers(ctx, rand.New(rand.NewPCG(seed, laterSeed))) })
+	}
 	busy.Go(func() { r.operate(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	for i := range *clientCount {
 		busy.Go(func() { r.load(ctx, i) })
@@ -201,8 +206,12 @@
 	for _, service := range []string{"desk", "second-desk", "model", "encode", "rank"} {
 		for _, w := range r.site.AddWorkers(service, 4) {
 			r.desks[w.ID] = service
-			if service == "desk" {
+			switch service {
+			case "desk":
 				r.staying = append(r.staying, w)
+			case "second-desk":
+			default:
+				r.engines = append(r.engines, w)
 			}
 		}
 	}
--- a/internal/soak/operator_test.go
+++ b/internal/soak/operator_test.go
@@ -91,6 +91,18 @@
 	r.retired = append(r.retired, gone)
 }
 
+// restartWorkers has one worker of a model or a stage after the other begin anew under its
+// id.
+func (r *boundsRun) restartWorkers(ctx context.Context, draw *rand.Rand) {
+	for {
+		sleep(ctx, time.Duration(3000+draw.IntN(6000))*time.Millisecond)
+		if ctx.Err() != nil {
+			return
+		}
+		r.engines[draw.IntN(len(r.engines))].Restart()
+	}
+}
+
 // publishInvalid writes a configuration that nodes must refuse as a whole, and
 // that a valid one with a higher version soon follows.
 func (r *boundsRun) publishInvalid() {
