--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -79,8 +79,8 @@
 	staying, retired []*platformtest.Worker
 	// engines are the workers of models and stages.
 	engines []*platformtest.Worker
-	probes           atomic.Int64
-	poisons          *poisons
+	probes  atomic.Int64
+	poisons *poisons
 	// lapsing is held while entries lapse.
 	lapsing sync.Mutex
 
