internal/wire: messages of nodes of other versions are read

Change: a body that the codec refuses is fitted to the fields known here, at every depth, and read anew. Bodies of one's own version are read as before. Nodes of an earlier version still can't read longer messages, and close a connection on which a message of an unknown type comes.

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -76,8 +76,8 @@
 	if err := checkBody(body); err != nil {
 		return nil, err
 	}
-	if err := msgpack.Unmarshal(body, m); err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrFrame, err)
+	if err := unmarshal(body, m); err != nil {
+		return nil, err
 	}
 	return m, nil
 }
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"reflect"
 	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 var samples = []Message{
@@ -18,6 +21,75 @@
 	Started{ID: 1, Result: 2},
 	Story{ID: 1, Subject: "s"},
 	StoryAnswer{ID: 1, Lines: []string{"l"}},
+	Gossip{Node: "n1", Refused: []Refusal{{Request: []byte("r"), Version: 2, Left: -5, Times: 3, Pardoned: true}}, RefusedSum: 1 << 63},
+	Ends{Requests: []RequestEnds{{Request: []byte("r"), Served: true, Ends: []EndpointEnd{{Endpoint: "e", Address: "a", Among: 3, Sure: true, Alive: true}}}}},
+}
+
+// TestOtherVersions reads heartbeats of a node of an earlier version, which end before the
+// refused requests and whose entries have no capacity, and of a later one, which have more
+// fields.
+func TestOtherVersions(t *testing.T) {
+	type entry struct {
+		Node        string
+		Incarnation uint64
+		Address     string
+	}
+	type member struct {
+		Node        string
+		Incarnation uint64
+		Seq         uint64
+		State       State
+		Address     string
+		Domain      string
+		Region      string
+		Entries     []entry
+	}
+	type earlier struct {
+		Node          string
+		Incarnation   uint64
+		ViewHash      uint64
+		ConfigVersion uint64
+		Members       []member
+		Endpoints     []Endpoint
+		Listing       []RecordVersion
+		Courtesy      bool
+		Answer        bool
+		ListRevision  uint64
+	}
+	type later struct {
+		Gossip
+		Further string
+		More    []Entry
+	}
+	told := Gossip{Node: "n2", Members: []Member{{Node: "n3", Entries: []Entry{{Node: "n3", Capacity: 400}}}}, RefusedSum: 5}
+	cases := map[string]struct {
+		sent any
+		want Gossip
+	}{
+		"earlier": {
+			sent: earlier{Node: "n1", Members: []member{{Node: "n1", Entries: []entry{{Node: "n1", Address: "a"}}}}, ListRevision: 7},
+			want: Gossip{Node: "n1", Members: []Member{{Node: "n1", Entries: []Entry{{Node: "n1", Address: "a"}}}}, ListRevision: 7},
+		},
+		"later": {sent: later{Gossip: told, Further: "x", More: []Entry{{Node: "y"}}}, want: told},
+	}
+	for name, c := range cases {
+		var body bytes.Buffer
+		enc := msgpack.NewEncoder(&body)
+		enc.UseArrayEncodedStructs(true)
+		if err := enc.Encode(c.sent); err != nil {
+			t.Fatal(err)
+		}
+		frame := binary.BigEndian.AppendUint32(nil, uint32(body.Len()+1))
+		frame = append(frame, byte(kindGossip))
+		got, err := Read(bytes.NewReader(append(frame, body.Bytes()...)))
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if !reflect.DeepEqual(*got.(*Gossip), c.want) {
+			t.Errorf("%s: got %+v, want %+v", name, got, c.want)
+		}
+	}
 }
 
 // TestRoundTrip checks that every message comes back as it was sent.
--- /dev/null
+++ b/internal/wire/versions.go
@@ -0,0 +1,102 @@
+package wire
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// unmarshal reads a message's body, also one of a version whose messages have fewer fields
+// or more: fields are only ever added at the end, and structs are arrays on the wire. The
+// codec refuses arrays of another length, so these are fitted first.
+func unmarshal(body []byte, m Message) error {
+	err := msgpack.Unmarshal(body, m)
+	if err == nil {
+		return nil
+	}
+	fitted, fitErr := fit(body, reflect.TypeOf(m).Elem())
+	if fitErr != nil || bytes.Equal(fitted, body) {
+		return fmt.Errorf("%w: %v", ErrFrame, err)
+	}
+	// What the first try has read is read anew.
+	reflect.ValueOf(m).Elem().SetZero()
+	if err := msgpack.Unmarshal(fitted, m); err != nil {
+		return fmt.Errorf("%w: %v", ErrFrame, err)
+	}
+	return nil
+}
+
+// fit returns a body in which every struct has as many fields as its type here: further
+// ones are left out, missing ones are nil, which the codec reads as zero.
+func fit(body []byte, t reflect.Type) ([]byte, error) {
+	var out bytes.Buffer
+	f := fitter{in: msgpack.NewDecoder(bytes.NewReader(body)), out: msgpack.NewEncoder(&out)}
+	if err := f.value(t); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+type fitter struct {
+	in  *msgpack.Decoder
+	out *msgpack.Encoder
+}
+
+func (f *fitter) value(t reflect.Type) error {
+	switch {
+	case t.Kind() == reflect.Struct:
+		return f.fields(t)
+	case t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct:
+		return f.elements(t.Elem())
+	}
+	raw, err := f.in.DecodeRaw()
+	if err != nil {
+		return err
+	}
+	return f.out.Encode(raw)
+}
+
+func (f *fitter) fields(t reflect.Type) error {
+	n, err := f.in.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if err := f.out.EncodeArrayLen(t.NumField()); err != nil {
+		return err
+	}
+	for i := range max(n, t.NumField()) {
+		switch {
+		case i >= t.NumField():
+			err = f.in.Skip()
+		case i >= n:
+			err = f.out.EncodeNil()
+		default:
+			err = f.value(t.Field(i).Type)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fitter) elements(t reflect.Type) error {
+	n, err := f.in.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n < 0 {
+		return f.out.EncodeNil()
+	}
+	if err := f.out.EncodeArrayLen(n); err != nil {
+		return err
+	}
+	for range n {
+		if err := f.value(t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
