--- a/internal/core/poison/incidents_test.go
+++ b/internal/core/poison/incidents_test.go
@@ -57,7 +57,7 @@
 // defaults of the settings.
 var defaults = map[string]string{
 	"seeds": "4", "nodes": "6", "endpoints": "18", "poisons": "2", "first": "6s", "again": "500ms", "back": "4s",
-	"requests": "70", "tries": "4", "contact": "3s", "late": "0", "length": "40s", "lost": "0", "proxies": "0", "wronged": "0",
+	"requests": "70", "tries": "4", "contact": "3s", "late": "0", "length": "40s", "lost": "0", "proxies": "0", "wronged": "0", "popular": "0",
 }
 
 func (s script) setting(name string) string {
--- a/internal/core/poison/world_test.go
+++ b/internal/core/poison/world_test.go
@@ -501,7 +501,7 @@
 	for ; perStep > 0; perStep-- {
 		if w.rand.Float64() < perStep {
 			w.next++
-			c := &client{id: identity(fmt.Sprint(w.next)), tries: w.script.number("tries"), next: w.now}
+			c := &client{id: w.drawRequest(), tries: w.script.number("tries"), next: w.now}
 			w.clients = append(w.clients, c)
 		}
 	}
@@ -519,6 +519,14 @@
 	w.clients = kept
 }
 
+// drawRequest returns a request of its own, or now and then the one that many clients send.
+func (w *world) drawRequest() poison.ID {
+	if share := w.script.number("popular"); share > 0 && w.next%share == 0 {
+		return identity("popular")
+	}
+	return identity(fmt.Sprint(w.next))
+}
+
 func (w *world) anyNode() *node { return w.nodes[w.rand.IntN(len(w.nodes))] }
 
 // start has a node send a request to an endpoint, unless it refuses it.
