--- a/internal/core/poison/guard.go
+++ b/internal/core/poison/guard.go
@@ -143,8 +143,8 @@
 }
 
 // Broke takes in that runs broke off at an endpoint that is not leaving.
-func (g *Guard) Broke(now time.Time, e catalog.Endpoint, requests ...ID) Outcome {
-	if !g.watch.Broke(now, e, requests...) {
+func (g *Guard) Broke(now time.Time, e catalog.Endpoint, l Length, requests ...ID) Outcome {
+	if !g.watch.Broke(now, e, l, requests...) {
 		return Outcome{}
 	}
 	return Outcome{Ask: []catalog.Endpoint{e}}
--- a/internal/core/poison/watch.go
+++ b/internal/core/poison/watch.go
@@ -60,6 +60,30 @@
 type broken struct {
 	at      time.Time
 	request ID
+	length  Length
+}
+
+// Length tells how long a run had lasted when it broke off.
+type Length int
+
+const (
+	// Lasting runs had begun at the endpoint.
+	Lasting Length = iota
+	// Brief runs may have been sent when the endpoint had ended already, to something
+	// before it that takes its connections and breaks them off.
+	Brief
+)
+
+// briefRun is how long a run lasts at most that may not have begun: some times what a
+// connection takes to be made and broken off on a busy instance (1 to 5 ms).
+const briefRun = 25 * time.Millisecond
+
+// LengthOf returns the length of a run that took some time.
+func LengthOf(took time.Duration) Length {
+	if took < briefRun {
+		return Brief
+	}
+	return Lasting
 }
 
 // NewWatch returns a watch over endpoints that confirm their entries at an interval, or at
@@ -77,7 +101,7 @@
 // Broke takes in that runs broke off at an endpoint that is not leaving. It reports
 // whether the endpoint is to be asked now whether it takes connections; the answer goes
 // to Probed.
-func (w *Watch) Broke(now time.Time, e catalog.Endpoint, requests ...ID) bool {
+func (w *Watch) Broke(now time.Time, e catalog.Endpoint, l Length, requests ...ID) bool {
 	known, ok := w.watched[e.ID]
 	if !ok {
 		w.makeRoom()
@@ -85,7 +109,7 @@
 		w.watched[e.ID] = known
 	}
 	for _, id := range requests {
-		known.breaks = append(known.breaks, broken{at: now, request: id})
+		known.breaks = append(known.breaks, broken{at: now, request: id, length: l})
 	}
 	if over := len(known.breaks) - mostBreaks; over > 0 {
 		known.breaks = slices.Clone(known.breaks[over:])
@@ -174,6 +198,8 @@
 			delete(w.watched, id)
 		case l.replaced(known.endpoint):
 			delete(w.watched, id)
+			// By the list alone, runs that may never have begun are no suspects.
+			known.breaks = slices.DeleteFunc(known.breaks, func(b broken) bool { return b.length == Brief })
 			f := known.finding(time.Time{}, true)
 			f.Listed = true
 			found = append(found, f)
--- a/internal/core/poison/watch_test.go
+++ b/internal/core/poison/watch_test.go
@@ -22,7 +22,7 @@
 // refuses connections then.
 func watching(refuses bool) (*Watch, []Finding) {
 	w := NewWatch(beat)
-	if !w.Broke(start, lifeOf(1), idOf(1)) {
+	if !w.Broke(start, lifeOf(1), Lasting, idOf(1)) {
 		panic("nobody asks the endpoint")
 	}
 	return w, w.Probed(start.Add(5*time.Millisecond), lifeOf(1).ID, refuses)
@@ -118,14 +118,14 @@
 	w := NewWatch(beat)
 	for i := range 2 * mostWatched {
 		e := catalog.Endpoint{ID: fmt.Sprint(i)}
-		w.Broke(start.Add(time.Duration(i)*time.Millisecond), e, idOf(i))
+		w.Broke(start.Add(time.Duration(i)*time.Millisecond), e, Lasting, idOf(i))
 	}
 	if len(w.watched) != mostWatched {
 		t.Errorf("%d endpoints are watched", len(w.watched))
 	}
 	e := catalog.Endpoint{ID: fmt.Sprint(2*mostWatched - 1)}
 	for i := range 3 * mostBreaks {
-		w.Broke(start.Add(time.Minute), e, idOf(i))
+		w.Broke(start.Add(time.Minute), e, Lasting, idOf(i))
 	}
 	if n := len(w.watched[e.ID].breaks); n != mostBreaks {
 		t.Errorf("%d breaks are remembered", n)
@@ -143,7 +143,7 @@
 		refused := 0
 		for i := range mostEnds {
 			e := catalog.Endpoint{ID: fmt.Sprint(i), Service: "model", Address: fmt.Sprintf("10.0.0.%d:80", i)}
-			one.Broke(start, e, idOf(1))
+			one.Broke(start, e, Lasting, idOf(1))
 			out := one.Probed(start, e.ID, true)
 			refused += len(out.Refused)
 			told := owner.Reported(start, out.Tell)
--- a/internal/core/poison/world_test.go
+++ b/internal/core/poison/world_test.go
@@ -424,7 +424,7 @@
 		}
 		w.broken++
 		if w.works(r.node) {
-			w.learn(r.node, r.node.guard.Broke(w.now, r.life, r.id()))
+			w.learn(r.node, r.node.guard.Broke(w.now, r.life, poison.Lasting, r.id()))
 		}
 		w.comeBack(r)
 	}
@@ -463,7 +463,7 @@
 		case r.lost:
 			// Its answer was lost on the way.
 			if w.works(r.node) {
-				w.learn(r.node, r.node.guard.Broke(w.now, r.life, r.client.id))
+				w.learn(r.node, r.node.guard.Broke(w.now, r.life, poison.Lasting, r.client.id))
 			}
 			w.comeBack(r)
 		default:
@@ -546,6 +546,12 @@
 			r.endpoint = e
 		}
 	}
+	if r.endpoint != nil && !r.endpoint.ended.IsZero() && w.script.number("proxies") > 0 {
+		// What stands before the endpoint takes the connection and breaks it off.
+		w.learn(n, n.guard.Broke(w.now, r.life, poison.Brief, r.id()))
+		w.comeBack(r)
+		return
+	}
 	if c, ok := n.cuts[r.life.Address]; r.endpoint == nil || !r.endpoint.ended.IsZero() || ok && w.now.Before(c.until) {
 		w.comeBack(r)
 		return
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -323,7 +323,7 @@
 		n.log.Info(eventAnswerBroke, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Error(err))
 		if event != attempt.RefuseByEndpoint {
 			event = attempt.Lose
-			n.runBroke(limited, c.endpoint, q.content)
+			n.runBroke(limited, c.endpoint, time.Since(c.started), q.content)
 		}
 	}
 	if event == attempt.FirstByte {
@@ -367,7 +367,7 @@
 		return attempt.RefuseUnsent
 	}
 	q.sent++
-	n.runBroke(limited, c.endpoint, q.content)
+	n.runBroke(limited, c.endpoint, time.Since(c.started), q.content)
 	return attempt.Lose
 }
 
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -53,7 +53,7 @@
 	// there is a view.
 	asks bool
 	// broke is told of calls that broke off at an endpoint, and of their requests.
-	broke func(ctx context.Context, e catalog.Endpoint, requests []poison.ID)
+	broke func(ctx context.Context, e catalog.Endpoint, took time.Duration, requests []poison.ID)
 }
 
 // leader runs one cell's stage pool.
--- a/internal/node/poison.go
+++ b/internal/node/poison.go
@@ -129,22 +129,25 @@
 	return true
 }
 
-// runBroke takes in that runs of requests broke off at an endpoint without a whole answer.
+// runBroke takes in that runs of requests broke off at an endpoint without a whole answer,
+// after some time.
 // What was broken off from this side, by its context, tells nothing, nor does an endpoint
 // that is leaving.
-func (n *Node) runBroke(ctx context.Context, e catalog.Endpoint, requests ...poison.ID) {
+func (n *Node) runBroke(ctx context.Context, e catalog.Endpoint, took time.Duration, requests ...poison.ID) {
 	if ctx.Err() != nil || n.leaves(e.ID) {
 		return
 	}
-	n.learn(func(g *poison.Guard, now time.Time) poison.Outcome { return g.Broke(now, e, requests...) })
+	n.learn(func(g *poison.Guard, now time.Time) poison.Outcome {
+		return g.Broke(now, e, poison.LengthOf(took), requests...)
+	})
 }
 
 // stageCallBroke takes in that a call of a stage pool broke off: each of its requests is
 // a suspect. Those of nodes of an earlier version are not known.
-func (n *Node) stageCallBroke(ctx context.Context, e catalog.Endpoint, requests []poison.ID) {
+func (n *Node) stageCallBroke(ctx context.Context, e catalog.Endpoint, took time.Duration, requests []poison.ID) {
 	requests = slices.DeleteFunc(requests, poison.ID.IsZero)
 	if len(requests) > 0 {
-		n.runBroke(ctx, e, requests...)
+		n.runBroke(ctx, e, took, requests...)
 	}
 }
 
--- a/internal/node/stagecalls.go
+++ b/internal/node/stagecalls.go
@@ -28,7 +28,7 @@
 		zap.Int("ending", int(outcome.Ending)), zap.Duration("took", time.Since(started)),
 	}
 	if outcome.Ending == stagepool.BrokenOff {
-		c.group.broke(ctx, catalog.Endpoint{ID: a.Endpoint, Service: a.Service, Address: a.Address}, contents(a.Items))
+		c.group.broke(ctx, catalog.Endpoint{ID: a.Endpoint, Service: a.Service, Address: a.Address}, time.Since(started), contents(a.Items))
 	}
 	switch {
 	case err != nil:
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -236,7 +236,7 @@
 	if err != nil {
 		n.log.Info(eventStreamBroke, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("events", s.events), zap.Error(err))
 		if !errors.Is(err, errClientGone) {
-			n.runBroke(ctx, c.endpoint, q.content)
+			n.runBroke(ctx, c.endpoint, time.Since(c.started), q.content)
 		}
 		return a, attempt.Lose
 	}
@@ -264,7 +264,7 @@
 	}
 	body, err := io.ReadAll(a.Body)
 	if err != nil {
-		n.runBroke(ctx, c.endpoint, s.q.content)
+		n.runBroke(ctx, c.endpoint, time.Since(c.started), s.q.content)
 		return attempt.Lose
 	}
 	a.Body = io.NopCloser(bytes.NewReader(body))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,6 +71,7 @@
 	{1108, alternating, hungUpEarly},
 	// With five nodes.
 	{3430, newest, sharedRequest},
+	{3511, newest, neverBegun},
 }
 
 type regression struct {
@@ -85,6 +86,8 @@
 
 const sharedRequest = "a request that all nodes were sent was refused as one that crashes workers, since it ran at three that had crashed, while it was served elsewhere"
 
+const neverBegun = "a request that was sent to workers which had crashed already, by way of proxies that took its connections, was refused as one that crashes them"
+
 const hungUpEarly = "likely: a node that got SIGHUP before it had read its settings ended without a line"
 
 const noViewYet = "a node that was sent work before its first list of endpoints ended with a nil pointer"
