internal/soak, platform/platformtest: a worker that has left does not list itself again

The worker's listings show the restart at the moment of the leaving. Change: it asks again when the worker begins anew. The check stays as it is.

--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -191,7 +191,7 @@
 func (r *run) rebornWorker(length time.Duration) {
 	w := r.drawWorker(r.later)
 	if !r.hasLeft(w) {
-		r.unplannedFor(length, w.Crash, w.Restart)
+		r.unplannedFor(length, w.Crash, w.RestartUnlessLeft)
 	}
 }
 
