internal/core/discovery, internal/core/slowstart, internal/node: evacuated endpoints get nothing, cold ones are paced by all nodes together

Cause: nothing read the operator's rows that evacuate a failure domain, nor what endpoints tell of being cold. Ruled out: that leaders' orders, batches, results given up or questions to engines need a decision of their own; all go by Evacuations.Takes, or by the pools that it makes. Change: the core knows evacuations by the store's revision, whole from node to node; a node that does not know them does not serve. For the time of a start after an evacuation its endpoints count as cold. Two matters in one commit: they meet in the same functions of the view.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -92,6 +92,10 @@
 	Slots int
 	// PromptCache is the memory of each model engine.
 	PromptCache PromptCache
+	// ColdTime is how long an endpoint stays cold after a start, and ColdPerSecond how many
+	// requests it handles in a second while it is, or 0 where that is not bounded.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// Batching is nil for a service that is no stage.
 	Batching *Batching
 }
@@ -191,4 +195,7 @@
 	// Listed is the store's count of changes at which the entry took its present form,
 	// or 0 when that is not known. An entry that went and came back has a higher one.
 	Listed uint64
+	// Cold is how much longer the endpoint was to stay cold when it wrote its entry, which
+	// it does with each heartbeat while it is.
+	Cold time.Duration
 }
--- a/internal/core/discovery/list.go
+++ b/internal/core/discovery/list.go
@@ -46,8 +46,12 @@
 type known struct {
 	endpoint catalog.Endpoint
 	changed  uint64
+	cold     Coldness
 }
 
+// Coldness is from when to when an endpoint is taken to be cold.
+type Coldness struct{ Since, Until time.Time }
+
 type departed struct {
 	id      string
 	changed uint64
@@ -145,7 +149,7 @@
 	l.revision, l.differs = revision, false
 	changed := false
 	for _, e := range listed {
-		changed = l.put(e) || changed
+		changed = l.put(at, e) || changed
 	}
 	for id := range l.endpoints {
 		if _, ok := listed[id]; !ok {
@@ -170,7 +174,8 @@
 	}
 }
 
-func (l *List) put(e catalog.Endpoint) bool {
+// put takes an entry in, as of a time, and reports whether it changed.
+func (l *List) put(at time.Time, e catalog.Endpoint) bool {
 	delete(l.lapses.endpoints, e.ID)
 	old, ok := l.endpoints[e.ID]
 	if ok && old.endpoint == e {
@@ -180,10 +185,33 @@
 		l.digest -= digestOf(old.endpoint)
 	}
 	l.digest += digestOf(e)
-	l.endpoints[e.ID] = known{endpoint: e, changed: l.revision}
+	l.endpoints[e.ID] = known{endpoint: e, changed: l.revision, cold: old.coldAfter(at, e)}
 	return true
 }
 
+// coldAfter is the coldness of an endpoint whose entry is as given at a time. Its entry may
+// be older than that, so the time is counted rather too long.
+func (k known) coldAfter(at time.Time, e catalog.Endpoint) Coldness {
+	switch {
+	case e.Cold <= 0:
+		return Coldness{}
+	case at.After(k.cold.Until):
+		return Coldness{Since: at, Until: at.Add(e.Cold)}
+	}
+	return Coldness{Since: k.cold.Since, Until: at.Add(e.Cold)}
+}
+
+// Cold returns the endpoints that are taken to be cold, by id.
+func (l *List) Cold() map[string]Coldness {
+	cold := make(map[string]Coldness)
+	for id, k := range l.endpoints {
+		if k.cold.Until.After(l.current) {
+			cold[id] = k.cold
+		}
+	}
+	return cold
+}
+
 func digestOf(e catalog.Endpoint) uint64 {
 	text := e.ID + " " + e.Service + " " + e.Address + " " + e.Domain + " " + strconv.Itoa(e.Slots) + " " + strconv.FormatBool(e.Draining)
 	return hash.Of(text)
@@ -255,7 +283,7 @@
 	l.revision = d.Revision
 	changed := false
 	for _, e := range d.Changed {
-		changed = l.put(e) || changed
+		changed = l.put(at, e) || changed
 	}
 	for _, id := range d.Gone {
 		if _, ok := l.endpoints[id]; ok {
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"gradetiller.example/internal/core/slowstart"
+)
 
 // Spec is the configured part of an endpoint.
 type Spec struct {
@@ -15,6 +19,8 @@
 	// keeps none. Copies tells that it can copy parts from another one.
 	CacheTokens int
 	Copies      bool
+	// Pace tells when calls may go there while it is cold.
+	Pace slowstart.Pace
 	// Versions lists the models or versions it holds; empty means any.
 	Versions []string
 }
@@ -39,6 +45,8 @@
 	took     time.Duration
 	measured time.Time // when took last changed
 	health   health
+	// started is when the last call went out.
+	started time.Time
 	// removed endpoints are no longer in the configuration.
 	removed bool
 }
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -29,11 +29,15 @@
 // this size are looked at whole.
 const sampleSize = 12
 
-// Usable reports whether endpoint i can take a call now.
-func (p *Pool) Usable(now time.Time, i int, req Request) bool { return p.usable(now, i, req) }
+// Accepts reports whether endpoint i can take a call now that another node has placed there.
+// If the endpoint is cold, that node has counted the call.
+func (p *Pool) Accepts(now time.Time, i int, req Request) bool {
+	return i != req.Exclude && !slices.Contains(req.Tried, i) && p.endpoints[i].available(now, req.Version)
+}
 
+// usable reports whether endpoint i can take a call now, by this node's own choice.
 func (p *Pool) usable(now time.Time, i int, req Request) bool {
-	return i != req.Exclude && !slices.Contains(req.Tried, i) && p.endpoints[i].available(now, req.Version)
+	return p.Accepts(now, i, req) && p.endpoints[i].spec.Pace.Due(now, p.endpoints[i].started)
 }
 
 // next returns the first usable endpoint from start on, going round once.
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -180,6 +180,7 @@
 func (p *Pool) Start(now time.Time, i int, req Request) int {
 	work := p.work(now, i, req)
 	p.endpoints[i].outstanding++
+	p.endpoints[i].started = now
 	p.endpoints[i].work += work
 	p.endpoints[i].cache.use(req.Prompt.Parts)
 	if req.Prefix != 0 {
--- a/internal/core/stagepool/done.go
+++ b/internal/core/stagepool/done.go
@@ -119,7 +119,7 @@
 		made := &result{maker: w, handle: r.Handle, bytes: ref.bytes, begun: c.sent, expires: now.Add(w.service.conf.ResultLife)}
 		if !ref.live || st.results[ref.piece] != nil {
 			p.counters.Unused++
-			p.emit(Free{Endpoint: w.spec.ID, Address: w.spec.Address, Handles: []string{r.Handle}})
+			p.emit(Free{Endpoint: w.spec.ID, Address: w.spec.Address, Domain: w.spec.Domain, Handles: []string{r.Handle}})
 			return
 		}
 		w.add(made)
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -120,10 +120,36 @@
 			calls: make(map[CallID]*call), results: make(map[*result]struct{}),
 		})
 	}
+	p.failUnserved(now, endpoints)
 	p.dispatchAll(now)
 	return p.take()
 }
 
+// ClosedReason is the reason of tasks for which a service takes no work.
+const ClosedReason = "no endpoint of a stage takes work"
+
+// closedAgain is when to come back to a service whose endpoints are all listed as taking
+// no work: they seldom change that within a second.
+const closedAgain = time.Second
+
+// failUnserved gives the tasks up that wait for a service of which endpoints are listed, and
+// none takes work. Until others come they would wait in vain.
+func (p *Pool) failUnserved(now time.Time, endpoints []catalog.Endpoint) {
+	closed := make(map[string]bool)
+	for _, e := range endpoints {
+		if before, ok := closed[e.Service]; !ok || before {
+			closed[e.Service] = e.Draining
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.tasks)) {
+		t := p.tasks[id]
+		waits := slices.ContainsFunc(t.stages, func(s stage) bool { return len(s.waiting) > 0 && closed[s.Service] })
+		if waits && !t.complete {
+			p.fail(now, t, ClosedReason, closedAgain)
+		}
+	}
+}
+
 // Contend tells that another leader may be at work on the same endpoints
 // until a moment: a call may then wait for its turn behind the other's, so
 // that its inputs are kept until it ends.
@@ -350,7 +376,7 @@
 		byMaker[r.maker] = append(byMaker[r.maker], r.handle)
 	}
 	for _, w := range order {
-		p.emit(Free{Endpoint: w.spec.ID, Address: w.spec.Address, Handles: byMaker[w]})
+		p.emit(Free{Endpoint: w.spec.ID, Address: w.spec.Address, Domain: w.spec.Domain, Handles: byMaker[w]})
 	}
 }
 
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -126,7 +126,9 @@
 type Free struct {
 	Endpoint string
 	Address  string
-	Handles  []string
+	// Domain is the maker's failure domain.
+	Domain  string
+	Handles []string
 }
 
 // Complete tells that all results of a task's last stages are there.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -39,7 +39,7 @@
 var subjectFields = []string{"id", "request", fieldEndpoint, "version", "config", fieldNode, fieldLeader}
 
 // stateEvents tell what a node believed, rather than what it did to a request.
-var stateEvents = []string{"leader lost", "leads a cell", "leads a cell no more", "configuration in force", "store lost", "store reached", "peer lost"}
+var stateEvents = []string{"leader lost", "leads a cell", "leads a cell no more", "configuration in force", "evacuation in force", "evacuation over", "store lost", "store reached", "peer lost"}
 
 // endpointEvents tell what became of an endpoint.
 var endpointEvents = []string{"endpoint listed", "endpoint gone", "stage call lost"}
--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -43,6 +43,8 @@
 			continue
 		}
 		if at[e.Service]%cells == cell {
+			// A stage pool knows no reason why an endpoint gets no more calls.
+			e.Draining = !v.evacuations.Takes(e)
 			list = append(list, e)
 		}
 		at[e.Service]++
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -46,6 +46,11 @@
 	// The number of endpoints that are used although the store does not list them
 	// changed.
 	eventEndpointsKept = "endpoints kept"
+	// Nothing further is sent to the endpoints of a failure domain, or again.
+	eventEvacuationInForce = "evacuation in force"
+	eventEvacuationOver    = "evacuation over"
+	// A row that evacuates a failure domain is not as it should be.
+	eventEvacuationRefused = "evacuation not as expected"
 	// The number of known nodes changed.
 	eventMembersChanged = "members changed"
 	// The platform's store does not answer this node.
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// evacuated reports whether nothing is to be sent to the endpoints of a failure domain.
+func (l *leaders) evacuated(domain string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view != nil && l.view.evacuations.Has(domain)
+}
+
 func (l *leaders) get(cell int) *leader {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/member"
 	"gradetiller.example/internal/core/poison"
+	"gradetiller.example/internal/core/slowstart"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/logging"
 	"gradetiller.example/internal/peer"
@@ -76,6 +77,9 @@
 	own    discovery.FirstHand
 	// refused belongs to the goroutine that reads the list of endpoints.
 	refused refusedEntries
+	// badEvacuations are the faults of rows that evacuate failure domains, as logged; it
+	// belongs to the goroutine that reads the configuration.
+	badEvacuations map[string]bool
 
 	membersMu sync.Mutex
 	members   *member.Node
@@ -85,6 +89,10 @@
 	// readers tells which nodes read the store, by the entries.
 	readers   atomic.Pointer[discovery.Ranking]
 	liveNodes atomic.Int64
+	// share is this node's part of all nodes.
+	share  atomic.Pointer[slowstart.Share]
+	peakMu sync.Mutex
+	peak   slowstart.Peak
 	// leads has a bit for each cell that this node claims.
 	leads atomic.Uint64
 	// askedView, greeted and asked belong to the goroutine that beats.
@@ -156,10 +164,10 @@
 	n.serving, n.giveUp = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress)
 	n.workers = platform.NewWorkers()
-	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.off)
+	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.ownPace, n.off)
 	n.budget = n.newBudget()
 	n.stageBudget = n.newBudget()
-	n.leaders = newLeaders(n.log, n.workers, newPools(hash.Of(s.Node), leaderPolicy, n.off), func() stagepool.Budget { return n.stageBudget }, n.off)
+	n.leaders = newLeaders(n.log, n.workers, newPools(hash.Of(s.Node), leaderPolicy, n.leaderPace, n.off), func() stagepool.Budget { return n.stageBudget }, n.off)
 	n.poisons = &poisons{guard: poison.NewGuard(s.Heartbeat)}
 	n.meters = newMeters(n)
 	n.leaders.meters = n.meters
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/slowstart"
 	"gradetiller.example/internal/wire"
 )
 
@@ -24,13 +26,17 @@
 	mu        sync.Mutex
 	seed      uint64
 	models    string // the policy for models
+	pace      pacing
 	off       mechanism.Off
 	byService map[string]*place.Pool
 	sharing   map[string]*place.Sharing
 }
 
-func newPools(seed uint64, models string, off mechanism.Off) *pools {
-	return &pools{seed: seed, models: models, off: off, byService: make(map[string]*place.Pool), sharing: make(map[string]*place.Sharing)}
+// pacing tells when calls may go to an endpoint that is cold for a time.
+type pacing func(service catalog.Service, endpoint string, cold discovery.Coldness) slowstart.Pace
+
+func newPools(seed uint64, models string, pace pacing, off mechanism.Off) *pools {
+	return &pools{seed: seed, models: models, pace: pace, off: off, byService: make(map[string]*place.Pool), sharing: make(map[string]*place.Sharing)}
 }
 
 func (p *pools) update(v *view) {
@@ -45,7 +51,7 @@
 			pool = newPool(service, p.models, p.seed)
 			p.byService[name] = pool
 		}
-		pool.Update(v.specs(service, p.off))
+		pool.Update(v.specs(service, p.pace, p.off))
 	}
 }
 
@@ -140,7 +146,7 @@
 		req.Tried = append(req.Tried, pool.Find(id))
 	}
 	req = pool.Consider(now, req)
-	if i := pool.Find(n.wanted); i != place.None && pool.Usable(now, i, req) {
+	if i := pool.Find(n.wanted); i != place.None && pool.Accepts(now, i, req) {
 		return pool, req, i, true
 	}
 	i, ok := pool.Choose(now, req)
@@ -160,7 +166,7 @@
 func (p *pools) cachingEndpoints(v *view) []catalog.Endpoint {
 	var list []catalog.Endpoint
 	for _, e := range v.endpoints {
-		if s, ok := v.config.Services[e.Service]; ok && s.PromptCache.Tokens > 0 && !e.Draining {
+		if s, ok := v.config.Services[e.Service]; ok && s.PromptCache.Tokens > 0 && v.evacuations.Takes(e) {
 			list = append(list, e)
 		}
 	}
--- a/internal/node/stagecalls.go
+++ b/internal/node/stagecalls.go
@@ -70,8 +70,12 @@
 	return total, fields
 }
 
-// free gives results up at their maker.
+// free gives results up at their maker. Those of an evacuated one end by themselves: their
+// room is of no use to anyone.
 func (c *leader) free(a stagepool.Free) {
+	if c.group.evacuated(a.Domain) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	if err := c.group.workers.FreeResults(ctx, a); err != nil {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -23,12 +23,22 @@
 	file   *configFile
 	// endpoints is the list as of a revision.
 	endpoints []catalog.Endpoint
+	// cold are those of them that are taken to be cold, by id.
+	cold map[string]discovery.Coldness
 	// revision orders such lists.
 	revision uint64
+	// evacuations are the failure domains to which nothing further is sent.
+	evacuations discovery.Evacuations
 	// fresh is as of when all this is known to be the store's.
 	fresh discovery.Freshness
 }
 
+// complete reports whether a node can serve by the view: it has a configuration and a list
+// of endpoints, and it is known which failure domains are evacuated.
+func (v *view) complete() bool {
+	return v.config != nil && !v.fresh.List.IsZero() && v.evacuations.Known()
+}
+
 // version is the version of the configuration in force, or 0.
 func (v *view) version() uint64 {
 	if v.config == nil {
@@ -131,7 +141,7 @@
 		next.fresh.StandIns = next.fresh.List
 	}
 	if changed {
-		next.endpoints = n.list.Endpoints()
+		next.endpoints, next.cold = n.list.Endpoints(), n.list.Cold()
 		n.logEndpoints(source, listAge, old.endpoints, next.endpoints)
 	}
 	n.view.Store(&next)
@@ -165,8 +175,8 @@
 	for _, e := range after {
 		old, ok := known[e.ID]
 		delete(known, e.ID)
-		if !ok || old.Draining != e.Draining {
-			n.log.Info(eventEndpointListed, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Bool("draining", e.Draining), zap.String("source", source), zap.Int64("list_age_ms", listAge))
+		if !ok || old.Draining != e.Draining || old.Cold == 0 && e.Cold > 0 {
+			n.log.Info(eventEndpointListed, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Bool("draining", e.Draining), zap.Duration("cold", e.Cold), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 		}
 	}
 	for id, e := range known {
@@ -174,6 +184,51 @@
 	}
 }
 
+// takeEvacuations puts evacuations in force that change makes of the present ones.
+func (n *Node) takeEvacuations(source string, change func(now time.Time, present discovery.Evacuations) discovery.Evacuations) {
+	n.viewMu.Lock()
+	old := n.view.Load()
+	next := *old
+	next.evacuations = change(time.Now(), old.evacuations)
+	if next.evacuations.Revision() == old.evacuations.Revision() {
+		n.viewMu.Unlock()
+		return
+	}
+	n.view.Store(&next)
+	n.viewMu.Unlock()
+	if next.evacuations.Same(old.evacuations) {
+		return
+	}
+	n.logEvacuations(source, old, &next)
+	n.viewChanged()
+}
+
+// logEvacuations logs what changed from one view to the next.
+func (n *Node) logEvacuations(source string, old, next *view) {
+	for _, domain := range next.evacuations.Domains() {
+		if !old.evacuations.Has(domain) {
+			n.log.Info(eventEvacuationInForce, zap.String("failure_domain", domain), zap.Int("endpoints", next.endpointsIn(domain)), zap.Uint64("revision", next.evacuations.Revision()), zap.String("source", source))
+		}
+	}
+	for _, domain := range old.evacuations.Domains() {
+		if !next.evacuations.Has(domain) {
+			n.log.Info(eventEvacuationOver, zap.String("failure_domain", domain), zap.Int("endpoints", next.endpointsIn(domain)), zap.Uint64("revision", next.evacuations.Revision()), zap.String("source", source))
+		}
+	}
+}
+
+// endpointsIn counts the endpoints of a failure domain. None for an evacuated one may be a
+// mistake in its name.
+func (v *view) endpointsIn(domain string) int {
+	count := 0
+	for _, e := range v.endpoints {
+		if e.Domain == domain {
+			count++
+		}
+	}
+	return count
+}
+
 // viewChanged hands the view in force to the pools.
 func (n *Node) viewChanged() {
 	v := n.view.Load()
@@ -196,6 +251,7 @@
 		Revision: delta.Revision, Whole: delta.Whole, Gone: delta.Gone, Digest: delta.Digest,
 		Age: age(now, v.fresh.List), ConfigAge: age(now, v.fresh.Config), ReadersAge: age(now, v.fresh.Readers),
 		StandInsAge: age(now, v.fresh.StandIns),
+		Evacuated:   v.evacuations.Domains(), EvacuatedRevision: v.evacuations.Revision(),
 	}
 	for _, e := range delta.Changed {
 		out.Changed = append(out.Changed, wire.Worker(e))
@@ -234,6 +290,11 @@
 	if len(m.Config) > 0 && m.ConfigVersion > n.view.Load().version() {
 		n.takePeerConfig(m)
 	}
+	if m.EvacuatedRevision > 0 {
+		n.takeEvacuations(sourcePeer, func(now time.Time, present discovery.Evacuations) discovery.Evacuations {
+			return present.Replace(now, m.EvacuatedRevision, m.Evacuated)
+		})
+	}
 	if m.Revision == 0 {
 		return
 	}
@@ -243,8 +304,9 @@
 	}
 	now := time.Now()
 	fresh := discovery.Freshness{List: moment(now, m.Age), Readers: moment(now, m.ReadersAge), StandIns: moment(now, m.StandInsAge)}
-	if m.ConfigVersion <= n.view.Load().version() {
-		// What the peer holds is in force here too.
+	if m.ConfigVersion <= n.view.Load().version() && m.EvacuatedRevision > 0 {
+		// What the peer holds is in force here too. Of evacuations one of an earlier
+		// version knows nothing.
 		fresh.Config = moment(now, m.ConfigAge)
 	}
 	n.changeEndpoints(sourcePeer, fresh, func() bool { return n.list.Apply(fresh.List, delta) })
@@ -264,8 +326,19 @@
 	n.takeConfig(data, sourcePeer)
 }
 
+// coldness is when an endpoint of a service is taken to be cold: as the list tells, and for
+// the time of a start after an evacuation, of which the list may tell too late.
+func (v *view) coldness(service catalog.Service, e catalog.Endpoint) discovery.Coldness {
+	cold := v.cold[e.ID]
+	ended := v.evacuations.EndedAt(e.Domain)
+	if ended.IsZero() || cold.Until.After(ended) {
+		return cold
+	}
+	return discovery.Coldness{Since: ended, Until: ended.Add(service.ColdTime)}
+}
+
 // specs returns the endpoints of a service that take new work.
-func (v *view) specs(service catalog.Service, off mechanism.Off) []place.Spec {
+func (v *view) specs(service catalog.Service, pace pacing, off mechanism.Off) []place.Spec {
 	cache := service.PromptCache
 	if off.Has(mechanism.Holdings) {
 		cache.Tokens = 0
@@ -273,12 +346,12 @@
 	cache.Copies = cache.Copies && !off.Has(mechanism.Copies)
 	var specs []place.Spec
 	for _, e := range v.endpoints {
-		if e.Service != service.Name || e.Draining {
+		if e.Service != service.Name || !v.evacuations.Takes(e) {
 			continue
 		}
 		specs = append(specs, place.Spec{
 			Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: max(e.Slots, 1),
-			CacheTokens: cache.Tokens, Copies: cache.Copies,
+			CacheTokens: cache.Tokens, Copies: cache.Copies, Pace: pace(service, e.ID, v.coldness(service, e)),
 		})
 	}
 	return specs
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -55,6 +55,7 @@
 		if r.Data != nil {
 			n.takeConfig(r.Data, sourceStore)
 		}
+		n.readEvacuations(r)
 		// A whole read is no wait, and tells the configuration as of its question.
 		n.readConfig(discovery.AnswerAsOf(asked, time.Now(), wait, r.Data != nil || revision == 0))
 		revision = r.Revision
@@ -63,6 +64,35 @@
 	}
 }
 
+// readEvacuations takes in what the store tells of evacuated failure domains.
+func (n *Node) readEvacuations(r platform.ConfigRevision) {
+	n.noteEvacuationRows(r)
+	n.takeEvacuations(sourceStore, func(now time.Time, present discovery.Evacuations) discovery.Evacuations {
+		if !r.Whole {
+			return present.Change(now, r.Revision, r.Evacuations)
+		}
+		var domains []string
+		for _, e := range r.Evacuations {
+			domains = append(domains, e.Domain)
+		}
+		return present.Replace(now, r.Revision, domains)
+	})
+}
+
+// noteEvacuationRows logs each row that is not as it should be once, as long as it is there.
+func (n *Node) noteEvacuationRows(r platform.ConfigRevision) {
+	now := make(map[string]bool, len(r.Refused))
+	for _, refused := range r.Refused {
+		now[refused.Error()] = true
+		if !n.badEvacuations[refused.Error()] {
+			n.log.Warn(eventEvacuationRefused, zap.Bool("holds", refused.Holds), zap.Error(refused))
+		}
+	}
+	if r.Whole || len(now) > 0 {
+		n.badEvacuations = now
+	}
+}
+
 // untilAsked is how long a node that is no reader waits before it looks again
 // whether it is one.
 func (n *Node) untilAsked() time.Duration {
@@ -72,11 +102,8 @@
 	return standInPoll
 }
 
-// serves reports whether this node has a configuration and a list to serve by.
-func (n *Node) serves() bool {
-	v := n.view.Load()
-	return v.config != nil && !v.fresh.List.IsZero()
-}
+// serves reports whether this node knows all that it serves by.
+func (n *Node) serves() bool { return n.view.Load().complete() }
 
 func (n *Node) nextConfig(ctx context.Context, after uint64, failed int, wait time.Duration) (platform.ConfigRevision, error) {
 	if after == 0 {
@@ -125,7 +152,7 @@
 // reads reports whether this node reads the store itself.
 func (n *Node) reads(now time.Time) bool {
 	fresh := n.view.Load().fresh
-	if fresh.List.IsZero() {
+	if fresh.List.IsZero() || !n.view.Load().evacuations.Known() {
 		return len(n.settings.Seeds) == 0 || n.readers.Load().ReadsFirst(n.settings.Node, now.Sub(n.started))
 	}
 	return n.readers.Load().Reads(n.settings.Node, now, fresh)
@@ -158,6 +185,7 @@
 // store.
 func (n *Node) setEntries(entries []wire.Entry) {
 	n.entries.Store(&entries)
+	n.shareOut(time.Now(), entries)
 	readers := n.rankReaders(entries)
 	n.readers.Store(&readers)
 }
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -1,5 +1,7 @@
 package wire
 
+import "time"
+
 // Stage is one stage of a request's work before it can run.
 type Stage struct {
 	Service     string
@@ -113,6 +115,8 @@
 	Draining bool
 	// Listed is 0 from nodes of an earlier version.
 	Listed uint64
+	// Cold is 0 from nodes of an earlier version too.
+	Cold time.Duration
 }
 
 // View answers a ViewRequest. A configuration that is not newer is left out.
@@ -137,6 +141,11 @@
 	StandInsAge int64
 	// Packed tells that Config is compressed.
 	Packed bool
+	// Evacuated lists the failure domains to which nothing further is to be sent, as of
+	// EvacuatedRevision, which is 0 when the sender does not know or is of an earlier
+	// version.
+	Evacuated         []string
+	EvacuatedRevision uint64
 }
 
 func (StagesSubmit) kind() kind  { return kindStagesSubmit }
