platform, internal/core/discovery, internal/node: a store that comes back from an older copy takes nothing back

Cause: everything that came from the store was ordered by its count of changes alone, and its era was read by nobody. A node behind the copy's count took no list and no evacuation until the count had grown past its own, and asked for changes after a count that had been given out anew, which tells nothing of those before it. Ruled out: keeping anything in the store that would have to be written again: the system writes nothing there. Passing beliefs of before the restoration to other nodes: lists would differ from the store's, and be asked for whole by all. Change: catalog.Revision orders by era, then by count, made in the adapter and carried by lists, evacuations, views and heartbeats. A list of a later era is taken whole; what a node knows beyond the copy (left, leaving) it doubts until it is written again, 10 s at most; what the copy lacks is waited for as after any absence; evacuations that it lacks hold for 10 s. A node that has begun serves no configuration older than one that it heard of. A header that is missing, falls or can't be read: one line, the last era holds; an answer on its way is of its own era.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -194,7 +194,7 @@
 	Draining bool
 	// Listed is the store's count of changes at which the entry took its present form,
 	// or 0 when that is not known. An entry that went and came back has a higher one.
-	Listed uint64
+	Listed Revision
 	// Cold is how much longer the endpoint was to stay cold when it wrote its entry, which
 	// it does with each heartbeat while it is.
 	Cold time.Duration
--- a/internal/core/discovery/evacuation.go
+++ b/internal/core/discovery/evacuation.go
@@ -12,8 +12,11 @@
 // of a revision of the store. The zero value knows nothing yet. A value is never changed
 // after it was made.
 type Evacuations struct {
-	revision uint64
+	revision catalog.Revision
 	domains  map[string]bool
+	// held are evacuations that the store had acknowledged before it came back from an older
+	// copy which lacks them, and until when they are taken to hold all the same.
+	held map[string]time.Time
 	// ended is when an evacuation was last found to be over, by failure domain.
 	ended map[string]time.Time
 }
@@ -28,13 +31,58 @@
 func (v Evacuations) Known() bool { return v.revision > 0 }
 
 // Revision is the store's count of changes up to which all evacuations are in.
-func (v Evacuations) Revision() uint64 { return v.revision }
+func (v Evacuations) Revision() catalog.Revision { return v.revision }
 
 // Has reports whether a failure domain is evacuated.
-func (v Evacuations) Has(domain string) bool { return v.domains[domain] }
+func (v Evacuations) Has(domain string) bool {
+	_, held := v.held[domain]
+	return held || v.domains[domain]
+}
+
+// Listed lists the failure domains that are evacuated by the store's word, as it goes to
+// other nodes.
+func (v Evacuations) Listed() []string { return slices.Sorted(maps.Keys(v.domains)) }
+
+// Domains lists the failure domains to whose endpoints nothing is to be sent.
+func (v Evacuations) Domains() []string {
+	all := v.Listed()
+	for d := range v.held {
+		if !v.domains[d] {
+			all = append(all, d)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
 
-// Domains lists the evacuated failure domains.
-func (v Evacuations) Domains() []string { return slices.Sorted(maps.Keys(v.domains)) }
+// heldFor is how long an evacuation holds that a restored store lacks. The operator writes
+// it again as what else was lost; one that was taken back meanwhile costs this time.
+const heldFor = 10 * time.Second
+
+// Settle returns the evacuations without those whose time to be written again is over.
+func (v Evacuations) Settle(now time.Time) Evacuations {
+	for d, until := range v.held {
+		if now.Before(until) {
+			continue
+		}
+		next := v
+		next.held = maps.Clone(v.held)
+		delete(next.held, d)
+		if !v.domains[d] {
+			next.ended = marked(v.ended, d, now)
+		}
+		v = next
+	}
+	return v
+}
+
+// marked returns a copy of moments with one more.
+func marked(all map[string]time.Time, domain string, at time.Time) map[string]time.Time {
+	next := make(map[string]time.Time, len(all)+1)
+	maps.Copy(next, all)
+	next[domain] = at
+	return next
+}
 
 // EndedAt is when the last evacuation of a failure domain was found to be over, or zero.
 // Its endpoints may be cold from then on, before the list of endpoints tells so.
@@ -47,7 +95,7 @@
 
 // Replace returns the evacuations as of a revision, which are all there are. What is not
 // ahead of the present ones changes nothing.
-func (v Evacuations) Replace(now time.Time, revision uint64, domains []string) Evacuations {
+func (v Evacuations) Replace(now time.Time, revision catalog.Revision, domains []string) Evacuations {
 	if revision <= v.revision {
 		return v
 	}
@@ -59,38 +107,50 @@
 }
 
 // Change returns the evacuations as of a revision, given the last change of each failure
-// domain since one that is not after the present one.
-func (v Evacuations) Change(now time.Time, revision uint64, changes []EvacuationChange) Evacuations {
+// domain since one that is not after the present one and of its era.
+func (v Evacuations) Change(now time.Time, revision catalog.Revision, changes []EvacuationChange) Evacuations {
 	if revision <= v.revision {
 		return v
 	}
-	next := maps.Clone(v.domains)
-	if next == nil {
-		next = make(map[string]bool)
-	}
+	next := make(map[string]bool, len(v.domains)+len(changes))
+	maps.Copy(next, v.domains)
+	held := maps.Clone(v.held)
 	for _, c := range changes {
+		delete(held, c.Domain)
 		if c.Ended {
 			delete(next, c.Domain)
 			continue
 		}
 		next[c.Domain] = true
 	}
-	return v.advance(now, revision, next)
+	changed := v
+	changed.held = held
+	return v.advanced(now, changed, revision, next)
 }
 
-func (v Evacuations) advance(now time.Time, revision uint64, domains map[string]bool) Evacuations {
-	next := Evacuations{revision: revision, domains: domains, ended: v.ended}
-	for d := range v.domains {
-		if domains[d] {
-			continue
+// advance returns the evacuations as of a revision, whose domains are all there are.
+func (v Evacuations) advance(now time.Time, revision catalog.Revision, domains map[string]bool) Evacuations {
+	next := v
+	if v.Known() && revision.Era() > v.revision.Era() {
+		for _, d := range v.Domains() {
+			if !domains[d] {
+				next.held = marked(next.held, d, now.Add(heldFor))
+			}
 		}
-		if next.ended = maps.Clone(next.ended); next.ended == nil {
-			next.ended = make(map[string]time.Time)
+	}
+	return v.advanced(now, next, revision, domains)
+}
+
+// advanced completes next, which comes after v, and notes what is over.
+func (v Evacuations) advanced(now time.Time, next Evacuations, revision catalog.Revision, domains map[string]bool) Evacuations {
+	next.revision, next.domains = revision, domains
+	for _, d := range v.Domains() {
+		if !next.Has(d) {
+			next.ended = marked(next.ended, d, now)
 		}
-		next.ended[d] = now
 	}
 	return next
 }
 
-// Same reports whether the same failure domains are evacuated.
-func (v Evacuations) Same(o Evacuations) bool { return maps.Equal(v.domains, o.domains) }
+// Same reports whether nothing is to be sent to the same failure domains.
+func (v Evacuations) Same(o Evacuations) bool { return slices.Equal(v.Domains(), o.Domains()) }
--- a/internal/core/discovery/evacuation_test.go
+++ b/internal/core/discovery/evacuation_test.go
@@ -14,12 +14,12 @@
 // rowOf is an operator's row of one failure domain.
 type rowOf struct {
 	evacuated bool
-	changed   uint64
+	changed   catalog.Revision
 }
 
 // operatorsRows is the store's table: all that was ever written, the last of it by domain.
 type operatorsRows struct {
-	revision uint64
+	revision catalog.Revision
 	rows     map[string]rowOf
 }
 
@@ -39,7 +39,7 @@
 	return list
 }
 
-func (o *operatorsRows) since(revision uint64) []EvacuationChange {
+func (o *operatorsRows) since(revision catalog.Revision) []EvacuationChange {
 	var list []EvacuationChange
 	for d, r := range o.rows {
 		if r.changed > revision {
@@ -56,7 +56,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		store := operatorsRows{revision: 1, rows: make(map[string]rowOf)}
-		history := map[uint64][]string{1: nil}
+		history := map[catalog.Revision][]string{1: nil}
 		nodes := make([]Evacuations, 3)
 		domains := []string{"a", "b", "c"}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -72,7 +72,7 @@
 				revision := rapid.SampledFrom(slices.Sorted(maps.Keys(history))).Draw(t, "revision")
 				nodes[at] = before.Replace(now, revision, history[revision])
 			case 2:
-				since := rapid.Uint64Range(0, before.Revision()).Draw(t, "since")
+				since := catalog.Revision(rapid.Uint64Range(0, uint64(before.Revision())).Draw(t, "since"))
 				nodes[at] = before.Change(now, store.revision, store.since(since))
 			case 3:
 				peer := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "peer")]
@@ -121,14 +121,14 @@
 func TestColdness(t *testing.T) {
 	start := time.Unix(1000, 0)
 	l := NewList()
-	read := func(after time.Duration, revision uint64, cold time.Duration) (Coldness, bool) {
+	read := func(after time.Duration, revision catalog.Revision, cold time.Duration) (Coldness, bool) {
 		l.Read(start.Add(after), []catalog.Endpoint{{ID: "e", Listed: revision, Cold: cold}}, revision)
 		c, ok := l.Cold()["e"]
 		return c, ok
 	}
 	steps := []struct {
 		after        time.Duration
-		revision     uint64
+		revision     catalog.Revision
 		cold         time.Duration
 		since, until time.Duration
 		is           bool
--- a/internal/core/discovery/lapse.go
+++ b/internal/core/discovery/lapse.go
@@ -84,6 +84,9 @@
 	return after == before
 }
 
+// Doubted returns how many entries of a restored store are doubted.
+func (l *List) Doubted() int { return len(l.doubts.entries) }
+
 // Kept returns how many endpoints are used although the store does not list them.
 func (l *List) Kept() int { return len(l.lapses.endpoints) }
 
--- a/internal/core/discovery/leavingworld_test.go
+++ b/internal/core/discovery/leavingworld_test.go
@@ -36,7 +36,7 @@
 	nodes     []*listNode
 	byName    map[string]*listNode
 	endpoints []*listedEndpoint
-	revision  uint64
+	revision  catalog.Revision
 	// awayUntil is when the store is back, lapses whether entries go meanwhile, and
 	// unsteady when it was last away.
 	awayUntil time.Duration
@@ -77,7 +77,7 @@
 	tells     bool
 	// ahead told a revision above this node's; askedAhead is when it was asked last.
 	ahead      *listNode
-	aheadOf    uint64
+	aheadOf    catalog.Revision
 	askedAhead time.Duration
 	missing    map[string]time.Duration
 }
@@ -324,7 +324,7 @@
 }
 
 // renewed has a node tell its neighbors at once if it had no news for a while.
-func (n *listNode) renewed(stale bool, before uint64) {
+func (n *listNode) renewed(stale bool, before catalog.Revision) {
 	n.tells = n.tells || stale && n.list.Revision() != before
 }
 
@@ -351,7 +351,7 @@
 }
 
 // take takes the store's whole state in.
-func (n *listNode) take(at time.Time, entries []catalog.Endpoint, revision uint64, r Ranking) {
+func (n *listNode) take(at time.Time, entries []catalog.Endpoint, revision catalog.Revision, r Ranking) {
 	n.own.ReadList(at)
 	n.own.ReadConfig(at)
 	n.known = n.known.Later(n.own.Freshness(r, n.name))
--- a/internal/core/discovery/list.go
+++ b/internal/core/discovery/list.go
@@ -19,11 +19,11 @@
 // List is the endpoints as of a revision, and those whose entries lapsed. It is not
 // safe for concurrent use.
 type List struct {
-	revision  uint64
+	revision  catalog.Revision
 	endpoints map[string]known
 	gone      []departed
 	// floor is the revision from which on all departures are remembered.
-	floor uint64
+	floor catalog.Revision
 	// digest is the sum of the endpoints' hashes.
 	digest uint64
 	// differs tells that the list is not that of the node asked last, so that a whole
@@ -33,6 +33,7 @@
 	current   time.Time
 	heartbeat time.Duration
 	lapses    lapses
+	doubts    doubts
 }
 
 // ListOption changes a new list.
@@ -45,7 +46,7 @@
 
 type known struct {
 	endpoint catalog.Endpoint
-	changed  uint64
+	changed  catalog.Revision
 	cold     Coldness
 }
 
@@ -54,13 +55,15 @@
 
 type departed struct {
 	id      string
-	changed uint64
+	changed catalog.Revision
+	// listed is the endpoint's entry before it went.
+	listed catalog.Revision
 }
 
 // Delta is what changed above a revision.
 type Delta struct {
 	// Revision is up to which the receiver then holds all changes.
-	Revision uint64
+	Revision catalog.Revision
 	// Whole is true when Changed is the whole list.
 	Whole   bool
 	Changed []catalog.Endpoint
@@ -76,6 +79,7 @@
 	l := &List{
 		endpoints: make(map[string]known), heartbeat: DefaultHeartbeat,
 		lapses: lapses{endpoints: make(map[string]catalog.Endpoint)},
+		doubts: doubts{entries: make(map[string]doubt)},
 	}
 	for _, o := range options {
 		o(l)
@@ -85,7 +89,7 @@
 
 // Revision returns up to which revision of the store all changes are in, or 0 when the
 // whole list is wanted.
-func (l *List) Revision() uint64 {
+func (l *List) Revision() catalog.Revision {
 	if l.differs {
 		return 0
 	}
@@ -98,7 +102,7 @@
 // Endpoints returns the endpoints to use by id: those listed, and those whose entries
 // lapsed.
 func (l *List) Endpoints() []catalog.Endpoint {
-	list := l.listed()
+	list := l.doubts.apply(l.listed())
 	for _, e := range l.lapses.endpoints {
 		list = append(list, e)
 	}
@@ -122,7 +126,7 @@
 // Read takes the store's whole list as of a revision in, as read at a time, and
 // reports whether anything but the revision changed. An older list than the
 // present one is ignored.
-func (l *List) Read(at time.Time, endpoints []catalog.Endpoint, revision uint64) bool {
+func (l *List) Read(at time.Time, endpoints []catalog.Endpoint, revision catalog.Revision) bool {
 	if revision < l.revision || revision == 0 {
 		return false
 	}
@@ -141,10 +145,14 @@
 }
 
 // replace puts a whole list, as of a time, in the place of the present one.
-func (l *List) replace(at time.Time, listed map[string]catalog.Endpoint, revision uint64) bool {
-	if l.revision == 0 {
+func (l *List) replace(at time.Time, listed map[string]catalog.Endpoint, revision catalog.Revision) bool {
+	restored := revision.Era() > l.revision.Era()
+	if l.revision == 0 || restored {
 		l.floor = revision
 	}
+	if restored && l.revision != 0 {
+		l.restored(at, listed)
+	}
 	l.begin(at, func() map[string]catalog.Endpoint { return listed })
 	l.revision, l.differs = revision, false
 	changed := false
@@ -157,7 +165,13 @@
 			changed = true
 		}
 	}
-	return l.lapses.expire(at) || changed
+	return l.settle(at) || changed
+}
+
+// settle drops what was held in doubt for long enough, and reports whether there was any.
+func (l *List) settle(at time.Time) bool {
+	lapsed := l.lapses.expire(at)
+	return l.doubts.expire(at) || lapsed
 }
 
 // begin notes what the list as of a time tells of the store.
@@ -177,6 +191,7 @@
 // put takes an entry in, as of a time, and reports whether it changed.
 func (l *List) put(at time.Time, e catalog.Endpoint) bool {
 	delete(l.lapses.endpoints, e.ID)
+	l.doubts.rewritten(e)
 	old, ok := l.endpoints[e.ID]
 	if ok && old.endpoint == e {
 		return false
@@ -222,7 +237,7 @@
 	l.lapses.keep(at, e)
 	l.digest -= digestOf(e)
 	delete(l.endpoints, id)
-	l.gone = append(l.gone, departed{id: id, changed: l.revision})
+	l.gone = append(l.gone, departed{id: id, changed: l.revision, listed: e.Listed})
 	if len(l.gone) > mostGone {
 		l.floor = l.gone[0].changed
 		l.gone = slices.Delete(l.gone, 0, 1)
@@ -231,7 +246,7 @@
 
 // Above returns what changed above a revision, or an empty answer from a list that is
 // known to differ from the store's.
-func (l *List) Above(revision uint64) Delta {
+func (l *List) Above(revision catalog.Revision) Delta {
 	if l.differs {
 		return Delta{}
 	}
@@ -272,7 +287,7 @@
 			return false
 		}
 		l.advance(at)
-		return l.lapses.expire(at)
+		return l.settle(at)
 	}
 	return l.change(at, d)
 }
@@ -292,5 +307,5 @@
 		}
 	}
 	l.differs = l.digest != d.Digest
-	return l.lapses.expire(at) || changed
+	return l.settle(at) || changed
 }
--- a/internal/core/discovery/list_test.go
+++ b/internal/core/discovery/list_test.go
@@ -21,8 +21,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		const nodes = 4
 		store := map[string]catalog.Endpoint{}
-		history := map[uint64][]catalog.Endpoint{}
-		revision := uint64(1)
+		history := map[catalog.Revision][]catalog.Endpoint{}
+		revision := catalog.Revision(1)
 		lists := make([]*List, nodes)
 		for i := range lists {
 			lists[i] = NewList()
@@ -96,7 +96,7 @@
 		{7300 * time.Millisecond, []catalog.Endpoint{a}, 1},
 		{8 * time.Second, nil, 0},
 	} {
-		l.Read(testTime.Add(c.after), c.listed, 2+uint64(c.after))
+		l.Read(testTime.Add(c.after), c.listed, 2+catalog.Revision(c.after))
 		if got := len(l.Endpoints()); got != c.want {
 			t.Errorf("after %v: %d endpoints, want %d", c.after, got, c.want)
 		}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -53,6 +53,10 @@
 	eventEvacuationRefused = "evacuation not as expected"
 	// The number of known nodes changed.
 	eventMembersChanged = "members changed"
+	// The store came back from an older copy of itself.
+	eventStoreRestored = "store restored"
+	// The store's answers do not tell its era as they should.
+	eventStoreEra = "store era not as expected"
 	// The platform's store does not answer this node.
 	eventStoreLost = "store lost"
 	// The store answers again.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -107,7 +107,7 @@
 // accept checks a request against the configuration and reads its body. It
 // returns a status when the request ends here.
 func (n *Node) accept(w http.ResponseWriter, q *request) int {
-	if !q.view.complete() {
+	if !q.view.complete() || !n.caughtUp() {
 		return http.StatusServiceUnavailable
 	}
 	cfg := q.view.config
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,9 @@
 	changedAt  atomic.Int64
 	leadingSet atomic.Uint64
 	hasJoined  atomic.Bool
+	// hasCaughtUp stays true once this node has had the newest configuration that others
+	// told of.
+	hasCaughtUp atomic.Bool
 
 	// storeLost tells whether the last call of each kind to the store failed,
 	// readsStore whether this node read the store when it last looked.
@@ -162,7 +165,7 @@
 		o(n)
 	}
 	n.serving, n.giveUp = context.WithCancelCause(context.Background())
-	n.store = platform.NewStore(s.StoreAddress)
+	n.store = platform.NewStore(s.StoreAddress, platform.WithEraFaults(func(err error) { n.log.Warn(eventStoreEra, zap.Error(err)) }))
 	n.workers = platform.NewWorkers()
 	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.ownPace, n.off)
 	n.budget = n.newBudget()
@@ -274,7 +277,7 @@
 // isReady reports whether the node can serve: it knows a configuration and
 // the endpoints, and is not leaving.
 func (n *Node) isReady() bool {
-	return n.serves() && n.joined() && n.liveNodes.Load() > 0 && !n.stopping()
+	return n.serves() && n.joined() && n.caughtUp() && n.liveNodes.Load() > 0 && !n.stopping()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/core/mechanism"
@@ -72,7 +73,7 @@
 	if node, version := n.members.HigherConfig(); version > v.version() {
 		return n.members.Address(node)
 	}
-	if node, revision := n.members.HigherList(); revision > v.revision && v.fresh.Stale(now) {
+	if node, revision := n.members.HigherList(); catalog.Revision(revision) > v.revision && v.fresh.Stale(now) {
 		return n.members.Address(node)
 	}
 	return ""
@@ -162,7 +163,7 @@
 		return
 	}
 	n.askedView = now
-	n.links.Send(ahead, wire.ViewRequest{ConfigAbove: own, EndpointsAbove: v.revision, TakesPacked: true})
+	n.links.Send(ahead, wire.ViewRequest{ConfigAbove: own, EndpointsAbove: uint64(v.revision), TakesPacked: true})
 }
 
 // knowing returns the peer address of a node that may know more than a view: a
@@ -278,7 +279,7 @@
 	defer n.membersMu.Unlock()
 	self := n.members.Self()
 	return wire.Gossip{
-		Node: self.Node, Incarnation: self.Incarnation, ConfigVersion: n.view.Load().version(), ListRevision: n.view.Load().revision,
+		Node: self.Node, Incarnation: self.Incarnation, ConfigVersion: n.view.Load().version(), ListRevision: uint64(n.view.Load().revision),
 		Members: []wire.Member{self}, Courtesy: true,
 	}
 }
@@ -322,6 +323,30 @@
 	return true
 }
 
+// catchUpTime bounds how long a node that has just begun waits for a configuration that
+// others told of: who told may be lost since.
+const catchUpTime = 5 * time.Second
+
+// caughtUp reports whether this node, since its start, has had the newest configuration that
+// others told of. A store that came back from an older copy gives an older one to a node
+// that begins then, which must not take it for the newest.
+func (n *Node) caughtUp() bool {
+	if n.hasCaughtUp.Load() {
+		return true
+	}
+	n.membersMu.Lock()
+	_, newest := n.members.HigherConfig()
+	n.membersMu.Unlock()
+	late := time.Since(n.started) > catchUpTime
+	if newest > n.view.Load().version() && !late {
+		return false
+	}
+	if n.joined() && n.serves() {
+		n.hasCaughtUp.Store(true)
+	}
+	return true
+}
+
 // awaitJoined waits until the node has joined.
 func (n *Node) awaitJoined(ctx context.Context) {
 	for !n.joined() && ctx.Err() == nil {
--- /dev/null
+++ b/internal/node/restored_test.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gradetiller.example/platform/platformtest"
+)
+
+// restoredFor is how long after a restoration nothing that was acknowledged before it may
+// come undone. Nodes learn of the restored store well within it.
+const restoredFor = 2500 * time.Millisecond
+
+// during calls a function again and again for a time.
+func during(d time.Duration, f func(turn int)) {
+	for end, turn := time.Now().Add(d), 0; time.Now().Before(end); turn++ {
+		f(turn)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// churn writes rows that tell nothing.
+func churn(site *platformtest.Site, writes int) {
+	for i := range writes {
+		site.Store.PutOperators("note", fmt.Appendf(nil, "%d", i))
+	}
+}
+
+// awaitRevision waits until a node has read the store as it is now.
+func awaitRevision(t *testing.T, n *running, site *platformtest.Site) {
+	t.Helper()
+	eventually(t, "the node has read the store", func() bool { return n.node.view.Load().revision.Version() == site.Store.Version() })
+}
+
+// TestVersionsGivenOutAnew has the store come back from a copy while the node can't reach it,
+// and write an evacuation and much else before it can: its versions are beyond the one up to
+// which the node knows all changes, and yet it does not know that one.
+func TestVersionsGivenOutAnew(t *testing.T) {
+	site, _ := desk(t)
+	other := bothZones(site)
+	before := site.Store.Copy()
+	churn(site, 10)
+	door := site.AddDoor()
+	n := startNodeOn(t, site, platformtest.Instance{Zone: platformtest.DefaultZone, MemoryMB: 284, Store: door.Address})
+	n.awaitReady(t)
+	awaitRevision(t, n, site)
+	door.Close(platformtest.AllCalls, platformtest.Refuses)
+	time.Sleep(time.Second)
+	site.Store.Restore(before)
+	site.Store.Evacuate(otherZone)
+	churn(site, 60)
+	door.Open()
+	awaitUnreached(t, n, other)
+}
+
+// TestRestoredStore has the store come back from a copy that was made before a key was taken
+// away, a failure domain was evacuated, and endpoints left, one of them with a word. None of
+// that comes undone until it is written again, and new changes come into force.
+func TestRestoredStore(t *testing.T) {
+	site, c := desk(t)
+	c.Keys["key-2"] = "clinics"
+	c.Version = 2
+	site.Publish(c)
+	other := bothZones(site)
+	left, leaves := site.AddWorkers("desk", 1)[0], site.AddWorkers("desk", 1)[0]
+	n := startNode(t, site)
+	n.awaitReady(t)
+	sendAll(n.Front, "before")
+	before := site.Store.Copy()
+
+	delete(c.Keys, "key-2")
+	c.Version = 3
+	site.Publish(c)
+	site.Store.Evacuate(otherZone)
+	left.Unlist()
+	leaves.Drain()
+	eventually(t, "the key is taken away", func() bool {
+		return do(n.Front, platformtest.Request{ID: "gone", Path: "/read/", Key: "key-2"}).Status == http.StatusUnauthorized
+	})
+	awaitUnreached(t, n, append([]*platformtest.Worker{left, leaves}, other...))
+
+	churn(site, 40)
+	awaitRevision(t, n, site)
+	reachedBefore := reached(other) + left.Total() + leaves.Total()
+	site.Store.Restore(before)
+	during(restoredFor, func(turn int) {
+		if a := do(n.Front, platformtest.Request{ID: fmt.Sprintf("key-%d", turn), Path: "/read/", Key: "key-2"}); a.Status != http.StatusUnauthorized {
+			t.Fatalf("a key that was taken away is answered %d", a.Status)
+		}
+		sendAll(n.Front, fmt.Sprintf("during-%d", turn))
+	})
+	if now := reached(other) + left.Total() + leaves.Total(); now != reachedBefore {
+		t.Errorf("%d requests or calls reached endpoints that had left or are evacuated", now-reachedBefore)
+	}
+
+	site.Publish(c)
+	site.Store.Evacuate(otherZone)
+	leaves.Drain()
+	left.Leave()
+	fresh := site.AddWorkers("desk", 1)[0]
+	eventually(t, "an endpoint that is new since is used", func() bool {
+		sendAll(n.Front, "after")
+		return fresh.Total() > 0
+	})
+	site.Store.EndEvacuation(otherZone)
+	eventually(t, "the end of the evacuation is in force", func() bool {
+		sendAll(n.Front, "ended")
+		return reached(other) > reachedBefore
+	})
+	c.Keys["key-3"] = "clinics"
+	c.Version = 4
+	site.Publish(c)
+	eventually(t, "a version written since is in force", func() bool {
+		return do(n.Front, platformtest.Request{ID: "new", Path: "/read/", Key: "key-3"}).Status == http.StatusOK
+	})
+}
+
+// TestBegunAfterARestoration starts a node when the store has come back from an older copy
+// and nothing was written again: it is not ready with the older configuration while another
+// node has the newer one.
+func TestBegunAfterARestoration(t *testing.T) {
+	site, c := desk(t)
+	c.Keys["key-2"] = "clinics"
+	c.Version = 2
+	site.Publish(c)
+	site.AddWorkers("desk", 1)
+	before := site.Store.Copy()
+	delete(c.Keys, "key-2")
+	c.Version = 3
+	site.Publish(c)
+	first := startNode(t, site)
+	first.awaitReady(t)
+	site.Store.Restore(before)
+	late := startNode(t, site, first.Peer)
+	refused := 0
+	eventually(t, "the node serves", func() bool {
+		a := do(late.Front, platformtest.Request{ID: "gone", Path: "/read/", Key: "key-2"})
+		if a.Status == http.StatusOK {
+			t.Fatal("a key that was taken away is let in")
+		}
+		if a.Status == http.StatusUnauthorized {
+			refused++
+		}
+		return refused > 0
+	})
+}
+
+// TestRestoredTwice restores the store twice within a second, the second time to an older
+// copy than the first.
+func TestRestoredTwice(t *testing.T) {
+	site, c := desk(t)
+	site.AddWorkers("desk", 1)
+	left := site.AddWorkers("desk", 1)[0]
+	oldest := site.Store.Copy()
+	c.Version = 2
+	site.Publish(c)
+	older := site.Store.Copy()
+	n := startNode(t, site)
+	n.awaitReady(t)
+	sendAll(n.Front, "before")
+	left.Unlist()
+	awaitUnreached(t, n, []*platformtest.Worker{left})
+	ran := left.Total()
+	site.Store.Restore(older)
+	time.Sleep(900 * time.Millisecond)
+	site.Store.Restore(oldest)
+	during(restoredFor, func(turn int) { sendAll(n.Front, fmt.Sprintf("during-%d", turn)) })
+	if left.Total() != ran {
+		t.Errorf("%d requests reached an endpoint that had left", left.Total()-ran)
+	}
+	c.Version = 3
+	site.Publish(c)
+	eventually(t, "a version written since is in force", func() bool { return n.node.view.Load().version() == 3 })
+}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -26,7 +26,7 @@
 	// cold are those of them that are taken to be cold, by id.
 	cold map[string]discovery.Coldness
 	// revision orders such lists.
-	revision uint64
+	revision catalog.Revision
 	// evacuations are the failure domains to which nothing further is sent.
 	evacuations discovery.Evacuations
 	// fresh is as of when all this is known to be the store's.
@@ -92,7 +92,7 @@
 }
 
 // readEndpoints takes a list in that was read from the store at a moment.
-func (n *Node) readEndpoints(list []catalog.Endpoint, revision uint64, at time.Time) {
+func (n *Node) readEndpoints(list []catalog.Endpoint, revision catalog.Revision, at time.Time) {
 	fresh := n.readItself(func(own *discovery.FirstHand) { own.ReadList(at) })
 	n.changeEndpoints(sourceStore, fresh, func() bool { return n.list.Read(at, list, revision) })
 }
@@ -130,6 +130,7 @@
 		n.log.Info(eventEndpointsKept, zap.Int64("count", kept), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 	}
 	old := n.view.Load()
+	doubted := n.list.Doubted()
 	next := *old
 	next.revision = n.list.Revision()
 	next.fresh = old.fresh.Later(fresh)
@@ -147,6 +148,9 @@
 	n.view.Store(&next)
 	n.viewMu.Unlock()
 	n.endpointsListed(next.fresh.List, next.endpoints)
+	if next.revision.Era() > old.revision.Era() && old.revision != 0 {
+		n.log.Warn(eventStoreRestored, zap.Stringer("before", old.revision), zap.Stringer("after", next.revision), zap.Int("doubted", doubted), zap.String("source", source))
+	}
 	if next.revision != old.revision {
 		n.tellRevision(next.revision, old.fresh.Stale(now))
 	}
@@ -160,10 +164,10 @@
 // them may go on asking lost ones. With the readers and all that stand in for them first
 // lost, 61 nodes have dropped an endpoint 2.3 s after it left, and 4.2 s without this
 // (simulated time, TestLeaving, stand-ins-lost).
-func (n *Node) tellRevision(revision uint64, late bool) {
+func (n *Node) tellRevision(revision catalog.Revision, late bool) {
 	n.membersMu.Lock()
 	defer n.membersMu.Unlock()
-	n.members.SetListRevision(revision, late)
+	n.members.SetListRevision(uint64(revision), late)
 }
 
 // logEndpoints logs what a list that was not renewed for some milliseconds became.
@@ -189,8 +193,9 @@
 	n.viewMu.Lock()
 	old := n.view.Load()
 	next := *old
-	next.evacuations = change(time.Now(), old.evacuations)
-	if next.evacuations.Revision() == old.evacuations.Revision() {
+	now := time.Now()
+	next.evacuations = change(now, old.evacuations).Settle(now)
+	if next.evacuations.Revision() == old.evacuations.Revision() && next.evacuations.Same(old.evacuations) {
 		n.viewMu.Unlock()
 		return
 	}
@@ -207,12 +212,12 @@
 func (n *Node) logEvacuations(source string, old, next *view) {
 	for _, domain := range next.evacuations.Domains() {
 		if !old.evacuations.Has(domain) {
-			n.log.Info(eventEvacuationInForce, zap.String("failure_domain", domain), zap.Int("endpoints", next.endpointsIn(domain)), zap.Uint64("revision", next.evacuations.Revision()), zap.String("source", source))
+			n.log.Info(eventEvacuationInForce, zap.String("failure_domain", domain), zap.Int("endpoints", next.endpointsIn(domain)), zap.Stringer("revision", next.evacuations.Revision()), zap.String("source", source))
 		}
 	}
 	for _, domain := range old.evacuations.Domains() {
 		if !next.evacuations.Has(domain) {
-			n.log.Info(eventEvacuationOver, zap.String("failure_domain", domain), zap.Int("endpoints", next.endpointsIn(domain)), zap.Uint64("revision", next.evacuations.Revision()), zap.String("source", source))
+			n.log.Info(eventEvacuationOver, zap.String("failure_domain", domain), zap.Int("endpoints", next.endpointsIn(domain)), zap.Stringer("revision", next.evacuations.Revision()), zap.String("source", source))
 		}
 	}
 }
@@ -244,14 +249,14 @@
 func (n *Node) answerView(m *wire.ViewRequest, answer func(wire.Message) error) {
 	n.viewMu.Lock()
 	v := n.view.Load()
-	delta := n.list.Above(m.EndpointsAbove)
+	delta := n.list.Above(catalog.Revision(m.EndpointsAbove))
 	n.viewMu.Unlock()
 	now := time.Now()
 	out := wire.View{
-		Revision: delta.Revision, Whole: delta.Whole, Gone: delta.Gone, Digest: delta.Digest,
+		Revision: uint64(delta.Revision), Whole: delta.Whole, Gone: delta.Gone, Digest: delta.Digest,
 		Age: age(now, v.fresh.List), ConfigAge: age(now, v.fresh.Config), ReadersAge: age(now, v.fresh.Readers),
 		StandInsAge: age(now, v.fresh.StandIns),
-		Evacuated:   v.evacuations.Domains(), EvacuatedRevision: v.evacuations.Revision(),
+		Evacuated:   v.evacuations.Listed(), EvacuatedRevision: uint64(v.evacuations.Revision()),
 	}
 	for _, e := range delta.Changed {
 		out.Changed = append(out.Changed, wire.Worker(e))
@@ -292,13 +297,13 @@
 	}
 	if m.EvacuatedRevision > 0 {
 		n.takeEvacuations(sourcePeer, func(now time.Time, present discovery.Evacuations) discovery.Evacuations {
-			return present.Replace(now, m.EvacuatedRevision, m.Evacuated)
+			return present.Replace(now, catalog.Revision(m.EvacuatedRevision), m.Evacuated)
 		})
 	}
 	if m.Revision == 0 {
 		return
 	}
-	delta := discovery.Delta{Revision: m.Revision, Whole: m.Whole, Gone: m.Gone, Digest: m.Digest}
+	delta := discovery.Delta{Revision: catalog.Revision(m.Revision), Whole: m.Whole, Gone: m.Gone, Digest: m.Digest}
 	for _, w := range m.Changed {
 		delta.Changed = append(delta.Changed, catalog.Endpoint(w))
 	}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/wire"
@@ -27,7 +28,7 @@
 // watchConfig keeps the configuration current until ctx ends. A node that is
 // no reader gets it from one with the list of endpoints.
 func (n *Node) watchConfig(ctx context.Context) {
-	revision := uint64(0)
+	revision := catalog.Revision(0)
 	failed := 0
 	for ctx.Err() == nil {
 		asked := time.Now()
@@ -105,7 +106,7 @@
 // serves reports whether this node knows all that it serves by.
 func (n *Node) serves() bool { return n.view.Load().complete() }
 
-func (n *Node) nextConfig(ctx context.Context, after uint64, failed int, wait time.Duration) (platform.ConfigRevision, error) {
+func (n *Node) nextConfig(ctx context.Context, after catalog.Revision, failed int, wait time.Duration) (platform.ConfigRevision, error) {
 	if after == 0 {
 		return n.store.ReadConfig(ctx, discovery.ReadLimit(n.serves(), failed))
 	}
@@ -228,7 +229,7 @@
 	v := n.view.Load()
 	name := discovery.ReaderFor(readers, n.settings.Node, failed)
 	for _, e := range entriesOf(*n.entries.Load(), []string{name}) {
-		n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.version(), EndpointsAbove: v.revision, TakesPacked: true})
+		n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.version(), EndpointsAbove: uint64(v.revision), TakesPacked: true})
 	}
 }
 
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -1,6 +1,10 @@
 package wire
 
-import "time"
+import (
+	"time"
+
+	"gradetiller.example/internal/core/catalog"
+)
 
 // Stage is one stage of a request's work before it can run.
 type Stage struct {
@@ -114,7 +118,7 @@
 	Slots    int
 	Draining bool
 	// Listed is 0 from nodes of an earlier version.
-	Listed uint64
+	Listed catalog.Revision
 	// Cold is 0 from nodes of an earlier version too.
 	Cold time.Duration
 }
