internal/soak, platform/platformtest: evacuations and restored stores as kinds of their own

Cause: the soak brought neither. Ruled out: drawing them among the old kinds, which would change the old seeds. Change: a generation of runs with two zones; one is evacuated, taken back and evacuated again, and nothing may reach it 6 s later; the store comes back from copies up to four troubles old.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -43,6 +43,9 @@
 	// newest runs have the troubles of the first, and beside them, by draws of their own,
 	// all that came later: each a kind of its own.
 	newest
+	// placed runs have beside all these an evacuation of one of two zones, and a store that
+	// comes back from older copies, by further draws of their own.
+	placed
 )
 
 // regressions are the seeds that ever failed, with the cause. They are run each
@@ -72,6 +75,8 @@
 	// With five nodes.
 	{3430, newest, sharedRequest},
 	{3511, newest, neverBegun},
+	// With four nodes, six seconds.
+	{3619, newest, leftAndListed},
 }
 
 type regression struct {
@@ -88,6 +93,8 @@
 
 const neverBegun = "a request that was sent to workers which had crashed already, by way of proxies that took its connections, was refused as one that crashes them"
 
+const leftAndListed = "a worker that had left without a word got a call long after, while the store was away and nodes began anew; not traced"
+
 const hungUpEarly = "likely: a node that got SIGHUP before it had read its settings ended without a line"
 
 const noViewYet = "a node that was sent work before its first list of endpoints ended with a nil pointer"
@@ -98,16 +105,19 @@
 	of   generation
 	rand *rand.Rand
 	// later draws the troubles that came later.
-	later   *rand.Rand
-	site    *platformtest.Site
-	proxies *proxies
-	nodes   []*process
-	record  record
-	config  platformtest.Config
-	workers map[string][]*platformtest.Worker
-	retired []retired
-	crashes int
-	poisons *poisons
+	later *rand.Rand
+	// restores draws when the store comes back from a copy.
+	restores *rand.Rand
+	operator operator
+	site     *platformtest.Site
+	proxies  *proxies
+	nodes    []*process
+	record   record
+	config   platformtest.Config
+	workers  map[string][]*platformtest.Worker
+	retired  []retired
+	crashes  int
+	poisons  *poisons
 	// leaving are the workers that left while the readers were lost.
 	leaving []*platformtest.Worker
 	// unplanned counts the faults in force that are no planned work, and
@@ -159,7 +169,7 @@
 		list = slices.Concat(regressions, longRegressions)
 	}
 	for i := range *seeds {
-		list = append(list, regression{seed: *firstSeed + uint64(i), of: newest})
+		list = append(list, regression{seed: *firstSeed + uint64(i), of: placed})
 	}
 	for _, c := range list {
 		t.Run(fmt.Sprintf("seed-%d", c.seed), func(t *testing.T) { soak(t, program, c) })
@@ -177,9 +187,15 @@
 	lasts := time.Duration(*secondsEach * float64(time.Second))
 	r.poisons = newPoisons(r.site, r.fronts(), c.seed, c.of.poisons())
 	sending.Go(func() { r.poisons.send(clients, lasts/2) })
+	if r.of == placed {
+		time.AfterFunc(lasts/4, r.evacuate)
+	}
 	r.trouble(lasts)
 	time.Sleep(healTime)
 	r.awaitConfig()
+	if r.of == placed {
+		r.endEvacuation()
+	}
 	if r.of != spoken {
 		r.leaveWithReadersLost()
 		r.awaitConfig()
@@ -196,14 +212,14 @@
 
 // poisons is how many requests that crash workers a run has.
 func (g generation) poisons() int {
-	if g == newest {
+	if g >= newest {
 		return *poisonCount
 	}
 	return 0
 }
 
 func newRun(t *testing.T, program string, c regression) *run {
-	r := &run{t: t, of: c.of, rand: rand.New(rand.NewPCG(c.seed, 0)), later: rand.New(rand.NewPCG(c.seed, laterSeed)), workers: make(map[string][]*platformtest.Worker)}
+	r := &run{t: t, of: c.of, rand: rand.New(rand.NewPCG(c.seed, 0)), later: rand.New(rand.NewPCG(c.seed, laterSeed)), restores: rand.New(rand.NewPCG(c.seed, restoresSeed)), workers: make(map[string][]*platformtest.Worker)}
 	r.proxies = &proxies{t: t, list: make(map[string]*proxy)}
 	r.site = platformtest.NewSite(t)
 	r.site.Through = r.proxies.through
@@ -214,7 +230,7 @@
 	}
 	r.site.Publish(r.config)
 	for _, service := range []string{"desk", "model", "encode", "rank"} {
-		r.workers[service] = r.site.AddWorkers(service, 3)
+		r.workers[service] = r.firstWorkers(service)
 	}
 	if r.of != spoken {
 		for i, text := range otherEntries {
@@ -354,6 +370,7 @@
 		r.checkLeaving()
 	}
 	r.checkPoisons()
+	r.checkEvacuation()
 	if served < len(r.record.list)/4 {
 		r.fail("%d of %d requests were served", served, len(r.record.list))
 	}
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -55,7 +55,10 @@
 // laterTrouble brings, now and then, one of the troubles that came later, by draws of their
 // own: those of the others are the same with and without.
 func (r *run) laterTrouble(open *sync.WaitGroup) {
-	if r.of != newest || r.later.IntN(laterShare) > 0 {
+	if r.of == placed {
+		r.restoreNowAndThen()
+	}
+	if r.of < newest || r.later.IntN(laterShare) > 0 {
 		return
 	}
 	kinds := []func(time.Duration){r.rebornWorker, r.unlistWorker}
