internal/node: no endpoint is used before it is known which failure domains are evacuated

Cause: a node that had a configuration and a list, but no evacuations yet, refused clients but led work that other nodes submitted, also at endpoints of evacuated failure domains. Found by reading. Change: pools are made of complete views only. Measured: TestNoWorkBeforeEvacuationsAreKnown fails without the change (both endpoints were used) and passes with it.

--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -6,7 +6,11 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/discovery"
+	"gradetiller.example/platform"
 	"gradetiller.example/platform/platformtest"
 )
 
@@ -149,6 +153,40 @@
 	eventually(t, "it knows the end too", func() bool { sendAll(late.Front, "ended"); return reached(other) > 0 })
 }
 
+// TestNoWorkBeforeEvacuationsAreKnown gives a node a configuration and a list of endpoints,
+// but not yet which failure domains are evacuated: it uses no endpoint, also not for work that
+// other nodes submit.
+func TestNoWorkBeforeEvacuationsAreKnown(t *testing.T) {
+	site := platformtest.NewSite(t)
+	text, _ := site.Settings()
+	s, err := platform.ParseSettings(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(s)
+	n.takeConfig([]byte(`{"version":1,"services":[{"name":"desk"},{"name":"model","engine":{"slots":8}}]}`), sourceStore)
+	n.readEndpoints([]catalog.Endpoint{
+		{ID: "a", Service: "model", Address: "127.0.0.1:1", Domain: platformtest.DefaultZone, Slots: 8},
+		{ID: "b", Service: "model", Address: "127.0.0.1:2", Domain: otherZone, Slots: 8},
+	}, 5, time.Now())
+	uses := func(pools *pools) string {
+		c, ok := pools.choose(time.Now(), need{service: "model"})
+		if !ok {
+			return ""
+		}
+		return c.endpoint.ID
+	}
+	if got := uses(n.pools) + uses(n.leaders.models); got != "" {
+		t.Errorf("endpoint %s is used before evacuations are known", got)
+	}
+	n.takeEvacuations(sourceStore, func(now time.Time, present discovery.Evacuations) discovery.Evacuations {
+		return present.Replace(now, 5, []string{platformtest.DefaultZone})
+	})
+	if own, placed := uses(n.pools), uses(n.leaders.models); own != "b" || placed != "b" {
+		t.Errorf("endpoints %q and %q are used, want b alone", own, placed)
+	}
+}
+
 // TestRowsOfEvacuations has rows that are not as they should be: one without a failure
 // domain changes nothing, one whose value can't be read holds, since its key tells all.
 func TestRowsOfEvacuations(t *testing.T) {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -201,7 +201,7 @@
 	}
 	n.view.Store(&next)
 	n.viewMu.Unlock()
-	if next.evacuations.Same(old.evacuations) {
+	if old.evacuations.Known() && next.evacuations.Same(old.evacuations) {
 		return
 	}
 	n.logEvacuations(source, old, &next)
@@ -234,10 +234,11 @@
 	return count
 }
 
-// viewChanged hands the view in force to the pools.
+// viewChanged hands the view in force to the pools, once it is complete. Other nodes may
+// submit work before.
 func (n *Node) viewChanged() {
 	v := n.view.Load()
-	if v.config == nil {
+	if !v.complete() {
 		return
 	}
 	n.pools.update(v)
