--- a/internal/soak/placed_test.go
+++ b/internal/soak/placed_test.go
@@ -81,6 +81,8 @@
 	o.copies = nil
 	r.beginUnplanned()
 	defer r.endUnplanned()
+	began := time.Now()
+	defer func() { r.storeTroubles.add(began, time.Now()) }()
 	r.site.Store.SetDown(true)
 	time.Sleep(awayTime)
 	r.site.Store.Restore(from)
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -160,10 +160,39 @@
 
 func (r *run) harmStore(length time.Duration) {
 	r.harm(r.proxies.before(r.site.StoreAddress()), length)
+	r.noteStoreTrouble()
 }
 
 func (r *run) storeDown(length time.Duration) {
 	r.unplannedFor(length, func() { r.site.Store.SetDown(true) }, func() { r.site.Store.SetDown(false) })
+	r.noteStoreTrouble()
+}
+
+// noteStoreTrouble has the trouble that is being started count as one of the store.
+func (r *run) noteStoreTrouble() {
+	from, end := time.Now(), r.afterwards
+	r.afterwards = func() {
+		end()
+		r.storeTroubles.add(from, time.Now())
+	}
+}
+
+// spans are spans of time, safe for concurrent use.
+type spans struct {
+	mu   sync.Mutex
+	list []span
+}
+
+func (s *spans) add(from, to time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, span{from: from, to: to})
+}
+
+func (s *spans) overlap(from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return overlaps(s.list, from, to)
 }
 
 // badAnswers has a worker spoil its next answers.
