--- a/cmd/gradetiller/cmd/main.go
+++ b/cmd/gradetiller/cmd/main.go
@@ -26,13 +26,14 @@
 )
 
 type cli struct {
-	Check   checkCmd   `cmd:"" help:"Check a configuration file and print every problem with line and fix."`
-	Diff    diffCmd    `cmd:"" help:"Show what a file would change against the version in force, or against another file."`
-	Apply   applyCmd   `cmd:"" help:"Put a file in force as a whole."`
-	Show    showCmd    `cmd:"" help:"Print the configuration in force."`
-	History historyCmd `cmd:"" help:"List the latest versions of the configuration."`
-	Status  statusCmd  `cmd:"" help:"Show the nodes, what is impaired, and what the system does about it."`
-	Explain explainCmd `cmd:"" help:"Tell the decisions about a request, endpoint or version."`
+	Check    checkCmd    `cmd:"" help:"Check a configuration file and print every problem with line and fix."`
+	Diff     diffCmd     `cmd:"" help:"Show what a file would change against the version in force, or against another file."`
+	Apply    applyCmd    `cmd:"" help:"Put a file in force as a whole."`
+	Evacuate evacuateCmd `cmd:"" help:"Send nothing further to the endpoints of a failure domain, or end that."`
+	Show     showCmd     `cmd:"" help:"Print the configuration in force."`
+	History  historyCmd  `cmd:"" help:"List the latest versions of the configuration."`
+	Status   statusCmd   `cmd:"" help:"Show the nodes, what is impaired, and what the system does about it."`
+	Explain  explainCmd  `cmd:"" help:"Tell the decisions about a request, endpoint or version."`
 
 	ExplainLogs explainLogsCmd `cmd:"" help:"Tell the story of a request, endpoint, node or version from the logs of gradetiller-node."`
 	Compare     compareCmd     `cmd:"" help:"Show attainment and cost by stage of an experiment's arms, and whether they differ by more than noise."`
--- a/cmd/gradetiller/cmd/show.go
+++ b/cmd/gradetiller/cmd/show.go
@@ -54,6 +54,9 @@
 	for _, e := range st.Leaving {
 		fmt.Fprintf(s.out, "leaving endpoint: %s/%s gets no new work\n", e.Pool, e.Name)
 	}
+	for _, domain := range st.Evacuated {
+		fmt.Fprintf(s.out, "evacuated: endpoints of failure_domain=%s get nothing\n", domain)
+	}
 	for _, what := range st.Impaired {
 		fmt.Fprintf(s.out, "impaired: %s\n", what)
 	}
--- a/config/check.go
+++ b/config/check.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -127,6 +128,7 @@
 	c.pipelines(f)
 	c.experiments(f)
 	c.unusedPools(f)
+	c.evacuated(f)
 }
 
 func (c *checker) name(path, name string) {
@@ -319,6 +321,27 @@
 	}
 }
 
+// evacuated checks that the failure domains to be left alone are those of endpoints.
+func (c *checker) evacuated(f *fileConfig) {
+	domains := make(map[string]bool)
+	for _, p := range f.Pools {
+		for _, e := range p.Endpoints {
+			domains[e.Domain] = true
+		}
+	}
+	seen := make(map[string]bool)
+	for i, domain := range f.Evacuated {
+		at := fmt.Sprintf("$.evacuated[%d]", i)
+		switch {
+		case domain == "" || !domains[domain]:
+			c.add(at, CodeUnknownName, fmt.Sprintf("no endpoint is in failure domain %q", domain), "use one of "+strings.Join(slices.Sorted(maps.Keys(domains)), ", "))
+		case seen[domain]:
+			c.add(at, CodeDuplicate, fmt.Sprintf("failure domain %q stands twice", domain), "remove one of them")
+		}
+		seen[domain] = true
+	}
+}
+
 func (c *checker) unusedPools(f *fileConfig) {
 	used := make(map[string]bool)
 	for _, p := range f.Pipelines {
--- a/config/config.go
+++ b/config/config.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"slices"
 	"time"
 )
 
@@ -68,6 +69,13 @@
 	return nil, false
 }
 
+// Evacuated lists the failure domains to whose endpoints nothing further is to be sent.
+func (c *Config) Evacuated() []string { return c.f.Evacuated }
+
+// TakesWork reports whether calls and orders go to an endpoint: its failure domain is not
+// evacuated.
+func (c *Config) TakesWork(e *Endpoint) bool { return !slices.Contains(c.f.Evacuated, e.Domain()) }
+
 // AccountByKey finds the account whose key hash matches the key, and returns
 // its index among Accounts.
 func (c *Config) AccountByKey(key string) (int, bool) {
--- a/config/file.go
+++ b/config/file.go
@@ -15,6 +15,7 @@
 	Pools       []filePool       `yaml:"pools"`
 	Pipelines   []filePipeline   `yaml:"pipelines"`
 	Experiments []fileExperiment `yaml:"experiments"`
+	Evacuated   []string         `yaml:"evacuated"`
 }
 
 type fileLocate struct {
--- a/internal/control/http.go
+++ b/internal/control/http.go
@@ -167,7 +167,9 @@
 	Members   []MemberLine   `json:"members"`
 	Leaving   []EndpointLine `json:"leaving_endpoints,omitempty"`
 	// Placement is the holder of the placement lease as last read.
-	Placement string   `json:"placement_holder,omitempty"`
+	Placement string `json:"placement_holder,omitempty"`
+	// Evacuated are the failure domains to whose endpoints nothing is sent.
+	Evacuated []string `json:"evacuated,omitempty"`
 	Impaired  []string `json:"impaired,omitempty"`
 }
 
@@ -191,6 +193,9 @@
 	defer c.mu.Unlock()
 	s := StatusResponse{Node: c.id.Node, Version: c.inForce.Version, StoreAway: c.storeAway}
 	s.Placement = c.placement.holder()
+	if c.cfg != nil {
+		s.Evacuated = c.cfg.Evacuated()
+	}
 	for _, m := range c.member.Members() {
 		s.Members = append(s.Members, memberLine(m))
 		if m.State != wire.Alive && m.State != wire.Left {
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -215,14 +215,15 @@
 	wait.Wait()
 }
 
-// enginesOf returns the engines for which the configuration names versions.
+// enginesOf returns the engines for which the configuration names versions, but for those of
+// evacuated failure domains.
 func enginesOf(cfg *config.Config) []fleet.Engine {
 	var engines []fleet.Engine
 	for i := range cfg.Pools() {
 		p := &cfg.Pools()[i]
 		for j := range p.Endpoints() {
 			e := &p.Endpoints()[j]
-			if p.Kind() == config.KindEngine && len(e.Versions()) > 0 {
+			if cfg.TakesWork(e) && p.Kind() == config.KindEngine && len(e.Versions()) > 0 {
 				engines = append(engines, fleet.Engine{Name: p.Name() + "/" + e.Name(), Address: e.Address(), Wanted: e.Versions(), Checks: e.ChecksOrders()})
 			}
 		}
--- a/internal/core/run/engine.go
+++ b/internal/core/run/engine.go
@@ -105,7 +105,7 @@
 	kept := make(map[string]bool)
 	for i := range cfg.Pools() {
 		conf := &cfg.Pools()[i]
-		p, err := e.configurePool(now, conf, cfg.Policies())
+		p, err := e.configurePool(now, cfg, conf)
 		if err != nil {
 			return err
 		}
@@ -124,14 +124,14 @@
 	return nil
 }
 
-func (e *Engine) configurePool(now time.Time, conf *config.Pool, policies config.Policies) (*pool, error) {
+func (e *Engine) configurePool(now time.Time, cfg *config.Config, conf *config.Pool) (*pool, error) {
 	p, ok := e.pools[conf.Name()]
 	if !ok {
 		placed, err := place.NewPool(conf.Place(), e.seed)
 		if err != nil {
 			return nil, err
 		}
-		p = &pool{place: placed, took: budget.NewEstimator(now), retries: newRetries(policies)}
+		p = &pool{place: placed, took: budget.NewEstimator(now), retries: newRetries(cfg.Policies())}
 		e.pools[conf.Name()] = p
 	}
 	if p.conf == nil || p.conf.Place() != conf.Place() {
@@ -145,7 +145,7 @@
 		}
 	}
 	p.conf = conf
-	p.place.Update(e.specs(conf))
+	p.place.Update(e.specs(cfg, conf))
 	return p, nil
 }
 
@@ -172,10 +172,14 @@
 	return nil
 }
 
-func (e *Engine) specs(conf *config.Pool) []place.Spec {
+// specs lists the endpoints of a pool to which calls go.
+func (e *Engine) specs(cfg *config.Config, conf *config.Pool) []place.Spec {
 	specs := make([]place.Spec, 0, len(conf.Endpoints()))
 	for i := range conf.Endpoints() {
 		ep := &conf.Endpoints()[i]
+		if !cfg.TakesWork(ep) {
+			continue
+		}
 		specs = append(specs, place.Spec{
 			Name:     ep.Name(),
 			Address:  ep.Address(),
