--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -60,23 +60,27 @@
 	return served
 }
 
-// quietRounds is how many times in a row nothing must reach workers that are left alone by
-// order and not by chance.
-const quietRounds = 4
-
-// awaitUnreached waits until requests of all kinds reach some workers no more.
-func awaitUnreached(t *testing.T, n *running, workers []*platformtest.Worker) {
+// awaitRead waits until a node has read all that the store holds, and acts by it.
+func awaitRead(t *testing.T, n *running, site *platformtest.Site) {
 	t.Helper()
-	quiet := 0
-	eventually(t, "the endpoints are reached no more", func() bool {
-		before := reached(workers)
-		sendAll(n.Front, "await")
-		quiet++
-		if reached(workers) != before {
-			quiet = 0
-		}
-		return quiet == quietRounds
+	eventually(t, "the node has read the store", func() bool {
+		v := n.node.view.Load()
+		return v.revision.Version() == site.Store.Version() && v.evacuations.Revision().Version() == site.Store.Version()
 	})
+	// Pools are made anew a moment after the view.
+	time.Sleep(50 * time.Millisecond)
+}
+
+// unreached sends requests of all kinds and tells what of them reached some workers.
+func unreached(t *testing.T, n *running, workers []*platformtest.Worker) {
+	t.Helper()
+	before := reached(workers)
+	for round := range 4 {
+		sendAll(n.Front, fmt.Sprintf("unreached-%d", round))
+	}
+	if now := reached(workers); now != before {
+		t.Errorf("%d requests or calls reached workers that are to get none", now-before)
+	}
 }
 
 // TestEvacuation has a failure domain evacuated: nothing at all reaches its endpoints once
@@ -92,7 +96,7 @@
 		t.Fatal("the other zone is not used in ordinary times")
 	}
 	site.Store.Evacuate(otherZone)
-	awaitUnreached(t, n, other)
+	awaitRead(t, n, site)
 	before := reached(other)
 	if served := sendAll(n.Front, "during"); served != 8 {
 		t.Errorf("%d of 8 requests were served by the other failure domain", served)
@@ -117,7 +121,7 @@
 	for _, zone := range []string{platformtest.DefaultZone, otherZone} {
 		site.Store.Evacuate(zone)
 	}
-	awaitUnreached(t, n, other)
+	awaitRead(t, n, site)
 	before := reached(other)
 	for _, q := range []platformtest.Request{
 		{ID: "read", Path: "/read/"},
--- a/internal/node/restored_test.go
+++ b/internal/node/restored_test.go
@@ -28,12 +28,6 @@
 	}
 }
 
-// awaitRevision waits until a node has read the store as it is now.
-func awaitRevision(t *testing.T, n *running, site *platformtest.Site) {
-	t.Helper()
-	eventually(t, "the node has read the store", func() bool { return n.node.view.Load().revision.Version() == site.Store.Version() })
-}
-
 // TestVersionsGivenOutAnew has the store come back from a copy while the node can't reach it,
 // and write an evacuation and much else before it can: its versions are beyond the one up to
 // which the node knows all changes, and yet it does not know that one.
@@ -45,14 +39,15 @@
 	door := site.AddDoor()
 	n := startNodeOn(t, site, platformtest.Instance{Zone: platformtest.DefaultZone, MemoryMB: 284, Store: door.Address})
 	n.awaitReady(t)
-	awaitRevision(t, n, site)
+	awaitRead(t, n, site)
 	door.Close(platformtest.AllCalls, platformtest.Refuses)
 	time.Sleep(time.Second)
 	site.Store.Restore(before)
 	site.Store.Evacuate(otherZone)
 	churn(site, 60)
 	door.Open()
-	awaitUnreached(t, n, other)
+	awaitRead(t, n, site)
+	unreached(t, n, other)
 }
 
 // TestRestoredStore has the store come back from a copy that was made before a key was taken
@@ -79,10 +74,9 @@
 	eventually(t, "the key is taken away", func() bool {
 		return do(n.Front, platformtest.Request{ID: "gone", Path: "/read/", Key: "key-2"}).Status == http.StatusUnauthorized
 	})
-	awaitUnreached(t, n, append([]*platformtest.Worker{left, leaves}, other...))
-
 	churn(site, 40)
-	awaitRevision(t, n, site)
+	awaitRead(t, n, site)
+	unreached(t, n, append([]*platformtest.Worker{left, leaves}, other...))
 	reachedBefore := reached(other) + left.Total() + leaves.Total()
 	site.Store.Restore(before)
 	during(restoredFor, func(turn int) {
@@ -161,7 +155,7 @@
 	n.awaitReady(t)
 	sendAll(n.Front, "before")
 	left.Unlist()
-	awaitUnreached(t, n, []*platformtest.Worker{left})
+	awaitRead(t, n, site)
 	ran := left.Total()
 	site.Store.Restore(older)
 	time.Sleep(900 * time.Millisecond)
