platform, internal/node: what an endpoint says of the requests that it takes is heard and told

What callers saw can't be told from the lines: nothing speaks of the limit that an endpoint names. Now every answer of an endpoint is read for it, whatever was sent: a request, a call of pieces, a call of the system's own. A line tells when its word is new, changes or ends, a gauge how many endpoints name one, a counter the answers that bore one. A word that can't be read (negative, no number, not finite) is one warning, bounded, and what was heard before holds on; of several the lowest holds; an answer without one ends it only if it is a success. No decision goes by it yet.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -11,6 +11,11 @@
 	eventAnswerBroke = "answer broke"
 	// An endpoint said that it has not run a request.
 	eventEndpointDeclined = "endpoint declined"
+	// An endpoint names how many requests a second it takes from all nodes together, another
+	// number than before, or none any more.
+	eventIntakeChanged = "endpoint intake changed"
+	// What an endpoint says of the requests that it takes can't be read.
+	eventIntakeUnread = "endpoint intake not as expected"
 	// A stream that broke off.
 	eventStreamBroke = "stream broke"
 	// A leader did not answer and is passed over for a while.
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -46,6 +46,7 @@
 	m.set.NewGauge("gradetiller_cells_led", func() float64 { return float64(bits.OnesCount64(n.leads.Load())) })
 	m.set.NewGauge("gradetiller_poison_suspects", func() float64 { suspects, _ := n.poisons.sizes(); return float64(suspects) })
 	m.set.NewGauge("gradetiller_poison_known", func() float64 { _, known := n.poisons.sizes(); return float64(known) })
+	m.set.NewGauge("gradetiller_endpoints_limited", func() float64 { return float64(n.words.count()) })
 	if n.droppedLines != nil {
 		m.droppedLines("ordinary", func() uint64 { return n.droppedLines(logging.Ordinary) })
 		m.droppedLines("urgent", func() uint64 { return n.droppedLines(logging.Urgent) })
@@ -110,6 +111,11 @@
 // endpointEnded counts an endpoint that ended under runs of this node.
 func (m *meters) endpointEnded() { m.set.GetOrCreateCounter("gradetiller_endpoints_ended_total").Inc() }
 
+// heardLimit counts an answer by which its endpoint bounds the requests that it takes.
+func (m *meters) heardLimit() {
+	m.set.GetOrCreateCounter("gradetiller_answers_of_limited_endpoints_total").Inc()
+}
+
 // poisonRefused counts a request that is refused since it crashes endpoints.
 func (m *meters) poisonRefused(route string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_poison_refused_total{route=%q}`, m.label(route))).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/lookup"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/member"
@@ -118,6 +119,7 @@
 	// list them, since their entries lapsed.
 	keptEndpoints atomic.Int64
 	poisons       *poisons
+	words         *words
 	inFlight      atomic.Int64
 	// stop is the planned stop under way, or nil.
 	stop atomic.Pointer[stop]
@@ -166,7 +168,8 @@
 	}
 	n.serving, n.giveUp = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress, platform.WithEraFaults(func(err error) { n.log.Warn(eventStoreEra, zap.Error(err)) }))
-	n.workers = platform.NewWorkers()
+	n.workers = platform.NewWorkers(platform.WithWords(n.heardWord))
+	n.words = &words{words: intake.NewWords(), faults: make(map[wordFault]bool)}
 	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.ownPace, n.off)
 	n.budget = n.newBudget()
 	n.stageBudget = n.newBudget()
