internal/core/spread, internal/core/poison: what each peer was told of a set is a module of its own

Cause: a second set that heartbeats carry is coming (what endpoints take), and the log of changes by peer stood inside the refusals. No change of behaviour; the tests of poison pass as they were.

--- a/internal/core/poison/refusals.go
+++ b/internal/core/poison/refusals.go
@@ -1,11 +1,11 @@
 package poison
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/spread"
 )
 
 const (
@@ -19,11 +19,6 @@
 	// sameMoment is how far the ends of one refusal may lie apart on two nodes, by the
 	// time that the news takes between them.
 	sameMoment = 2 * time.Second
-	// resendGap is how long after a peer was told everything it may be told so again,
-	// resendEach what each entry adds to that: 1,024 entries of 30 bytes are sent at
-	// most each 12 s to a peer that goes on to know others.
-	resendGap  = 2 * time.Second
-	resendEach = 10 * time.Millisecond
 )
 
 // Refusal is a refused request as nodes tell each other.
@@ -47,9 +42,7 @@
 // is on its way. Not safe for concurrent use.
 type Refusals struct {
 	byID map[ID]*refusal
-	// last numbers the changes; peers tells up to which of them each peer was told.
-	last  uint64
-	peers map[string]*peer
+	log  *spread.Log[ID]
 }
 
 type refusal struct {
@@ -58,18 +51,11 @@
 	since    time.Time
 	times    int
 	pardoned bool
-	change   uint64
-}
-
-// peer is what another node was told.
-type peer struct {
-	upTo   uint64
-	resent time.Time
 }
 
 // NewRefusals returns an empty set.
 func NewRefusals() *Refusals {
-	return &Refusals{byID: make(map[ID]*refusal), peers: make(map[string]*peer)}
+	return &Refusals{byID: make(map[ID]*refusal), log: spread.NewLog[ID]()}
 }
 
 // Len returns the number of refused, pardoned and probationary requests.
@@ -153,8 +139,7 @@
 }
 
 func (r *Refusals) put(id ID, f refusal) {
-	r.last++
-	f.change = r.last
+	r.log.Changed(id)
 	r.byID[id] = &f
 	if len(r.byID) <= mostRefusals {
 		return
@@ -165,14 +150,19 @@
 			first = other
 		}
 	}
-	delete(r.byID, first)
+	r.drop(first)
+}
+
+func (r *Refusals) drop(id ID) {
+	delete(r.byID, id)
+	r.log.Drop(id)
 }
 
 // forget drops what has ended.
 func (r *Refusals) forget(now time.Time) {
 	for id, f := range r.byID {
 		if !now.Before(f.forgotten()) {
-			delete(r.byID, id)
+			r.drop(id)
 		}
 	}
 }
@@ -231,71 +221,19 @@
 // News returns what a peer was not told yet, most entries at a time, the oldest first. It
 // counts as told.
 func (r *Refusals) News(now time.Time, to string, most int) []Refusal {
-	if r.last == 0 {
-		return nil
-	}
-	p := r.peer(to)
-	if p.upTo == r.last {
-		return nil
-	}
-	type change struct {
-		id ID
-		*refusal
-	}
-	var changes []change
-	for id, f := range r.byID {
-		if f.change > p.upTo {
-			changes = append(changes, change{id, f})
-		}
-	}
-	if len(changes) <= most {
-		p.upTo = r.last
-	} else {
-		slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.change, b.change) })
-		changes = changes[:most]
-		p.upTo = changes[most-1].change
-	}
-	list := make([]Refusal, len(changes))
-	for i, c := range changes {
-		list[i] = Refusal{Request: c.id, Version: c.version, Left: c.until.Sub(now), Age: now.Sub(c.since), Times: c.times, Pardoned: c.pardoned}
+	ids := r.log.News(to, most)
+	list := make([]Refusal, len(ids))
+	for i, id := range ids {
+		f := r.byID[id]
+		list[i] = Refusal{Request: id, Version: f.version, Left: f.until.Sub(now), Age: now.Sub(f.since), Times: f.times, Pardoned: f.pardoned}
 	}
 	return list
 }
 
-func (r *Refusals) peer(name string) *peer {
-	p, ok := r.peers[name]
-	if !ok {
-		p = &peer{}
-		r.peers[name] = p
-	}
-	return p
-}
-
-// Compare takes in the sum of a peer. One that knows other things although it was told all
-// is told all again: it has begun anew, or some of it was lost on the way. It reports
-// whether there is anything to tell.
+// Compare takes in the sum of a peer, and reports whether there is anything to tell it.
 func (r *Refusals) Compare(now time.Time, from string, sum uint64) bool {
-	if r.last == 0 || sum == r.Sum(now) {
-		return false
-	}
-	p := r.peer(from)
-	if p.upTo < r.last {
-		return true
-	}
-	gap := resendGap + time.Duration(len(r.byID))*resendEach
-	if !p.resent.IsZero() && now.Sub(p.resent) < gap {
-		return false
-	}
-	p.resent = now
-	p.upTo = 0
-	return true
+	return sum != r.Sum(now) && r.log.Differs(now, from)
 }
 
 // Forget drops what is known of peers that are gone.
-func (r *Refusals) Forget(gone func(peer string) bool) {
-	for name := range r.peers {
-		if gone(name) {
-			delete(r.peers, name)
-		}
-	}
-}
+func (r *Refusals) Forget(gone func(peer string) bool) { r.log.Forget(gone) }
