--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -84,6 +84,8 @@
 	// copyFrom is the address of an endpoint that holds more of the prompt, or
 	// "".
 	copyFrom string
+	// bounded tells that the endpoint bounds what it takes, as far as this node knows.
+	bounded bool
 }
 
 // need is what a call asks of its endpoint.
@@ -112,7 +114,7 @@
 	work := pool.Start(now, i, req)
 	spec := pool.At(i).Spec()
 	e := catalog.Endpoint{ID: spec.Name, Service: n.service, Address: spec.Address, Domain: spec.Domain, Slots: spec.Slots}
-	return &placed{pools: p, pool: pool, index: i, endpoint: e, started: now, work: work, ahead: ahead, copyFrom: copyFrom}, true
+	return &placed{pools: p, pool: pool, index: i, endpoint: e, started: now, work: work, ahead: ahead, copyFrom: copyFrom, bounded: spec.Pace.Bounded(now)}, true
 }
 
 // forecast is where a prompt would go now.
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -106,6 +106,11 @@
 		service: q.service, prefix: q.prefix, tried: tried, wanted: s.results.endpoint,
 		prompt: place.Prompt{Tokens: q.in.PromptTokens},
 	}
+	if !s.results.bounded && s.node.words.bound(s.results.endpoint).At(time.Now()).Bounded() {
+		// The leader does not know what this node has heard, so it has not counted the
+		// request: one that has just begun, or is of an earlier version.
+		asks.wanted = ""
+	}
 	if s.node.poisons.suspected(q.content) {
 		asks.prefix, asks.wanted = q.content.Key(), ""
 	}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -41,8 +41,10 @@
 // stageResults are the results of a request's last stages.
 type stageResults struct {
 	handles []string
-	// endpoint is where the leader wants the request to run, or "".
+	// endpoint is where the leader wants the request to run, or "", and bounded whether it
+	// knows that the endpoint bounds what it takes.
 	endpoint string
+	bounded  bool
 	// copyFrom is the address of an endpoint that holds more of the prompt.
 	copyFrom string
 	// leader ran the stages and predicted how long they would take.
@@ -141,7 +143,7 @@
 		release(wire.PlacementUnused)
 		return stageResults{}, &refusal{reason: "stages: " + done.Failed, again: time.Duration(done.Again) * time.Millisecond, predicted: predicted}
 	}
-	return stageResults{handles: done.Handles, endpoint: done.Endpoint, copyFrom: done.CopyFrom, leader: to.Node, predicted: predicted, release: release}, nil
+	return stageResults{handles: done.Handles, endpoint: done.Endpoint, bounded: done.Bounded, copyFrom: done.CopyFrom, leader: to.Node, predicted: predicted, release: release}, nil
 }
 
 // await waits for the leader's verdict until a limit; a result that comes first
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -168,6 +168,7 @@
 	c.placed[done.Task] = at
 	m.Endpoint = at.endpoint.ID
 	m.CopyFrom = at.copyFrom
+	m.Bounded = at.bounded
 	return m, false
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -31,6 +31,7 @@
 	}
 	r.checkPoisons()
 	r.checkEvacuation()
+	r.checkLimits()
 	if served < len(r.record.list)/4 {
 		r.fail("%d of %d requests were served", served, len(r.record.list))
 	}
--- /dev/null
+++ b/internal/soak/limits_test.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"slices"
+	"strconv"
+	"syscall"
+	"time"
+
+	"gradetiller.example/platform/platformtest"
+)
+
+const (
+	// limitsSeed parts the draws of limits from the others, limitShare is how many troubles
+	// there are for one worker that names a limit.
+	limitsSeed = 19
+	limitShare = 3
+	// What a worker that names how many requests a second it takes may get in any limitSpan,
+	// from limitContact after it first did: limitExcess times that, and limitSlack more.
+	limitSpan    = 4 * time.Second
+	limitContact = 3 * time.Second
+	limitExcess  = 1.5
+	limitSlack   = 5
+	// limitKept is how long workers name their limits in the end with nothing else wrong,
+	// and again while a node is paused and another one killed.
+	limitKept = limitContact + 4*time.Second
+	// limitTold is how long it may take until all nodes are told.
+	limitTold = 1500 * time.Millisecond
+)
+
+// namedLimits are what workers name, in requests a second.
+var namedLimits = []float64{0, 0.5, 1, 1.5, 3, 5}
+
+// limitedWorker is a worker that named a limit in the last phase.
+type limitedWorker struct {
+	worker    *platformtest.Worker
+	perSecond float64
+	from, to  time.Time
+}
+
+// excuse is a node to which something was done in the last phase: what it sent then, and until
+// limitContact after it, does not count.
+type excuse struct {
+	front    string
+	from, to time.Time
+}
+
+func (r *run) drawLimit() float64 { return namedLimits[r.limits.IntN(len(namedLimits))] }
+
+func nameLimit(w *platformtest.Worker, perSecond float64) {
+	w.NameLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+}
+
+// limitNowAndThen has, now and then, a worker name a limit for a while, another one after a
+// part of it, or one that comes and goes.
+func (r *run) limitNowAndThen() {
+	if r.limits.IntN(limitShare) > 0 {
+		return
+	}
+	w := r.drawWorker(r.limits)
+	first, second := r.drawLimit(), r.drawLimit()
+	length := between(r.limits, shortestFault, longestFault)
+	flaps := r.limits.IntN(2) == 0
+	nameLimit(w, first)
+	time.AfterFunc(length/2, func() {
+		if flaps {
+			w.NameLimit("")
+			time.Sleep(length / 8)
+		}
+		nameLimit(w, second)
+	})
+	time.AfterFunc(length, func() { w.NameLimit("") })
+}
+
+// limitWorkers has two of the workers of each service, or all of one service, name limits,
+// first with nothing else wrong, then while nodes are paused and killed.
+func (r *run) limitWorkers() {
+	all := []string{"desk", "model", "encode", "rank"}
+	crowded := all[r.limits.IntN(len(all))]
+	from := time.Now()
+	for _, service := range all {
+		count := 0
+		for _, w := range r.workers[service] {
+			if r.hasLeft(w) || count == 2 && service != crowded {
+				continue
+			}
+			count++
+			l := limitedWorker{worker: w, perSecond: r.drawLimit(), from: from}
+			nameLimit(w, l.perSecond)
+			r.limited = append(r.limited, l)
+		}
+	}
+	time.Sleep(limitKept)
+	paused, killed := r.nodes[r.limits.IntN(len(r.nodes))], r.nodes[r.limits.IntN(len(r.nodes))]
+	began := time.Now()
+	r.beginUnplanned()
+	paused.signal(syscall.SIGSTOP)
+	time.Sleep(between(r.limits, shortestFault, longestFault))
+	paused.signal(syscall.SIGCONT)
+	killed.end(syscall.SIGKILL)
+	killed.start()
+	r.awaitReady(killed)
+	r.endUnplanned()
+	for _, p := range []*process{paused, killed} {
+		r.excuses = append(r.excuses, excuse{front: p.Front, from: began, to: time.Now().Add(limitContact)})
+	}
+	time.Sleep(limitKept)
+	for i := range r.limited {
+		r.limited[i].to = time.Now()
+		r.limited[i].worker.NameLimit("")
+	}
+}
+
+// checkLimits holds that no worker got more than it allowed in the last phase, from all nodes
+// together but those to which something was done, and that those that take any were sent some.
+func (r *run) checkLimits() {
+	nodes := make(map[string]string)
+	for _, s := range r.record.list {
+		nodes[s.id] = s.node
+	}
+	excused := func(a platformtest.Arrival) bool {
+		return slices.ContainsFunc(r.excuses, func(e excuse) bool {
+			return e.front == nodes[a.ID] && a.At.After(e.from) && a.At.Before(e.to)
+		})
+	}
+	highest := 0.0
+	for _, l := range r.limited {
+		allowed := int(limitExcess*l.perSecond*limitSpan.Seconds()) + limitSlack
+		got, all := l.most(excused)
+		highest = max(highest, float64(got)/float64(allowed))
+		if got > allowed {
+			r.fail("LIMIT: %s of %s named %v requests a second and got %d in %v, %d are allowed", l.worker.ID, l.worker.Service, l.perSecond, got, limitSpan, allowed)
+		}
+		if all == 0 && l.perSecond >= 1 && l.worker.Service == "desk" {
+			r.fail("LIMIT: %s of %s named %v requests a second and got none in %v", l.worker.ID, l.worker.Service, l.perSecond, l.to.Sub(l.from))
+		}
+	}
+	if len(r.limited) > 0 {
+		r.t.Logf("%d workers named limits, at most %.2f of what is allowed", len(r.limited), highest)
+	}
+}
+
+// most is the most that reached the worker in any span that ends limitContact or more after
+// it named its limit, counted from when all nodes had time to be told, and all that did.
+func (l limitedWorker) most(excused func(platformtest.Arrival) bool) (highest, all int) {
+	var times []time.Time
+	for _, a := range l.worker.Arrived() {
+		if a.At.After(l.from.Add(limitTold)) && a.At.Before(l.to) && !excused(a) {
+			times = append(times, a.At)
+		}
+	}
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) > limitSpan {
+			first++
+		}
+		if at.Sub(l.from) >= limitContact {
+			highest = max(highest, i-first+1)
+		}
+	}
+	return highest, len(times)
+}
--- a/internal/soak/placed_test.go
+++ b/internal/soak/placed_test.go
@@ -40,7 +40,7 @@
 // firstWorkers adds the workers of a service that are there from the beginning.
 func (r *run) firstWorkers(service string) []*platformtest.Worker {
 	list := r.site.AddWorkers(service, 3)
-	if r.of == placed {
+	if r.of >= placed {
 		list = append(list, r.site.AddWorkersIn(otherZone, service, 2)...)
 	}
 	return list
@@ -104,7 +104,7 @@
 // checkEvacuation holds that nothing reached the evacuated zone from some time after its
 // evacuation was acknowledged until it was taken back.
 func (r *run) checkEvacuation() {
-	if r.of != placed {
+	if r.of < placed {
 		return
 	}
 	o := &r.operator
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,6 +45,9 @@
 	// placed runs have beside all these an evacuation of one of two zones, and a store that
 	// comes back from older copies, by further draws of their own.
 	placed
+	// limited runs have beside all these workers that name how many requests a second they
+	// take, by further draws of their own, and in the end a phase in which that is checked.
+	limited
 )
 
 // regressions are the seeds that ever failed, with the cause. They are run each
@@ -105,8 +108,11 @@
 	rand *rand.Rand
 	// later draws the troubles that came later.
 	later *rand.Rand
-	// restores draws when the store comes back from a copy.
+	// restores draws when the store comes back from a copy, limits which workers name what.
 	restores *rand.Rand
+	limits   *rand.Rand
+	limited  []limitedWorker
+	excuses  []excuse
 	operator operator
 	site     *platformtest.Site
 	proxies  *proxies
@@ -170,7 +176,7 @@
 		list = slices.Concat(regressions, longRegressions)
 	}
 	for i := range *seeds {
-		list = append(list, regression{seed: *firstSeed + uint64(i), of: placed})
+		list = append(list, regression{seed: *firstSeed + uint64(i), of: limited})
 	}
 	for _, c := range list {
 		t.Run(fmt.Sprintf("seed-%d", c.seed), func(t *testing.T) { soak(t, program, c) })
@@ -188,19 +194,23 @@
 	lasts := time.Duration(*secondsEach * float64(time.Second))
 	r.poisons = newPoisons(r.site, r.fronts(), c.seed, c.of.poisons())
 	sending.Go(func() { r.poisons.send(clients, lasts/2) })
-	if r.of == placed {
+	if r.of >= placed {
 		time.AfterFunc(lasts/4, r.evacuate)
 	}
 	r.trouble(lasts)
 	time.Sleep(healTime)
 	r.awaitConfig()
-	if r.of == placed {
+	if r.of >= placed {
 		r.endEvacuation()
 	}
 	if r.of != spoken {
 		r.leaveWithReadersLost()
 		r.awaitConfig()
 	}
+	if r.of >= limited {
+		r.limitWorkers()
+		r.awaitConfig()
+	}
 	r.rollAll()
 	stop()
 	sending.Wait()
@@ -220,7 +230,7 @@
 }
 
 func newRun(t *testing.T, program string, c regression) *run {
-	r := &run{t: t, of: c.of, rand: rand.New(rand.NewPCG(c.seed, 0)), later: rand.New(rand.NewPCG(c.seed, laterSeed)), restores: rand.New(rand.NewPCG(c.seed, restoresSeed)), workers: make(map[string][]*platformtest.Worker)}
+	r := &run{t: t, of: c.of, rand: rand.New(rand.NewPCG(c.seed, 0)), later: rand.New(rand.NewPCG(c.seed, laterSeed)), restores: rand.New(rand.NewPCG(c.seed, restoresSeed)), limits: rand.New(rand.NewPCG(c.seed, limitsSeed)), workers: make(map[string][]*platformtest.Worker)}
 	r.proxies = &proxies{t: t, list: make(map[string]*proxy)}
 	r.site = platformtest.NewSite(t)
 	r.site.Through = r.proxies.through
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -55,9 +55,12 @@
 // laterTrouble brings, now and then, one of the troubles that came later, by draws of their
 // own: those of the others are the same with and without.
 func (r *run) laterTrouble(open *sync.WaitGroup) {
-	if r.of == placed {
+	if r.of >= placed {
 		r.restoreNowAndThen()
 	}
+	if r.of >= limited {
+		r.limitNowAndThen()
+	}
 	if r.of < newest || r.later.IntN(laterShare) > 0 {
 		return
 	}
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -73,6 +73,10 @@
 	CopyFrom string
 	Failed   string
 	Again    int64
+	// Bounded tells that the leader knows that the endpoint bounds what it takes, and has
+	// counted the request. A leader of an earlier version, or one that has just begun, does
+	// not know.
+	Bounded bool
 }
 
 // Placement is how the leader's choice of an endpoint turned out.
