platform, internal/core/intake, internal/node: nodes keep no more connections to an endpoint than it takes from all of them

What callers saw: requests whose new connection was reset, since an endpoint takes only so many from all callers together and each node kept up to eight unused ones, whatever the number of nodes. Cause and class: as with the rate that an endpoint names, nothing held what it takes from all nodes together. Ruled out: a lower fixed number (one for each of 295 nodes is six times what some services take). Change: half of what an endpoint takes is divided by the largest number of nodes of late; a request beyond its node's part closes its connection, counted with the requests under way; where the part is below one, one is kept now and then. Calls to stage endpoints come from leaders only and are left as they were. The soak's check of limits leaves out the workers that left in the phase before.

--- /dev/null
+++ b/internal/core/intake/connections_test.go
@@ -0,0 +1,33 @@
+package intake_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gradetiller.example/internal/core/intake"
+)
+
+// TestConnections has all nodes open connections to one endpoint in one burst and keep what they
+// may: some, for any number of nodes, and never more than the endpoint takes.
+func TestConnections(t *testing.T) {
+	const most, burst = 50, 8
+	draw := rand.New(rand.NewPCG(1, 2))
+	for _, nodes := range []int{1, 7, 59, 295} {
+		c := intake.ConnectionsOf(most, nodes)
+		kept := 0
+		for range nodes {
+			for open := range burst {
+				if c.Keeps(open+1, draw.Float64()) {
+					kept++
+				}
+			}
+		}
+		t.Logf("%d nodes keep %d", nodes, kept)
+		if kept > most || kept == 0 {
+			t.Errorf("%d nodes keep %d connections, the endpoint takes %d", nodes, kept, most)
+		}
+	}
+	if !intake.ConnectionsOf(0, 3).Keeps(1000, 1) {
+		t.Error("an endpoint without a bound bounds what is kept")
+	}
+}
--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -22,6 +22,7 @@
 // endpoint, one node after the other. What they keep of their connections is no more than the
 // endpoint takes, and some are kept.
 func TestConnectionsOfAllNodes(t *testing.T) {
+	t.Parallel()
 	site, _ := desk(t)
 	worker := site.AddWorkers("desk", 1)[0]
 	nodes := []*running{startNode(t, site)}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -13,6 +13,7 @@
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/poison"
 	"gradetiller.example/platform"
@@ -237,9 +238,10 @@
 }
 
 // outbound is the request as it goes to an endpoint.
-func (q *request) outbound(e catalog.Endpoint, now time.Time) platform.Outbound {
+func (n *Node) outbound(q *request, e catalog.Endpoint, now time.Time) platform.Outbound {
 	return platform.Outbound{
-		Endpoint: e, Method: q.source.Method, Host: q.source.Host, Target: q.in.Target, Header: q.source.Header,
+		Connections: intake.ConnectionsOf(q.view.config.Services[e.Service].MaxConns, n.share.Load().nodes),
+		Endpoint:    e, Method: q.source.Method, Host: q.source.Host, Target: q.in.Target, Header: q.source.Header,
 		Body: q.body, Account: q.account, Left: q.deadline.Sub(now), Priority: q.priority, Once: !q.route.Repeatable(),
 	}
 }
@@ -309,7 +311,7 @@
 	q.endpoint = c.endpoint.ID
 	limited, cancel := context.WithTimeout(ctx, q.patience(time.Now()))
 	defer cancel()
-	a, err := n.workers.Send(limited, q.outbound(c.endpoint, time.Now()))
+	a, err := n.workers.Send(limited, n.outbound(q, c.endpoint, time.Now()))
 	if err != nil {
 		return nil, nil, n.faulted(ctx, limited, q, c, err)
 	}
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -208,7 +208,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	hung := time.AfterFunc(q.patience(time.Now()), cancel)
-	out := q.outbound(c.endpoint, time.Now())
+	out := n.outbound(q, c.endpoint, time.Now())
 	out.Inputs = s.results.handles
 	out.LastEvent = s.last
 	if c.endpoint.ID == s.results.endpoint {
--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -81,7 +81,7 @@
 	for _, service := range all {
 		count := 0
 		for _, w := range r.workers[service] {
-			if r.hasLeft(w) || !runs(w) || count == 2 && service != crowded {
+			if r.hasLeft(w) || slices.Contains(r.leaving, w) || !runs(w) || count == 2 && service != crowded {
 				continue
 			}
 			count++
