internal/soak: limits in the check of bounds, by node

Four plain workers and two models name limits of 0 to 5 a second, for 8 to 16 s each, then every second another one. Nobody may get more than it allows, counted from the nodes to which nothing was done for 3 s.

--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -79,8 +79,13 @@
 	staying, retired []*platformtest.Worker
 	// engines are the workers of models and stages.
 	engines []*platformtest.Worker
-	probes  atomic.Int64
-	poisons *poisons
+	// limiting are the workers that name limits, and limited when they did so for long;
+	// sentTo is the node that each request of the load was sent to.
+	limiting []*platformtest.Worker
+	limited  []limitedWorker
+	sentTo   map[string]int
+	probes   atomic.Int64
+	poisons  *poisons
 	// lapsing is held while entries lapse.
 	lapsing sync.Mutex
 
@@ -140,7 +145,7 @@
 		cases = boundsRegressions
 	}
 	for i := range *seeds {
-		cases = append(cases, boundsCase{seed: *firstSeed + uint64(i), fault: *onlyFault, of: newest})
+		cases = append(cases, boundsCase{seed: *firstSeed + uint64(i), fault: *onlyFault, of: limited})
 	}
 	for _, c := range cases {
 		t.Run(strings.TrimSpace(fmt.Sprintf("seed-%d %s", c.seed, c.fault)), func(t *testing.T) { checkBounds(t, program, c) })
@@ -151,7 +156,7 @@
 	seed := c.seed
 	d := readDeployment(t, cmp.Or(*boundsOf, unhurried))
 	r := &boundsRun{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), of: d, troubles: c.of, site: platformtest.NewSite(t), desks: make(map[string]string),
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), of: d, troubles: c.of, site: platformtest.NewSite(t), desks: make(map[string]string), sentTo: make(map[string]int),
 		// Every second seed begins with the many routes.
 		many:    seed%2 == 0,
 		history: history{bounds: d.bounds(), disturbed: make(map[int][]span)},
@@ -168,9 +173,12 @@
 		busy.Go(func() { r.watch(ctx, i, askMute) })
 	}
 	busy.Go(func() { r.replaceWorkers(ctx, rand.New(rand.NewPCG(seed, 5))) })
-	if c.of == newest {
+	if c.of >= newest {
 		busy.Go(func() { r.restartWorkers(ctx, rand.New(rand.NewPCG(seed, laterSeed))) })
 	}
+	if c.of >= limited {
+		busy.Go(func() { r.limitWorkers(ctx, rand.New(rand.NewPCG(seed, limitsSeed))) })
+	}
 	busy.Go(func() { r.operate(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	for i := range *clientCount {
 		busy.Go(func() { r.load(ctx, i) })
@@ -213,11 +221,15 @@
 			case "desk":
 				r.staying = append(r.staying, w)
 			case "second-desk":
+				r.limiting = append(r.limiting, w)
 			default:
 				r.engines = append(r.engines, w)
 			}
 		}
 	}
+	if r.troubles >= limited {
+		r.limitSome()
+	}
 	for _, w := range r.site.AddWorkers("mute-desk", 2) {
 		w.Mute = true
 	}
@@ -342,7 +354,11 @@
 		k := requestKinds[draw.IntN(len(requestKinds))]
 		limited, cancel := context.WithTimeout(ctx, clientDeadline)
 		id := fmt.Sprintf("c%d-%d", number, n)
-		a := platformtest.DoOn(limited, transport, r.nodes[draw.IntN(len(r.nodes))].Front, platformtest.Request{
+		node := draw.IntN(len(r.nodes))
+		r.mu.Lock()
+		r.sentTo[id] = node
+		r.mu.Unlock()
+		a := platformtest.DoOn(limited, transport, r.nodes[node].Front, platformtest.Request{
 			ID: id, Path: k.path + "x", Key: apiKey, Deadline: clientDeadline,
 			Streaming: k.stream, Pieces: k.pieces, Prefix: fmt.Sprintf("a%d:10,b%d:20", number, n%7),
 		})
