internal/node, internal/core/stagepool: an older view is never put in force after a newer one; nothing collected reaches an endpoint that leaves

Found by reading, no run showed either. A view was looked at before the pools were locked, so of two changes at once the older could be put in force last, with endpoints that had left; what endpoints say of themselves makes such changes more often. Now a view is looked at and handed on under one lock. Results to give up that were collected for an endpoint in need could reach it seconds after it had begun to leave; they are dropped then, as they end by themselves.

--- a/internal/core/stagepool/intake.go
+++ b/internal/core/stagepool/intake.go
@@ -40,11 +40,15 @@
 }
 
 // freeBounded gives up what is to be at endpoints that bound the requests that they take, as
-// far as these have a turn. What waits longer than results live is gone.
+// far as these have a turn. Those of an endpoint that leaves end by themselves: late as they
+// are, they would reach it when it must get nothing more.
 func (p *Pool) freeBounded(now time.Time) {
 	for _, name := range slices.Sorted(maps.Keys(p.services)) {
 		s := p.services[name]
 		for _, w := range s.endpoints {
+			if w.leaving {
+				w.unfreed, w.unfreedBytes, w.freeTurn = nil, 0, false
+			}
 			if len(w.unfreed) == 0 || !w.pace.Due(now, &w.sends) || len(s.queue) > 0 && !w.freeTurn && w.idle(now) {
 				continue
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,9 @@
 	// belongs to the goroutine that reads the configuration.
 	badEvacuations map[string]bool
 
+	// poolsMu is held while a view is handed to the pools.
+	poolsMu sync.Mutex
+
 	membersMu sync.Mutex
 	members   *member.Node
 	// listedAt is when the list of live nodes was last made from the members.
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -76,12 +76,9 @@
 	if !n.repace.Swap(false) {
 		return
 	}
-	v := n.view.Load()
-	if !v.complete() || len(v.cold) == 0 && !n.words.any() {
-		return
+	if v := n.view.Load(); len(v.cold) > 0 || n.words.any() {
+		n.viewChanged()
 	}
-	n.pools.update(v)
-	n.leaders.update(time.Now(), v)
 }
 
 // crowd has this node's part as a leader be smaller for a while, since another one was seen
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -191,6 +191,9 @@
 // viewChanged hands the view in force to the pools, once it is complete. Other nodes may
 // submit work before.
 func (n *Node) viewChanged() {
+	n.poolsMu.Lock()
+	defer n.poolsMu.Unlock()
+	// The view is looked at under the lock, so that no older one is put in force after it.
 	v := n.view.Load()
 	if !v.complete() {
 		return
