--- /dev/null
+++ b/internal/core/intake/words_test.go
@@ -0,0 +1,140 @@
+package intake_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gradetiller.example/internal/core/intake"
+)
+
+func rateIn(t interface{ Fatal(...any) }, n float64) intake.Rate {
+	r, err := intake.RateOf(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestWords follows what one endpoint says, by this node and by others.
+func TestWords(t *testing.T) {
+	w := intake.NewWords()
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	takes := func(now time.Time, want string) {
+		t.Helper()
+		if got := w.Bound("e").At(now).String(); got != want {
+			t.Errorf("after %v: takes %s, want %s", now.Sub(start), got, want)
+		}
+	}
+	w.Hear(at(0), "e", intake.Rate{})
+	takes(at(0), "none")
+	w.Hear(at(1), "e", rateIn(t, 2))
+	takes(at(1), "2/s")
+	w.Take(at(2), []intake.Told{{Endpoint: "e", Rate: rateIn(t, 9), Age: 1500 * time.Millisecond}})
+	takes(at(2), "2/s") // it was heard before
+	w.Take(at(3), []intake.Told{{Endpoint: "e", Rate: rateIn(t, 0), Age: 100 * time.Millisecond}})
+	takes(at(3), "0.2/s") // its end can only be heard from an answer
+	w.Hear(at(4), "e", intake.Rate{})
+	takes(at(5), "0.2/s") // held
+	takes(at(6.1), "1/s")
+	takes(at(7.1), "4/s") // rising
+	takes(at(30), "none")
+	w.Hear(at(40), "e", rateIn(t, 5))
+	if changes := w.Expire(at(99)); len(changes) != 0 {
+		t.Errorf("ended before its time: %+v", changes)
+	}
+	if changes := w.Expire(at(101)); len(changes) != 1 || changes[0].Takes.Bounded() {
+		t.Errorf("changes %+v, want the end of a word that no answer repeated", changes)
+	}
+	takes(at(140), "none")
+	w.Expire(at(200))
+	if !w.Empty() {
+		t.Error("an endpoint that named nothing for long is remembered")
+	}
+}
+
+// TestWordsMeet has nodes hear words of some endpoints at random and tell each other: in the
+// end all know the same, with the same sum.
+func TestWordsMeet(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		names := []string{"a", "b", "c"}
+		nodes := make(map[string]*intake.Words)
+		for _, n := range names {
+			nodes[n] = intake.NewWords()
+		}
+		now := time.Unix(1000, 0)
+		tell := func(from, to string) {
+			news := nodes[from].News(now, to, 2)
+			nodes[to].Take(now, news)
+			nodes[to].Compare(now, from, nodes[from].Sum())
+		}
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(50, 3000).Draw(rt, "gap")) * time.Millisecond)
+			at := rapid.SampledFrom(names).Draw(rt, "node")
+			switch rapid.IntRange(0, 3).Draw(rt, "what") {
+			case 0:
+				tell(at, rapid.SampledFrom(names).Draw(rt, "to"))
+			case 1:
+				nodes[at].Hear(now, rapid.SampledFrom([]string{"e", "f", "g"}).Draw(rt, "endpoint"), intake.Rate{})
+			default:
+				nodes[at].Hear(now, rapid.SampledFrom([]string{"e", "f", "g"}).Draw(rt, "endpoint"), rateIn(rt, float64(rapid.IntRange(0, 3).Draw(rt, "rate"))))
+			}
+		}
+		for range 12 {
+			now = now.Add(2500 * time.Millisecond)
+			for _, from := range names {
+				for _, to := range names {
+					if from != to {
+						tell(from, to)
+					}
+				}
+			}
+		}
+		for _, n := range names[1:] {
+			if nodes[n].Sum() != nodes["a"].Sum() {
+				rt.Errorf("node %s knows other words than a", n)
+			}
+		}
+	})
+}
+
+// TestPaceOfAnyClock sends at each moment at which a part allows it, by a clock that jumps: it
+// never comes to more than one and a half times the rate and 5 more in 4 s.
+func TestPaceOfAnyClock(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		named := rapid.Float64Range(0.1, 30).Draw(rt, "rate")
+		nodes := rapid.SampledFrom([]int{1, 2, 7, 59}).Draw(rt, "nodes")
+		words := intake.NewWords()
+		start := time.Unix(1000, 0)
+		words.Hear(start, "e", rateIn(rt, named))
+		sends := make([]intake.Sends, nodes)
+		var sent []time.Time
+		jump := time.Duration(rapid.IntRange(-5000, 5000).Draw(rt, "jump")) * time.Millisecond
+		struck := rapid.IntRange(0, nodes-1).Draw(rt, "struck")
+		for step := range 1500 {
+			now := start.Add(time.Duration(step) * 20 * time.Millisecond)
+			for k := range sends {
+				clock := now
+				if k == struck && step > 500 && step < 1000 {
+					clock = now.Add(jump)
+				}
+				pace := intake.NewPace(words.Bound("e"), intake.NodePart(intake.ByNodes, k, nodes, "e"))
+				if pace.Due(clock, &sends[k]) {
+					sends[k].Add(clock, pace)
+					sent = append(sent, now)
+				}
+			}
+		}
+		first := 0
+		for i, at := range sent {
+			for at.Sub(sent[first]) > 4*time.Second {
+				first++
+			}
+			if got := i - first + 1; float64(got) > 1.5*named*4+5 {
+				rt.Fatalf("%d in 4 s of %v a second", got, named)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/stagepool/intake_test.go
@@ -0,0 +1,127 @@
+package stagepool
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/intake"
+)
+
+// limit has the endpoints whose ids begin with a prefix take so many requests a second from
+// now on; below 0 is any number.
+func (w *world) limit(prefix string, perSecond float64) {
+	words := intake.NewWords()
+	w.pool.paces = func(e catalog.Endpoint) intake.Pace {
+		if perSecond >= 0 && strings.HasPrefix(e.ID, prefix) {
+			rate, err := intake.RateOf(perSecond)
+			if err != nil {
+				w.t.Fatal(err)
+			}
+			words.Hear(w.now, e.ID, rate)
+		}
+		return intake.NewPace(words.Bound(e.ID), intake.LeaderPart(intake.ByLeaders, 1, 1, time.Time{}))
+	}
+	w.carryOut(w.pool.Configure(w.now, testServices, w.listed()))
+}
+
+// mostIn is the most that went out to an endpoint in any span, from a moment on.
+func (w *world) mostIn(endpoint string, span time.Duration, from time.Time) int {
+	most, first := 0, 0
+	list := w.sent[endpoint]
+	for i, at := range list {
+		for at.Sub(list[first]) > span || list[first].Before(from) && first < i {
+			first++
+		}
+		if !at.Before(from) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+// TestLimitedEndpoints has one of three endpoints of a service, then all, name a rate: calls
+// and results to give up together keep to it, all tasks that are let in end, and no result is
+// left behind in the end.
+func TestLimitedEndpoints(t *testing.T) {
+	const perSecond, span = 1.5, 4 * time.Second
+	for _, prefix := range []string{"tag-0", "tag", "bill", "print-1"} {
+		t.Run(prefix, func(t *testing.T) {
+			w := newWorld(t, 7, 3)
+			w.load(10, 2*time.Second, 1900*time.Millisecond)
+			from := w.now
+			w.limit(prefix, perSecond)
+			taken := w.load(10, 12*time.Second, 1900*time.Millisecond)
+			for _, e := range w.listed() {
+				if !strings.HasPrefix(e.ID, prefix) {
+					continue
+				}
+				if got := w.mostIn(e.ID, span, from); got > int(1.5*perSecond*span.Seconds())+5 {
+					t.Errorf("%s got %d requests in %v", e.ID, got, span)
+				}
+				if len(w.sent[e.ID]) == 0 || !w.sent[e.ID][len(w.sent[e.ID])-1].After(from.Add(5*time.Second)) {
+					t.Errorf("%s was left with nothing", e.ID)
+				}
+			}
+			for _, id := range taken {
+				_, done := w.done[id]
+				if _, failed := w.failed[id]; !done && !failed {
+					t.Errorf("task %d ended without an answer", id)
+				}
+			}
+			w.limit(prefix, -1)
+			w.run(10 * time.Second)
+			if len(w.handles) != 0 {
+				t.Errorf("%d results were never given up", len(w.handles))
+			}
+			t.Logf("%d tasks let in, %d done", len(taken), len(w.done))
+		})
+	}
+}
+
+// TestCrowdedOut has all endpoints of the first stage name a low rate while many tasks wait:
+// those that can't be in time any more are given up at once, long before their deadline.
+func TestCrowdedOut(t *testing.T) {
+	w := newWorld(t, 3, 2)
+	var waiting []TaskID
+	for range 40 {
+		if id, ok := w.submit(Task{RequestID: "r", Stages: testStages, Aim: w.now.Add(3 * time.Second), Deadline: w.now.Add(30 * time.Second)}); ok {
+			waiting = append(waiting, id)
+		}
+	}
+	w.limit("tag", 0.5)
+	w.run(4 * time.Second)
+	given, left := 0, 0
+	for _, id := range waiting {
+		_, done := w.done[id]
+		reason, failed := w.failed[id]
+		switch {
+		case failed && reason == crowdedOutReason:
+			given++
+		case !done && !failed && !w.pool.tasks[id].worked:
+			left++
+		}
+	}
+	if given == 0 || left > 0 {
+		t.Errorf("%d tasks were given up, %d wait on", given, left)
+	}
+}
+
+// TestNothingCollectedReachesALeavingEndpoint has an endpoint in need begin to leave while
+// results wait to be given up there.
+func TestNothingCollectedReachesALeavingEndpoint(t *testing.T) {
+	w := newWorld(t, 5, 2)
+	w.limit("tag-0", 0.5)
+	w.load(6, 6*time.Second, 1900*time.Millisecond)
+	list := w.listed()
+	for i := range list {
+		list[i].Draining = list[i].ID == "tag-0"
+	}
+	w.carryOut(w.pool.Configure(w.now, testServices, list))
+	before := len(w.sent["tag-0"])
+	w.run(6 * time.Second)
+	if after := len(w.sent["tag-0"]); after != before {
+		t.Errorf("%d requests reached it", after-before)
+	}
+}
--- a/internal/core/stagepool/world_test.go
+++ b/internal/core/stagepool/world_test.go
@@ -35,8 +35,10 @@
 	// promised is what the pool predicted of each task, from the moment in taken.
 	promised map[TaskID]time.Duration
 	taken    map[TaskID]time.Time
-	stats    worldStats
-	perCall  []int
+	// sent are when calls and results to give up went out to each endpoint.
+	sent    map[string][]time.Time
+	stats   worldStats
+	perCall []int
 }
 
 type worldStats struct{ noRoom, gone, calls, pieces int }
@@ -84,6 +86,7 @@
 		endpoints: make(map[string]*simEndpoint), handles: make(map[string]*simResult),
 		done: make(map[TaskID]time.Time), failed: make(map[TaskID]string), tasks: make(map[TaskID]Task),
 		promised: make(map[TaskID]time.Duration), taken: make(map[TaskID]time.Time),
+		sent:    make(map[string][]time.Time),
 		release: 150 * time.Millisecond,
 	}
 	for _, name := range []string{"tag", "bill", "print"} {
@@ -153,8 +156,10 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case StartCall:
+			w.sent[a.Endpoint] = append(w.sent[a.Endpoint], w.now)
 			w.startCall(a)
 		case Free:
+			w.sent[a.Endpoint] = append(w.sent[a.Endpoint], w.now)
 			w.after(time.Millisecond, func() { w.free(a) })
 		case Complete:
 			w.complete(a)
