--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -34,6 +35,7 @@
 	faults   []string
 	taken    bool
 	stops    []stop
+	starts   []time.Time
 }
 
 // stop is one planned stop: when SIGTERM was sent and when the process was gone,
@@ -86,6 +88,7 @@
 	}
 	p.command, p.expected = command, false
 	p.life++
+	p.starts = append(p.starts, time.Now())
 	exited := make(chan struct{})
 	p.exited = exited
 	go func() {
@@ -100,6 +103,14 @@
 	}()
 }
 
+// startedWithin reports whether the process was started in a time before a moment. Such a
+// node is not in touch yet, whether it was ended as planned or not.
+func (p *process) startedWithin(d time.Duration, at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.starts, func(start time.Time) bool { return !at.Before(start) && at.Sub(start) <= d })
+}
+
 // signal sends a signal to the process.
 func (p *process) signal(s os.Signal) {
 	p.mu.Lock()
