internal/scripted, internal/soak: one reader of scripts for three tests; an unknown kind of fault ends a run

Ruled out: that the check of limits can't fail. Change: scripted.Read; the run names the unknown kind. TestLeaving, TestLimits and poison's tests pass.

--- a/internal/core/discovery/leaving_test.go
+++ b/internal/core/discovery/leaving_test.go
@@ -1,14 +1,14 @@
 package discovery
 
 import (
-	"bufio"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"gradetiller.example/internal/scripted"
 )
 
 // The incident that the scripts under testdata/leaving tell: on 295 nodes, requests
@@ -60,23 +60,8 @@
 
 func readScript(t *testing.T, path string) script {
 	t.Helper()
-	file, err := os.Open(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
 	s := script{seeds: 1}
-	lines := bufio.NewScanner(file)
-	for number := 1; lines.Scan(); number++ {
-		text, _, _ := strings.Cut(lines.Text(), "#")
-		words := strings.Fields(text)
-		if len(words) == 0 {
-			continue
-		}
-		if err := s.take(words); err != nil {
-			t.Fatalf("%s:%d: %v", path, number, err)
-		}
-	}
+	scripted.Read(t, path, s.take)
 	return s
 }
 
--- a/internal/core/intake/limits_test.go
+++ b/internal/core/intake/limits_test.go
@@ -1,10 +1,8 @@
 package intake_test
 
 import (
-	"bufio"
 	"flag"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -12,6 +10,7 @@
 	"time"
 
 	"gradetiller.example/internal/core/intake"
+	"gradetiller.example/internal/scripted"
 )
 
 // What an endpoint that names a rate may get, from limitContact after it first did: in any
@@ -65,25 +64,10 @@
 	part      string
 }
 
-func readScript(t *testing.T, file string) script {
+func readScript(t *testing.T, path string) script {
 	t.Helper()
-	in, err := os.Open(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer in.Close()
 	s := script{}
-	lines := bufio.NewScanner(in)
-	for n := 1; lines.Scan(); n++ {
-		text, _, _ := strings.Cut(lines.Text(), "#")
-		words := strings.Fields(text)
-		if len(words) == 0 {
-			continue
-		}
-		if err := s.line(words); err != nil {
-			t.Fatalf("%s:%d: %v", file, n, err)
-		}
-	}
+	scripted.Read(t, path, s.line)
 	return s
 }
 
--- a/internal/core/poison/incidents_test.go
+++ b/internal/core/poison/incidents_test.go
@@ -1,14 +1,14 @@
 package poison_test
 
 import (
-	"bufio"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"gradetiller.example/internal/scripted"
 )
 
 // TestIncidents plays the scripts under testdata/incidents: systems of nodes in simulated
@@ -84,23 +84,8 @@
 
 func readScript(t *testing.T, path string) script {
 	t.Helper()
-	file, err := os.Open(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
 	s := script{settings: make(map[string]string)}
-	lines := bufio.NewScanner(file)
-	for number := 1; lines.Scan(); number++ {
-		text, _, _ := strings.Cut(lines.Text(), "#")
-		words := strings.Fields(text)
-		if len(words) == 0 {
-			continue
-		}
-		if err := s.take(words); err != nil {
-			t.Fatalf("%s:%d: %v", path, number, err)
-		}
-	}
+	scripted.Read(t, path, s.take)
 	return s
 }
 
--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -153,6 +153,10 @@
 }
 
 func checkBounds(t *testing.T, program string, c boundsCase) {
+	if !known(c.fault) {
+		// None would ever be drawn.
+		t.Fatalf("no kind of fault %q", c.fault)
+	}
 	seed := c.seed
 	d := readDeployment(t, cmp.Or(*boundsOf, unhurried))
 	r := &boundsRun{
--- a/internal/soak/disturb_test.go
+++ b/internal/soak/disturb_test.go
@@ -65,6 +65,11 @@
 	return slices.Concat(faults, laterFaults)
 }
 
+// known reports whether a kind of fault exists; the empty one stands for all.
+func known(only string) bool {
+	return only == "" || slices.ContainsFunc(kinds(only), func(f fault) bool { return f.name == only })
+}
+
 // trouble brings faults in series, overlapping, for a while: those of one kind, or of
 // all if it is empty.
 func (r *boundsRun) trouble(lasts time.Duration, only string) {
