internal/node: repeats and resumed streams keep to limits too; cmd/gradetiller-entry: a word

Cause: it was asked whether the bound holds on every path; the tests had first tries, what a leader places and stage calls, but nothing that is sent again. The 68 lines outside platform/ with the platform's words were read: HTTP and peer servers, the state machine of a call, a computer in comments; one comment meant an instance.

--- a/cmd/gradetiller-entry/cmd/main.go
+++ b/cmd/gradetiller-entry/cmd/main.go
@@ -20,7 +20,7 @@
 
 // answerTime is the part of a planned stop that the answers of the requests
 // that it ended have to get out, and their records to be taken back. Writing
-// one takes far less; the rest is for a machine that is busy.
+// one takes far less; the rest is for an instance that is busy.
 const answerTime = time.Second
 
 const (
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -31,17 +32,31 @@
 	mostRounds = 120
 )
 
-// limitCases are the kinds of work by which endpoints are reached; Service is the one whose
-// endpoints name a limit.
-var limitCases = []struct {
+// limitCase is one kind of work.
+type limitCase struct {
 	name, service string
 	request       platformtest.Request
-}{
-	{"plain", "desk", platformtest.Request{Path: "/read/x"}},
-	{"once", "desk", platformtest.Request{Path: "/book/x"}},
-	{"model", "model", platformtest.Request{Path: "/plain/x", Streaming: true}},
-	{"placed", "model", platformtest.Request{Path: "/staged/x", Streaming: true, Pieces: []int{1, 1}}},
-	{"stages", "encode", platformtest.Request{Path: "/staged/x", Streaming: true, Pieces: []int{2, 1}}},
+	// fault is met by half of the requests at the service, so that they are sent again; some
+	// may then fail.
+	fault platformtest.Fault
+}
+
+// limitCases are the kinds of work by which endpoints are reached; Service is the one whose
+// endpoints name a limit.
+var limitCases = []limitCase{
+	{name: "plain", service: "desk", request: platformtest.Request{Path: "/read/x"}},
+	{name: "once", service: "desk", request: platformtest.Request{Path: "/book/x"}},
+	{name: "model", service: "model", request: platformtest.Request{Path: "/plain/x", Streaming: true}},
+	{name: "placed", service: "model", request: platformtest.Request{Path: "/staged/x", Streaming: true, Pieces: []int{1, 1}}},
+	{name: "stages", service: "encode", request: platformtest.Request{Path: "/staged/x", Streaming: true, Pieces: []int{2, 1}}},
+}
+
+// repeatCases are work that is sent again: plain requests whose connection is reset, streams
+// that break midway and are resumed elsewhere, placed by nodes and by a leader.
+var repeatCases = []limitCase{
+	{name: "repeats", service: "desk", request: platformtest.Request{Path: "/read/x"}, fault: platformtest.Reset},
+	{name: "resumed", service: "model", request: platformtest.Request{Path: "/plain/x", Streaming: true}, fault: platformtest.Torn},
+	{name: "resumed-placed", service: "model", request: platformtest.Request{Path: "/staged/x", Streaming: true, Pieces: []int{1, 1}}, fault: platformtest.Torn},
 }
 
 // tally has clients send requests to nodes in turn until a time is over, and counts the
@@ -84,22 +99,24 @@
 // nodes send them far more. None gets more than it is allowed, and each gets some; what is
 // not served is refused as not run, with the time to come back.
 func TestNamedLimitIsKept(t *testing.T) {
-	for _, c := range limitCases {
+	for _, c := range slices.Concat(limitCases, repeatCases) {
 		for _, limited := range []int{2, 6} {
 			t.Run(fmt.Sprintf("%s-%d-of-6", c.name, limited), func(t *testing.T) {
 				t.Parallel()
-				keepsLimit(t, c.service, c.request, limited, 3)
+				c.keepsLimit(t, limited)
 			})
 		}
 	}
 }
 
-func keepsLimit(t *testing.T, service string, q platformtest.Request, limited, count int) {
+// keepsLimit plays the case on three nodes with six endpoints, some of them limited.
+func (c limitCase) keepsLimit(t *testing.T, limited int) {
+	const count = 3
 	site, _ := desk(t)
 	var workers []*platformtest.Worker
 	for _, name := range []string{"desk", "model", "encode", "rank"} {
 		list := site.AddWorkers(name, 6)
-		if name == service {
+		if name == c.service {
 			workers = list
 		}
 	}
@@ -118,7 +135,12 @@
 			w.NameLimit(strconv.FormatFloat(namedRate, 'f', -1, 64))
 		}
 	}()
-	l.run(nodes, q, 8, named.Add(intaketest.Contact+measured))
+	if c.fault != platformtest.Healthy {
+		for _, w := range workers {
+			w.Inject(everySecond(c.fault, 1000)...)
+		}
+	}
+	l.run(nodes, c.request, 8, named.Add(intaketest.Contact+measured))
 	allowed := intaketest.Allowed(namedRate)
 	for i, w := range workers[:limited] {
 		// What was sent before the endpoint named its rate doesn't count: at 50 requests a
@@ -131,13 +153,25 @@
 			t.Errorf("endpoint %d was left with nothing after %v", i, intaketest.Contact)
 		}
 	}
+	t.Logf("answers %v", l.answers)
+	if c.fault != platformtest.Healthy {
+		return
+	}
 	if len(l.held) > 0 {
 		t.Errorf("%d were neither served nor refused with the time to come back: %s", len(l.held), l.held[0])
 	}
 	if limited < len(workers) && l.answers[http.StatusServiceUnavailable] > 0 {
 		t.Errorf("%d were refused though four endpoints name no limit", l.answers[http.StatusServiceUnavailable])
 	}
-	t.Logf("answers %v", l.answers)
+}
+
+// everySecond lists a fault for every second of some requests.
+func everySecond(f platformtest.Fault, requests int) []platformtest.Fault {
+	list := make([]platformtest.Fault, requests)
+	for i := range requests / 2 {
+		list[2*i] = f
+	}
+	return list
 }
 
 // TestLimitThatEnds has all endpoints name a limit and take it back. They are told by the
