--- a/internal/core/intake/limits_test.go
+++ b/internal/core/intake/limits_test.go
@@ -22,6 +22,8 @@
 //	lasts D
 //	used F                           the least part of what is named that must be used, for
 //	                                 scripts without room elsewhere, or with a leader
+//	again D                          within which of the end of its last word each limited
+//	                                 endpoint gets an even share once more
 //	refused                          that some requests find no endpoint is expected
 //	at D name RATE | none            what their answers name from then on
 //	every D name RATE | none         in turns of that length with the line before
@@ -36,6 +38,7 @@
 	endpoints, limited int
 	lasts              time.Duration
 	used               float64
+	again              time.Duration
 	refused            bool
 	words              []naming
 	troubles           []trouble
@@ -77,6 +80,8 @@
 		s.lasts = span(words[1])
 	case "used":
 		s.used = number(words[1])
+	case "again":
+		s.again = span(words[1])
 	case "refused":
 		s.refused = true
 	case "at":
--- a/internal/core/intake/limitworld_test.go
+++ b/internal/core/intake/limitworld_test.go
@@ -349,6 +349,13 @@
 	if used < w.script.used {
 		t.Errorf("seed %d: %.2f of what is named were used, %.2f must be", seed, used, w.script.used)
 	}
+	if w.script.again > 0 {
+		slowest := w.slowestReturn()
+		t.Logf("seed %d: an even share again within %v", seed, slowest.Round(100*time.Millisecond))
+		if slowest > w.script.again {
+			t.Errorf("seed %d: an even share again after %v, %v are allowed", seed, slowest, w.script.again)
+		}
+	}
 	if w.unserved > 0 && !w.script.refused {
 		t.Errorf("seed %d: %d requests found no endpoint", seed, w.unserved)
 	}
@@ -381,3 +388,25 @@
 	rate := w.script.named(at)
 	return rate > 0 && rate == w.script.named(max(at-8*time.Second, 0)) && at > w.script.words[0].at+8*time.Second
 }
+
+// slowestReturn is how long after the end of its last word the last of the limited endpoints
+// gets most of an even share of the traffic in a second.
+func (w *limitWorld) slowestReturn() time.Duration {
+	const most = 0.8
+	words := w.script.words
+	ended := w.start.Add(words[len(words)-1].at)
+	share := int(most * w.script.traffic / float64(w.script.endpoints))
+	slowest := time.Duration(0)
+	for _, list := range w.arrivals {
+		returned := w.script.lasts
+		for k := share - 1; k < len(list); k++ {
+			at := list[k].at
+			if list[k-share+1].at.After(ended) && at.Sub(list[k-share+1].at) <= time.Second {
+				returned = at.Sub(ended)
+				break
+			}
+		}
+		slowest = max(slowest, returned)
+	}
+	return slowest
+}
