internal/core/place, internal/core/intake: a turn at an endpoint that names a limit is used while it lasts

What callers saw: with hundreds of nodes that choose for themselves, an endpoint in need got a tenth of what it takes while others had room, and was left at that for half a minute after it took any number again. Cause: such a node has a turn every minute or more, which ends after 1.5 s; the policy chose that endpoint no more often than any other in it, so most turns passed, and hardly any answer came that told of the end. Ruled out: lives and spreading of words (7 nodes, and those with a leader, are told in time); a higher floor for low limits, which would send an endpoint more than it names. Change: a node that has a turn sends its next request there. Turns at cold endpoints may pass: these are slow, and others serve better. Pools without limited endpoints are not looked through. Why it holds: turns are as many as before, and their sum is the bound's part.

--- a/internal/core/intake/pace.go
+++ b/internal/core/intake/pace.go
@@ -61,6 +61,19 @@
 	return !bounded || !p.nextAt(now, r, s).After(now)
 }
 
+// Named reports whether the endpoint names a rate, or has until lately.
+func (p Pace) Named() bool { return p.bound.named.named || p.bound.from > 0 }
+
+// Turn reports whether the node has a turn now that ends unused soon, at an endpoint that has
+// named a rate. The turns of a cold one may pass: it is slow, and others serve better.
+func (p Pace) Turn(now time.Time, s *Sends) bool {
+	if !p.bound.eased(now).Bounded() || now.Before(p.bound.coldUntil) {
+		return false
+	}
+	r, _ := p.rate(now)
+	return p.byTurns(gapOf(r)) && !p.nextAt(now, r, s).After(now)
+}
+
 // Next is when the next request may go out, as far as it is known now.
 func (p Pace) Next(now time.Time, s *Sends) time.Time {
 	r, bounded := p.rate(now)
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -63,6 +63,8 @@
 	reading   *Reading
 	// took is the moving average over all endpoints.
 	took time.Duration
+	// limited tells that some endpoints name what they take.
+	limited bool
 }
 
 // SetPolicy puts another policy in force and keeps what is known of the
@@ -88,8 +90,10 @@
 // flight name them by index.
 func (p *Pool) Update(specs []Spec) {
 	wanted := make(map[string]Spec, len(specs))
+	p.limited = false
 	for _, s := range specs {
 		wanted[s.Name] = s
+		p.limited = p.limited || s.Pace.Named()
 	}
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
@@ -124,6 +128,9 @@
 	if len(p.endpoints) == 0 {
 		return None, false
 	}
+	if i := p.turn(now, req); i != None {
+		return i, true
+	}
 	choose := p.policy
 	if req.Policy != nil {
 		choose = req.Policy
