internal/node, platform/platformtest: cold endpoints on real nodes

Cause: cold starts are paced by the module that holds limits now, and no test but the simulated world asked what a cold endpoint gets from several nodes. Ruled out: that it gets more than 1.5 times what it handles and 5 more in a second, plain, once, models by nodes and placed, two and all of six cold.

--- a/internal/core/intake/intaketest/rule.go
+++ b/internal/core/intake/intaketest/rule.go
@@ -31,10 +31,15 @@
 
 // Most is the most of some moments, in their order, that lie in any Span which ends at a moment
 // or later.
-func Most(times []time.Time, from time.Time) int {
+func Most(times []time.Time, from time.Time) int { return mostIn(times, Span, from) }
+
+// MostIn is the most of some moments, in their order, that lie in any span of a length.
+func MostIn(times []time.Time, span time.Duration) int { return mostIn(times, span, time.Time{}) }
+
+func mostIn(times []time.Time, span time.Duration, from time.Time) int {
 	highest, first := 0, 0
 	for i, at := range times {
-		for at.Sub(times[first]) > Span {
+		for at.Sub(times[first]) > span {
 			first++
 		}
 		if !at.Before(from) {
--- /dev/null
+++ b/internal/node/cold_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradetiller.example/internal/core/intake/intaketest"
+	"gradetiller.example/platform/platformtest"
+)
+
+const (
+	// coldPerSecond is what a cold worker of these tests handles, and coldAllowed how many
+	// requests it may get in any second: 1.5 times that, and 5 more.
+	coldPerSecond = 10.0
+	coldAllowed   = 20
+	// coldTime is how long workers are cold, coldKnown how long nodes may take to know it.
+	coldTime  = 8 * time.Second
+	coldKnown = 2500 * time.Millisecond
+)
+
+// TestColdEndpoints has two of six workers, then all of them, turn cold while three nodes send
+// them far more than these handle then, chosen by each node or placed by a leader. From when
+// the nodes had time to know it none gets more than it may in any second, and each gets some.
+func TestColdEndpoints(t *testing.T) {
+	for _, c := range limitCases {
+		if c.service == "encode" {
+			// What a stage endpoint handles is bounded by its calls.
+			continue
+		}
+		for _, cold := range []int{2, 6} {
+			t.Run(fmt.Sprintf("%s-%d-of-6", c.name, cold), func(t *testing.T) {
+				t.Parallel()
+				c.keepsCold(t, cold)
+			})
+		}
+	}
+}
+
+func (c limitCase) keepsCold(t *testing.T, cold int) {
+	site, config := desk(t)
+	config.Version, config.ColdPerSecond = 2, coldPerSecond
+	site.Publish(config)
+	var workers []*platformtest.Worker
+	for _, name := range []string{"desk", "model", "encode", "rank"} {
+		list := site.AddWorkers(name, 6)
+		if name == c.service {
+			workers = list
+		}
+	}
+	nodes := []*running{startNode(t, site)}
+	for range 2 {
+		nodes = append(nodes, startNode(t, site, nodes[0].Peer))
+	}
+	for _, n := range nodes {
+		n.awaitReady(t)
+	}
+	turned := time.Now()
+	for _, w := range workers[:cold] {
+		w.TurnCold(coldTime)
+	}
+	l := &tally{answers: make(map[int]int)}
+	l.run(nodes, c.request, 16, turned.Add(coldTime-time.Second))
+	for i, w := range workers[:cold] {
+		arrivals := intaketest.After(w.Arrivals(), turned.Add(coldKnown))
+		if got := intaketest.MostIn(arrivals, time.Second); got > coldAllowed {
+			t.Errorf("endpoint %d got %d requests in a second, %d are allowed", i, got, coldAllowed)
+		}
+		if len(arrivals) == 0 {
+			t.Errorf("endpoint %d was left with nothing", i)
+		}
+	}
+	if len(l.held) > 0 {
+		t.Errorf("%d were neither served nor refused with the time to come back: %s", len(l.held), l.held[0])
+	}
+	t.Logf("answers %v", l.answers)
+}
