core/signal: move the rate limits of endpoints out of core/intake

A rename without a change of behaviour. What endpoints announce in their answers gets a package of its own, since more signals than the rate limit have to be kept: intake.Words is signal.Limits, Hear is Observe, Told is LimitUpdate, Take is Merge. The order of fields on the wire is unchanged.

--- a/internal/core/intake/bound.go
+++ b/internal/core/intake/bound.go
@@ -54,6 +54,12 @@
 	since time.Time
 }
 
+// NewBound returns the bound of an advertised rate limit that came into force at a moment. When
+// it replaced a lower one, from is the rate allowed until then, in requests a second, else 0.
+func NewBound(limit Rate, from float64, since time.Time) Bound {
+	return Bound{named: limit, from: from, since: since}
+}
+
 // WithCold adds that the endpoint is cold until a moment.
 func (b Bound) WithCold(c Cold, until time.Time) Bound {
 	b.cold, b.coldUntil = c.rate(), until
@@ -64,7 +70,7 @@
 func (b Bound) At(now time.Time) Rate {
 	r := b.eased(now)
 	if now.Before(b.coldUntil) {
-		r = lower(r, b.cold)
+		r = Lower(r, b.cold)
 	}
 	return r
 }
@@ -86,5 +92,5 @@
 	if reached >= mostPerSecond {
 		return r
 	}
-	return lower(r, Rate{perSecond: reached, named: true})
+	return Lower(r, Rate{perSecond: reached, named: true})
 }
--- a/internal/core/intake/doc.go
+++ b/internal/core/intake/doc.go
@@ -4,7 +4,7 @@
 // Two causes bound them. A cold endpoint, one that has just begun, bears only so many
 // requests a second; the list of endpoints and the configuration tell that (Cold). An
 // endpoint in need names in its answers how many it takes, for as long as it says so; the
-// node that passes such an answer on hears it, and heartbeats tell the others (Words). The
+// node that passes such an answer on observes it, and heartbeats spread it (package signal). The
 // lowest of them is in force (Bound).
 //
 // The nodes do not ask each other before they send. A bound is divided beforehand (Part): a
@@ -16,11 +16,8 @@
 //
 // # Usage
 //
-//	words := intake.NewWords()
 //	rate, err := intake.RateOf(1.5)
-//	change, changed := words.Hear(now, endpoint, rate)
-//
-//	bound := words.Bound(endpoint).WithCold(intake.Cold{PerSecond: 10, Excess: 1.5, Slack: 5}, until)
+//	bound := intake.NewBound(rate, 0, now).WithCold(intake.Cold{PerSecond: 10, Excess: 1.5, Slack: 5}, until)
 //	pace := intake.NewPace(bound, intake.NodePart(intake.ByNodes, rank, nodes, endpoint))
 //	var sends intake.Sends
 //	if pace.Due(now, &sends) {
--- a/internal/core/intake/limitworld_test.go
+++ b/internal/core/intake/limitworld_test.go
@@ -9,6 +9,7 @@
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/intake/intaketest"
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/signal"
 )
 
 const (
@@ -26,7 +27,7 @@
 
 // limitNode is a node of a limitWorld.
 type limitNode struct {
-	words  *intake.Words
+	limits *signal.Limits
 	chosen *place.Pool // by itself
 	placed *place.Pool // for all others, when it leads
 	leads  bool
@@ -105,7 +106,7 @@
 	if err != nil {
 		panic(err)
 	}
-	*n = limitNode{words: intake.NewWords(), chosen: own, placed: led, part: n.part, troubled: n.troubled, firstHeard: make(map[int]time.Time)}
+	*n = limitNode{limits: signal.NewLimits(), chosen: own, placed: led, part: n.part, troubled: n.troubled, firstHeard: make(map[int]time.Time)}
 	w.pace(k)
 }
 
@@ -129,7 +130,7 @@
 	list := make([]place.Spec, w.script.endpoints)
 	for i := range list {
 		endpoint := name(i)
-		list[i] = place.Spec{Name: endpoint, Slots: 64, Pace: intake.NewPace(n.words.Bound(endpoint), part(endpoint))}
+		list[i] = place.Spec{Name: endpoint, Slots: 64, Pace: intake.NewPace(n.limits.Bound(endpoint), part(endpoint))}
 	}
 	return list
 }
@@ -195,7 +196,7 @@
 func (w *limitWorld) tick(now time.Time, k int, beaten time.Time) {
 	n := w.nodes[k]
 	if !n.away {
-		n.words.Expire(now)
+		n.limits.Expire(now)
 		if n.dirty {
 			w.pace(k)
 		}
@@ -224,15 +225,15 @@
 // tell has a node tell another one what is new, and the other answer what it lacks.
 func (w *limitWorld) tell(now time.Time, from, to int) {
 	a := w.nodes[from]
-	news, sum := a.words.News(now, name(to), mostTold), a.words.Sum()
+	news, sum := a.limits.Updates(now, name(to), mostTold), a.limits.Sum()
 	w.after(now.Add(2*time.Millisecond), func(now time.Time) {
 		b := w.nodes[to]
 		if b.away || a.part != b.part {
 			return
 		}
-		w.changed(b, len(b.words.Take(now, news)) > 0)
-		if b.words.Compare(now, name(from), sum) {
-			w.changed(a, len(a.words.Take(now, b.words.News(now, name(from), mostTold))) > 0)
+		w.changed(b, len(b.limits.Merge(now, news)) > 0)
+		if b.limits.Differs(now, name(from), sum) {
+			w.changed(a, len(a.limits.Merge(now, b.limits.Updates(now, name(from), mostTold))) > 0)
 		}
 	})
 }
@@ -306,7 +307,7 @@
 			n.firstHeard[i] = now
 		}
 	}
-	_, changed := n.words.Hear(now, name(i), rate)
+	_, changed := n.limits.Observe(now, name(i), rate)
 	w.changed(n, changed)
 }
 
--- a/internal/core/intake/rate.go
+++ b/internal/core/intake/rate.go
@@ -44,21 +44,10 @@
 	return strconv.FormatFloat(r.perSecond, 'g', -1, 64) + "/s"
 }
 
-// lower returns the lower one of two rates.
-func lower(a, b Rate) Rate {
+// Lower returns the lower one of two rates.
+func Lower(a, b Rate) Rate {
 	if !a.named || b.named && b.perSecond < a.perSecond {
 		return b
 	}
 	return a
 }
-
-// Word is what an answer of an endpoint says of the requests that it takes. The zero value
-// says nothing, as an answer does whose word can't be read; what was heard before holds on.
-type Word struct {
-	// Rate is what it takes, for as long as it says so.
-	Rate Rate
-	// Says is true for an answer that names a rate, or that would if there were one.
-	Says bool
-	// Fault is why its word can't be read, or nil.
-	Fault error
-}
--- a/internal/core/intake/words_test.go
+++ b/internal/core/signal/limits_test.go
@@ -1,4 +1,4 @@
-package intake_test
+package signal_test
 
 import (
 	"testing"
@@ -8,6 +8,7 @@
 
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/intake/intaketest"
+	"gradetiller.example/internal/core/signal"
 )
 
 func rateIn(t interface{ Fatal(...any) }, n float64) intake.Rate {
@@ -18,9 +19,9 @@
 	return r
 }
 
-// TestWords follows what one endpoint says, by this node and by others.
-func TestWords(t *testing.T) {
-	w := intake.NewWords()
+// TestLimits follows the limits of one endpoint, observed by this node and by peers.
+func TestLimits(t *testing.T) {
+	w := signal.NewLimits()
 	start := time.Unix(1000, 0)
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	takes := func(now time.Time, want string) {
@@ -29,25 +30,25 @@
 			t.Errorf("after %v: takes %s, want %s", now.Sub(start), got, want)
 		}
 	}
-	w.Hear(at(0), "e", intake.Rate{})
+	w.Observe(at(0), "e", intake.Rate{})
 	takes(at(0), "none")
-	w.Hear(at(1), "e", rateIn(t, 2))
+	w.Observe(at(1), "e", rateIn(t, 2))
 	takes(at(1), "2/s")
-	w.Take(at(2), []intake.Told{{Endpoint: "e", Rate: rateIn(t, 9), Age: 1500 * time.Millisecond}})
+	w.Merge(at(2), []signal.LimitUpdate{{Endpoint: "e", Rate: rateIn(t, 9), Age: 1500 * time.Millisecond}})
 	takes(at(2), "2/s") // it was heard before
-	w.Take(at(3), []intake.Told{{Endpoint: "e", Rate: rateIn(t, 0), Age: 100 * time.Millisecond}})
+	w.Merge(at(3), []signal.LimitUpdate{{Endpoint: "e", Rate: rateIn(t, 0), Age: 100 * time.Millisecond}})
 	takes(at(3), "0.2/s") // its end can only be heard from an answer
-	w.Hear(at(4), "e", intake.Rate{})
+	w.Observe(at(4), "e", intake.Rate{})
 	takes(at(5), "0.2/s") // held
 	takes(at(6.1), "1/s")
 	takes(at(7.1), "4/s") // rising
 	takes(at(30), "none")
-	w.Hear(at(40), "e", rateIn(t, 5))
+	w.Observe(at(40), "e", rateIn(t, 5))
 	if changes := w.Expire(at(99)); len(changes) != 0 {
 		t.Errorf("ended before its time: %+v", changes)
 	}
-	if changes := w.Expire(at(101)); len(changes) != 1 || changes[0].Takes.Bounded() {
-		t.Errorf("changes %+v, want the end of a word that no answer repeated", changes)
+	if changes := w.Expire(at(101)); len(changes) != 1 || changes[0].After.Bounded() {
+		t.Errorf("changes %+v, want the end of a limit that no answer repeated", changes)
 	}
 	takes(at(140), "none")
 	w.Expire(at(200))
@@ -56,20 +57,20 @@
 	}
 }
 
-// TestWordsMeet has nodes hear words of some endpoints at random and tell each other: in the
-// end all know the same, with the same sum.
-func TestWordsMeet(t *testing.T) {
+// TestLimitsConverge has nodes observe limits at random and exchange updates: in the
+// end all hold the same limits, with the same checksum.
+func TestLimitsConverge(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		names := []string{"a", "b", "c"}
-		nodes := make(map[string]*intake.Words)
+		nodes := make(map[string]*signal.Limits)
 		for _, n := range names {
-			nodes[n] = intake.NewWords()
+			nodes[n] = signal.NewLimits()
 		}
 		now := time.Unix(1000, 0)
 		tell := func(from, to string) {
-			news := nodes[from].News(now, to, 2)
-			nodes[to].Take(now, news)
-			nodes[to].Compare(now, from, nodes[from].Sum())
+			news := nodes[from].Updates(now, to, 2)
+			nodes[to].Merge(now, news)
+			nodes[to].Differs(now, from, nodes[from].Sum())
 		}
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(50, 3000).Draw(rt, "gap")) * time.Millisecond)
@@ -78,9 +79,9 @@
 			case 0:
 				tell(at, rapid.SampledFrom(names).Draw(rt, "to"))
 			case 1:
-				nodes[at].Hear(now, rapid.SampledFrom([]string{"e", "f", "g"}).Draw(rt, "endpoint"), intake.Rate{})
+				nodes[at].Observe(now, rapid.SampledFrom([]string{"e", "f", "g"}).Draw(rt, "endpoint"), intake.Rate{})
 			default:
-				nodes[at].Hear(now, rapid.SampledFrom([]string{"e", "f", "g"}).Draw(rt, "endpoint"), rateIn(rt, float64(rapid.IntRange(0, 3).Draw(rt, "rate"))))
+				nodes[at].Observe(now, rapid.SampledFrom([]string{"e", "f", "g"}).Draw(rt, "endpoint"), rateIn(rt, float64(rapid.IntRange(0, 3).Draw(rt, "rate"))))
 			}
 		}
 		for range 12 {
@@ -95,7 +96,7 @@
 		}
 		for _, n := range names[1:] {
 			if nodes[n].Sum() != nodes["a"].Sum() {
-				rt.Errorf("node %s knows other words than a", n)
+				rt.Errorf("node %s knows other limits than a", n)
 			}
 		}
 	})
@@ -107,9 +108,9 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		named := rapid.Float64Range(0.1, 30).Draw(rt, "rate")
 		nodes := rapid.SampledFrom([]int{1, 2, 7, 59}).Draw(rt, "nodes")
-		words := intake.NewWords()
+		limits := signal.NewLimits()
 		start := time.Unix(1000, 0)
-		words.Hear(start, "e", rateIn(rt, named))
+		limits.Observe(start, "e", rateIn(rt, named))
 		sends := make([]intake.Sends, nodes)
 		var sent []time.Time
 		jump := time.Duration(rapid.IntRange(-5000, 5000).Draw(rt, "jump")) * time.Millisecond
@@ -121,7 +122,7 @@
 				if k == struck && step > 500 && step < 1000 {
 					clock = now.Add(jump)
 				}
-				pace := intake.NewPace(words.Bound("e"), intake.NodePart(intake.ByNodes, k, nodes, "e"))
+				pace := intake.NewPace(limits.Bound("e"), intake.NodePart(intake.ByNodes, k, nodes, "e"))
 				if pace.Due(clock, &sends[k]) {
 					sends[k].Add(clock, pace)
 					sent = append(sent, now)
--- a/internal/core/stagepool/intake_test.go
+++ b/internal/core/stagepool/intake_test.go
@@ -8,21 +8,22 @@
 	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/intake/intaketest"
+	"gradetiller.example/internal/core/signal"
 )
 
 // limit has the endpoints whose ids begin with a prefix take so many requests a second from
 // now on; below 0 is any number.
 func (w *world) limit(prefix string, perSecond float64) {
-	words := intake.NewWords()
+	limits := signal.NewLimits()
 	w.pool.paces = func(e catalog.Endpoint) intake.Pace {
 		if perSecond >= 0 && strings.HasPrefix(e.ID, prefix) {
 			rate, err := intake.RateOf(perSecond)
 			if err != nil {
 				w.t.Fatal(err)
 			}
-			words.Hear(w.now, e.ID, rate)
+			limits.Observe(w.now, e.ID, rate)
 		}
-		return intake.NewPace(words.Bound(e.ID), intake.LeaderPart(intake.ByLeaders, 1, 1, time.Time{}))
+		return intake.NewPace(limits.Bound(e.ID), intake.LeaderPart(intake.ByLeaders, 1, 1, time.Time{}))
 	}
 	w.carryOut(w.pool.Configure(w.now, testServices, w.listed()))
 }
--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -64,7 +64,7 @@
 	if n.leads.Or(lead.Bit(cell))&lead.Bit(cell) == 0 {
 		n.log.Info(eventLeadsACell, zap.Int("cell", cell))
 		n.leaders.contend(cell, time.Now())
-		n.repace.Store(true)
+		n.ratesChanged.Store(true)
 		n.crowd()
 		n.publishEntry()
 		go n.leaders.learnCaches()
@@ -94,7 +94,7 @@
 		if n.leaders.idle(cell) {
 			n.log.Info(eventLeadsACellNoMore, zap.Int("cell", cell))
 			n.leads.And(^lead.Bit(cell))
-			n.repace.Store(true)
+			n.ratesChanged.Store(true)
 			n.publishEntry()
 		}
 	}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -11,11 +11,10 @@
 	eventAnswerBroke = "answer broke"
 	// An endpoint said that it has not run a request.
 	eventEndpointDeclined = "endpoint declined"
-	// An endpoint names how many requests a second it takes from all nodes together, another
-	// number than before, or none any more.
-	eventIntakeChanged = "endpoint intake changed"
-	// What an endpoint says of the requests that it takes can't be read.
-	eventIntakeUnread = "endpoint intake not as expected"
+	// The rate limit that an endpoint advertises changed.
+	eventLimitChanged = "endpoint rate limit changed"
+	// A signal in an answer of an endpoint can't be parsed.
+	eventSignalInvalid = "endpoint signal invalid"
 	// A stream that broke off.
 	eventStreamBroke = "stream broke"
 	// A leader did not answer and is passed over for a while.
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -45,7 +45,7 @@
 	m.set.NewGauge("gradetiller_cells_led", func() float64 { return float64(n.cellsLed()) })
 	m.set.NewGauge("gradetiller_poison_suspects", func() float64 { suspects, _ := n.poisons.sizes(); return float64(suspects) })
 	m.set.NewGauge("gradetiller_poison_known", func() float64 { _, known := n.poisons.sizes(); return float64(known) })
-	m.set.NewGauge("gradetiller_endpoints_limited", func() float64 { return float64(n.words.count()) })
+	m.set.NewGauge("gradetiller_endpoints_limited", func() float64 { return float64(n.signals.limited()) })
 	if n.droppedLines != nil {
 		m.droppedLines("ordinary", func() uint64 { return n.droppedLines(logging.Ordinary) })
 		m.droppedLines("urgent", func() uint64 { return n.droppedLines(logging.Urgent) })
@@ -110,8 +110,8 @@
 // endpointEnded counts an endpoint that ended under runs of this node.
 func (m *meters) endpointEnded() { m.set.GetOrCreateCounter("gradetiller_endpoints_ended_total").Inc() }
 
-// heardLimit counts an answer by which its endpoint bounds the requests that it takes.
-func (m *meters) heardLimit() {
+// observedLimit counts an answer that advertises a rate limit.
+func (m *meters) observedLimit() {
 	m.set.GetOrCreateCounter("gradetiller_answers_of_limited_endpoints_total").Inc()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,9 +97,9 @@
 	peakMu sync.Mutex
 	peak   intake.Peak
 	// crowded is the time from the start until which another leader may be at work, and
-	// repace tells that what this node may send to some endpoint has changed.
-	crowded atomic.Int64
-	repace  atomic.Bool
+	// ratesChanged tells that what this node may send to some endpoint has changed.
+	crowded      atomic.Int64
+	ratesChanged atomic.Bool
 	// leads has a bit for each cell that this node claims.
 	leads atomic.Uint64
 	// askedView, greeted and asked belong to the goroutine that beats.
@@ -125,7 +125,7 @@
 	// list them, since their entries lapsed.
 	keptEndpoints atomic.Int64
 	poisons       *poisons
-	words         *words
+	signals       *signals
 	inFlight      atomic.Int64
 	// stop is the planned stop under way, or nil.
 	stop atomic.Pointer[stop]
@@ -174,8 +174,8 @@
 	}
 	n.serving, n.giveUp = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress, platform.WithEraFaults(func(err error) { n.log.Warn(eventStoreEra, zap.Error(err)) }))
-	n.workers = platform.NewWorkers(platform.WithWords(n.heardWord))
-	n.words = newWords()
+	n.workers = platform.NewWorkers(platform.WithSignals(n.observeSignals))
+	n.signals = newSignals()
 	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.ownPace, n.off)
 	n.budget = n.newBudget()
 	n.stageBudget = n.newBudget()
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -20,7 +20,7 @@
 // bound is what an endpoint of a service takes from all nodes together.
 func (n *Node) bound(service catalog.Service, endpoint string, cold discovery.Coldness) intake.Bound {
 	bears := intake.Cold{PerSecond: service.ColdPerSecond, Excess: n.settings.ColdExcess, Slack: n.settings.ColdSlack}
-	return n.words.bound(endpoint).WithCold(bears, cold.Until)
+	return n.signals.bound(endpoint).WithCold(bears, cold.Until)
 }
 
 // leaderPace is the pace of what this node chooses for all others.
@@ -56,7 +56,7 @@
 	nodes := n.peak.See(now, max(len(names), len(n.settings.Seeds)+1))
 	next := share{rank: rank, nodes: nodes}
 	if before := n.share.Swap(&next); before == nil || *before != next {
-		n.repace.Store(true)
+		n.ratesChanged.Store(true)
 	}
 }
 
@@ -70,13 +70,13 @@
 	return n.leaderPace(v, service, e.ID, v.coldness(service, e))
 }
 
-// paceAnew puts in force what this node may send to endpoints that bound what they take, if
+// recomputeRates puts in force what this node may send to endpoints that bound what they take, if
 // it has changed and there are any.
-func (n *Node) paceAnew() {
-	if !n.repace.Swap(false) {
+func (n *Node) recomputeRates() {
+	if !n.ratesChanged.Swap(false) {
 		return
 	}
-	if v := n.view.Load(); len(v.cold) > 0 || n.words.any() {
+	if v := n.view.Load(); len(v.cold) > 0 || n.signals.any() {
 		n.viewChanged()
 	}
 }
@@ -86,6 +86,6 @@
 func (n *Node) crowd() {
 	until := time.Since(n.started) + crowdedTime
 	if before := n.crowded.Swap(int64(until)); until-time.Duration(before) > crowdedTime/4 {
-		n.repace.Store(true)
+		n.ratesChanged.Store(true)
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -48,8 +48,8 @@
 }
 
 func (n *Node) beat(now time.Time) {
-	spread := n.tendWords(now)
-	n.paceAnew()
+	spread := n.expireSignals(now)
+	n.recomputeRates()
 	n.membersMu.Lock()
 	if spread {
 		n.members.BeatSoon()
@@ -137,7 +137,7 @@
 
 // withNews adds to a message what its receiver may not know of what heartbeats spread.
 func (n *Node) withNews(to string, m wire.Gossip) wire.Gossip {
-	return n.withWords(to, n.withRefusals(to, m))
+	return n.appendSignals(to, n.withRefusals(to, m))
 }
 
 func (n *Node) sendGossip(sends []member.Send) {
@@ -150,7 +150,7 @@
 func (n *Node) takeEntries(entries []wire.Entry) {
 	n.setEntries(entries)
 	n.poisons.membersChanged(entries)
-	n.words.membersChanged(entries)
+	n.signals.membersChanged(entries)
 	live := 0
 	for _, e := range entries {
 		if !e.Leaving {
@@ -240,7 +240,7 @@
 	switch m := m.(type) {
 	case *wire.Gossip:
 		lacks := n.takeRefusals(m)
-		if n.takeWords(m) || lacks {
+		if n.mergeSignals(m) || lacks {
 			_ = answer(n.withNews(m.Node, n.news()))
 		}
 		n.membersMu.Lock()
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -138,21 +138,21 @@
 	// know none or are of an earlier version.
 	Refused    []Refusal
 	RefusedSum uint64
-	// Intakes is nil from nodes that know of no endpoint that bounds what it takes, or are of
+	// RateLimits is nil from nodes that know no rate limit of an endpoint, or are of
 	// an earlier version. Nearly all messages are such; in a start of all nodes, which their
 	// links bound, each byte of them counts (TestAllStartOnSmallLinks).
-	Intakes *Intakes
+	RateLimits *RateLimits
 }
 
-// Intakes are what endpoints say of the requests that they take, as far as the receiver may
-// not know. Sum is the same on nodes that know the same.
-type Intakes struct {
-	Sum  uint64
-	Told []Intake
+// RateLimits are limits that endpoints advertise and that the receiver may not know. Sum is the
+// same on nodes that know the same ones.
+type RateLimits struct {
+	Sum     uint64
+	Updates []RateLimit
 }
 
-// Intake is intake.Told. Age is how long ago it was heard, in milliseconds.
-type Intake struct {
+// RateLimit is signal.LimitUpdate. Age is in milliseconds.
+type RateLimit struct {
 	Endpoint  string
 	Bounded   bool
 	PerSecond float64
