platform, core/signal, internal/node: parse, record and log the signals of endpoints

Observability only: no decision depends on draining or backoff yet. One parser returns all that an answer announces: rate limit, draining, backoff, cold time, load. Draining and backoffs are recorded by endpoint and incarnation; 'endpoint draining' and 'endpoint backoff' log them, two gauges and a counter count them. A header that begins with Server- and that nobody reads is logged once for each endpoint, so that the next signal shows before its effects do. Rejections of plain requests were not logged at all; now they are, like those of streams.

--- /dev/null
+++ b/internal/core/signal/draining.go
@@ -0,0 +1,129 @@
+package signal
+
+import (
+	"slices"
+	"time"
+
+	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/spread"
+)
+
+const (
+	// drainingLife is how long an endpoint is kept after it was last listed or observed. It
+	// outlives any list that a store may bring back.
+	drainingLife = 5 * time.Minute
+	// maxDraining bounds the set; beyond it the endpoint that was not seen for longest is dropped.
+	maxDraining = 16384
+)
+
+// Draining is the set of endpoints that announced in an answer that they drain. An endpoint stays
+// in it until its end: its id names one incarnation, so one that restarts is not in the set. It is
+// not safe for concurrent use.
+type Draining struct {
+	seen map[string]time.Time
+	log  *spread.Log[string]
+}
+
+// DrainingUpdate is a member of the set as nodes exchange it.
+type DrainingUpdate struct {
+	Endpoint string
+	// Age is the time since it was last listed or observed.
+	Age time.Duration
+}
+
+// NewDraining returns an empty set.
+func NewDraining() *Draining {
+	return &Draining{seen: make(map[string]time.Time), log: spread.NewLog[string]()}
+}
+
+// Len returns the number of endpoints in the set.
+func (d *Draining) Len() int { return len(d.seen) }
+
+// Has reports whether an endpoint is in the set.
+func (d *Draining) Has(endpoint string) bool {
+	_, ok := d.seen[endpoint]
+	return ok
+}
+
+// Observe adds an endpoint that announces draining, and reports whether it is new.
+func (d *Draining) Observe(now time.Time, endpoint string) bool { return d.add(endpoint, now) }
+
+func (d *Draining) add(endpoint string, at time.Time) bool {
+	before, known := d.seen[endpoint]
+	if !known && len(d.seen) >= maxDraining {
+		d.evict()
+	}
+	if at.After(before) {
+		d.seen[endpoint] = at
+	}
+	if !known {
+		d.log.Changed(endpoint)
+	}
+	return !known
+}
+
+func (d *Draining) evict() {
+	oldest := ""
+	for endpoint, at := range d.seen {
+		if oldest == "" || at.Before(d.seen[oldest]) {
+			oldest = endpoint
+		}
+	}
+	d.drop(oldest)
+}
+
+func (d *Draining) drop(endpoint string) {
+	delete(d.seen, endpoint)
+	d.log.Drop(endpoint)
+}
+
+// Merge applies the updates of a peer, and returns the endpoints that are new.
+func (d *Draining) Merge(now time.Time, updates []DrainingUpdate) []string {
+	var added []string
+	for _, u := range updates {
+		if u.Age < drainingLife && d.add(u.Endpoint, now.Add(-max(u.Age, 0))) {
+			added = append(added, u.Endpoint)
+		}
+	}
+	return added
+}
+
+// Expire drops the endpoints that were neither listed nor observed for drainingLife.
+func (d *Draining) Expire(now time.Time, listed func(endpoint string) bool) {
+	for endpoint, at := range d.seen {
+		switch {
+		case listed(endpoint):
+			d.seen[endpoint] = now
+		case now.Sub(at) >= drainingLife:
+			d.drop(endpoint)
+		}
+	}
+}
+
+// Sum returns a checksum that is equal on nodes with the same set.
+func (d *Draining) Sum() uint64 {
+	sum := uint64(0)
+	for endpoint := range d.seen {
+		sum ^= hash.Mix(hash.Of(endpoint))
+	}
+	return sum
+}
+
+// Updates returns at most max endpoints that a peer was not sent yet, and counts them as sent.
+func (d *Draining) Updates(now time.Time, to string, max int) []DrainingUpdate {
+	endpoints := d.log.News(to, max)
+	slices.Sort(endpoints)
+	updates := make([]DrainingUpdate, len(endpoints))
+	for i, endpoint := range endpoints {
+		updates[i] = DrainingUpdate{Endpoint: endpoint, Age: now.Sub(d.seen[endpoint])}
+	}
+	return updates
+}
+
+// Differs compares the checksum of a peer, and reports whether there are updates for it.
+func (d *Draining) Differs(now time.Time, from string, sum uint64) bool {
+	return sum != d.Sum() && d.log.Differs(now, from)
+}
+
+// ForgetPeers drops the state kept for peers that are gone.
+func (d *Draining) ForgetPeers(gone func(peer string) bool) { d.log.Forget(gone) }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -15,6 +15,12 @@
 	eventLimitChanged = "endpoint rate limit changed"
 	// A signal in an answer of an endpoint can't be parsed.
 	eventSignalInvalid = "endpoint signal invalid"
+	// An answer carries a signal that this version doesn't know.
+	eventSignalUnknown = "endpoint signal unknown"
+	// An endpoint announced in an answer that it drains.
+	eventEndpointDraining = "endpoint draining"
+	// An endpoint rejected a request and asked this node to send nothing for a while.
+	eventEndpointBackoff = "endpoint backoff"
 	// A stream that broke off.
 	eventStreamBroke = "stream broke"
 	// A leader did not answer and is passed over for a while.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -320,6 +320,9 @@
 	if !a.Elsewhere {
 		q.sent++
 	}
+	if event == attempt.RefuseByEndpoint {
+		n.log.Info(eventEndpointDeclined, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("status", a.Status))
+	}
 	body, err := io.ReadAll(a.Body)
 	if err != nil {
 		n.log.Info(eventAnswerBroke, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Error(err))
@@ -337,10 +340,10 @@
 }
 
 func load(a *platform.Answer, now time.Time) place.Load {
-	if !a.HasBusy {
+	if !a.Signals.Load.Known {
 		return place.Load{}
 	}
-	return place.Load{Busy: a.Busy, At: now}
+	return place.Load{Busy: a.Signals.Load.Busy, At: now}
 }
 
 // patience is how long an attempt may go without an answer: until the deadline,
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -46,6 +46,8 @@
 	m.set.NewGauge("gradetiller_poison_suspects", func() float64 { suspects, _ := n.poisons.sizes(); return float64(suspects) })
 	m.set.NewGauge("gradetiller_poison_known", func() float64 { _, known := n.poisons.sizes(); return float64(known) })
 	m.set.NewGauge("gradetiller_endpoints_limited", func() float64 { return float64(n.signals.limited()) })
+	m.set.NewGauge("gradetiller_endpoints_draining", func() float64 { return float64(n.signals.draining()) })
+	m.set.NewGauge("gradetiller_endpoints_in_backoff", func() float64 { return float64(n.signals.backingOff(time.Now())) })
 	if n.droppedLines != nil {
 		m.droppedLines("ordinary", func() uint64 { return n.droppedLines(logging.Ordinary) })
 		m.droppedLines("urgent", func() uint64 { return n.droppedLines(logging.Urgent) })
@@ -115,6 +117,9 @@
 	m.set.GetOrCreateCounter("gradetiller_answers_of_limited_endpoints_total").Inc()
 }
 
+// observedBackoff counts a rejection that asks for a backoff.
+func (m *meters) observedBackoff() { m.set.GetOrCreateCounter("gradetiller_backoffs_total").Inc() }
+
 // poisonRefused counts a request that is refused since it crashes endpoints.
 func (m *meters) poisonRefused(route string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_poison_refused_total{route=%q}`, m.label(route))).Inc()
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// maxInvalidSignals bounds the invalid signals that are remembered as logged; further ones
-	// are not logged.
-	maxInvalidSignals = 256
+	// maxLoggedSignals bounds the invalid and unknown signals that are remembered as logged;
+	// further ones are not logged.
+	maxLoggedSignals = 256
 	// maxUpdates bounds the updates of one message: 6 kB.
 	maxUpdates = 128
 	// gossipInterval is how often changes are sent to all neighbors at once. Without it,
@@ -22,52 +22,67 @@
 	gossipInterval = 300 * time.Millisecond
 )
 
-// invalidSignal is a signal that can't be parsed, and the endpoint that sent it.
-type invalidSignal struct{ endpoint, text string }
+// loggedSignal is a signal that is logged once, and the endpoint that sent it.
+type loggedSignal struct{ endpoint, text string }
 
 // signals guards what endpoints announce, as this node knows it.
 type signals struct {
-	mu      sync.Mutex
-	limits  *signal.Limits
-	invalid map[invalidSignal]bool
+	mu       sync.Mutex
+	registry *signal.Registry
+	logged   map[loggedSignal]bool
 	// pending is true while a change is to be sent, sentAt when the last one was.
 	pending bool
 	sentAt  time.Time
 }
 
-func newSignals() *signals {
-	return &signals{limits: signal.NewLimits(), invalid: make(map[invalidSignal]bool)}
+func newSignals(seed uint64) *signals {
+	return &signals{registry: signal.NewRegistry(seed), logged: make(map[loggedSignal]bool)}
 }
 
 // limited returns the number of endpoints with a rate limit.
 func (s *signals) limited() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limits.Len()
+	return s.registry.Limits().Len()
+}
+
+// draining returns the number of endpoints that announced draining.
+func (s *signals) draining() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Draining().Len()
+}
+
+// backingOff returns the number of endpoints to which this node sends nothing since they asked
+// it to.
+func (s *signals) backingOff(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.registry.Backoffs().Active(now))
 }
 
 // any reports whether any endpoint has, or lately had, a rate limit.
 func (s *signals) any() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.limits.Empty()
+	return !s.registry.Limits().Empty()
 }
 
 // bound returns the bound that an endpoint's rate limit sets.
 func (s *signals) bound(endpoint string) intake.Bound {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limits.Bound(endpoint)
+	return s.registry.Bound(endpoint)
 }
 
-// isNew reports whether an invalid signal is to be logged.
-func (s *signals) isNew(i invalidSignal) bool {
+// isNew reports whether a signal that is logged once is to be logged.
+func (s *signals) isNew(l loggedSignal) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.invalid[i] || len(s.invalid) >= maxInvalidSignals {
+	if s.logged[l] || len(s.logged) >= maxLoggedSignals {
 		return false
 	}
-	s.invalid[i] = true
+	s.logged[l] = true
 	return true
 }
 
@@ -75,27 +90,42 @@
 func (s *signals) membersChanged(live []wire.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limits.ForgetPeers(noneOf(live))
+	s.registry.ForgetPeers(noneOf(live))
 }
 
 // observeSignals records the signals of an endpoint's answer.
 func (n *Node) observeSignals(endpoint string, s signal.Signals) {
-	for _, err := range s.Invalid {
-		if n.signals.isNew(invalidSignal{endpoint, err.Error()}) {
-			n.log.Warn(eventSignalInvalid, zap.String("endpoint", endpoint), zap.Error(err))
-		}
-	}
-	if !s.Limit.Known {
-		return
-	}
+	n.logUnusable(endpoint, s)
 	if s.Limit.Rate.Bounded() {
 		n.meters.observedLimit()
 	}
+	now := time.Now()
 	n.signals.mu.Lock()
-	change, changed := n.signals.limits.Observe(time.Now(), endpoint, s.Limit.Rate)
+	c := n.signals.registry.Observe(now, endpoint, s)
 	n.signals.mu.Unlock()
-	if changed {
-		n.limitsChanged(sourceEndpoint, change)
+	if c.Limit != nil {
+		n.limitsChanged(sourceEndpoint, *c.Limit)
+	}
+	if c.Draining {
+		n.log.Info(eventEndpointDraining, zap.String("endpoint", endpoint), zap.String("source", sourceEndpoint))
+	}
+	if !c.BackoffUntil.IsZero() {
+		n.meters.observedBackoff()
+		n.log.Info(eventEndpointBackoff, zap.String("endpoint", endpoint), zap.Duration("asked", s.Backoff), zap.Duration("left", c.BackoffUntil.Sub(now)))
+	}
+}
+
+// logUnusable logs, once for each endpoint, signals that are invalid or unknown.
+func (n *Node) logUnusable(endpoint string, s signal.Signals) {
+	for _, err := range s.Invalid {
+		if n.signals.isNew(loggedSignal{endpoint, err.Error()}) {
+			n.log.Warn(eventSignalInvalid, zap.String("endpoint", endpoint), zap.Error(err))
+		}
+	}
+	for _, name := range s.Unknown {
+		if n.signals.isNew(loggedSignal{endpoint, name}) {
+			n.log.Warn(eventSignalUnknown, zap.String("endpoint", endpoint), zap.String("header", name))
+		}
 	}
 }
 
@@ -124,7 +154,8 @@
 func (n *Node) expireSignals(now time.Time) bool {
 	s := n.signals
 	s.mu.Lock()
-	ended := s.limits.Expire(now)
+	ended := s.registry.Limits().Expire(now)
+	s.registry.Backoffs().Expire(now)
 	send := s.pending && now.Sub(s.sentAt) >= gossipInterval
 	if send {
 		s.pending, s.sentAt = false, now
@@ -139,8 +170,9 @@
 	s := n.signals
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := wire.RateLimits{Sum: s.limits.Sum()}
-	for _, u := range s.limits.Updates(time.Now(), to, maxUpdates) {
+	limits := s.registry.Limits()
+	out := wire.RateLimits{Sum: limits.Sum()}
+	for _, u := range limits.Updates(time.Now(), to, maxUpdates) {
 		out.Updates = append(out.Updates, wire.RateLimit{Endpoint: u.Endpoint, Bounded: u.Rate.Bounded(), PerSecond: u.Rate.PerSecond(), Age: u.Age.Milliseconds()})
 	}
 	if out.Sum != 0 || len(out.Updates) > 0 {
@@ -170,8 +202,8 @@
 	}
 	now := time.Now()
 	n.signals.mu.Lock()
-	changes := n.signals.limits.Merge(now, updates)
-	lacks := n.signals.limits.Differs(now, m.Node, in.Sum)
+	changes := n.signals.registry.Limits().Merge(now, updates)
+	lacks := n.signals.registry.Limits().Differs(now, m.Node, in.Sum)
 	n.signals.mu.Unlock()
 	n.limitsChanged(sourcePeer, changes...)
 	return lacks
