internal/node, platform/platformtest: failing tests for draining and backoff announced in answers

TestDrainingEndpointGetsNoRequests and TestBackoffIsHonored play scripts of testdata/signals on three nodes with six endpoints of each service: each kind of request, retries and resumed streams included, two or all of the endpoints. signaltest holds the operators' two rules in one place.

--- /dev/null
+++ b/internal/node/signals_test.go
@@ -0,0 +1,284 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gradetiller.example/internal/scripted"
+	"gradetiller.example/platform/platformtest"
+	"gradetiller.example/platform/platformtest/signaltest"
+)
+
+// signalScript is a course of signals, read from a file. Its lines:
+//
+//	work NAME                               the kind of request, one of signalWork
+//	nodes N                                 3 if it is left out
+//	endpoints N                             of each service, 6 if it is left out
+//	fault NAME                              met by every second request at the service
+//	at D drain K                            the first K endpoints announce draining from then on
+//	at D reject K every N backoff D for D   the first K endpoints reject one request in N
+//	lasts D
+//	served S                                the least share of requests that must be served
+//	used-again D                            how soon after its last backoff each endpoint that
+//	                                        rejected must get requests again
+type signalScript struct {
+	work             signalWork
+	nodes, endpoints int
+	fault            platformtest.Fault
+	steps            []signalStep
+	lasts            time.Duration
+	served           float64
+	usedAgain        time.Duration
+}
+
+// signalStep is one change of what endpoints announce.
+type signalStep struct {
+	at    time.Duration
+	count int
+	// every is 0 for endpoints that drain.
+	every         int
+	backoff, long time.Duration
+}
+
+// signalWork is a kind of request and the service whose endpoints send signals.
+type signalWork struct {
+	service string
+	request platformtest.Request
+}
+
+var signalWorks = map[string]signalWork{
+	"plain":  {"desk", platformtest.Request{Path: "/read/x"}},
+	"once":   {"desk", platformtest.Request{Path: "/book/x"}},
+	"model":  {"model", platformtest.Request{Path: "/plain/x", Streaming: true}},
+	"placed": {"model", platformtest.Request{Path: "/staged/x", Streaming: true, Pieces: []int{1, 1}}},
+	"stages": {"encode", platformtest.Request{Path: "/staged/x", Streaming: true, Pieces: []int{2, 1}}},
+}
+
+var signalFaults = map[string]platformtest.Fault{"reset": platformtest.Reset, "torn": platformtest.Torn}
+
+func readSignalScript(t *testing.T, path string) signalScript {
+	s := signalScript{nodes: 3, endpoints: 6}
+	scripted.Read(t, path, s.line)
+	return s
+}
+
+func (s *signalScript) line(words []string) error {
+	var err error
+	number := func(text string) int {
+		n, e := strconv.Atoi(text)
+		err = errors.Join(err, e)
+		return n
+	}
+	span := func(text string) time.Duration {
+		d, e := time.ParseDuration(text)
+		err = errors.Join(err, e)
+		return d
+	}
+	switch {
+	case words[0] == "work":
+		s.work = signalWorks[words[1]]
+	case words[0] == "nodes":
+		s.nodes = number(words[1])
+	case words[0] == "endpoints":
+		s.endpoints = number(words[1])
+	case words[0] == "fault":
+		s.fault = signalFaults[words[1]]
+	case words[0] == "lasts":
+		s.lasts = span(words[1])
+	case words[0] == "served":
+		s.served, err = strconv.ParseFloat(words[1], 64)
+	case words[0] == "used-again":
+		s.usedAgain = span(words[1])
+	case len(words) == 4 && words[2] == "drain":
+		s.steps = append(s.steps, signalStep{at: span(words[1]), count: number(words[3])})
+	case len(words) == 10 && words[2] == "reject":
+		s.steps = append(s.steps, signalStep{at: span(words[1]), count: number(words[3]), every: number(words[5]), backoff: span(words[7]), long: span(words[9])})
+	default:
+		return fmt.Errorf("unknown line %q", strings.Join(words, " "))
+	}
+	return err
+}
+
+// signalRun is a script being played.
+type signalRun struct {
+	script  signalScript
+	workers []*platformtest.Worker
+	nodes   []*running
+	log     signaltest.Log
+
+	mu       sync.Mutex
+	answers  map[int]int
+	unsent   []string
+	draining map[string]time.Time
+}
+
+// play starts the nodes and sends requests to them while endpoints announce signals.
+func (s signalScript) play(t *testing.T) *signalRun {
+	site, _ := desk(t)
+	r := &signalRun{script: s, answers: make(map[int]int), draining: make(map[string]time.Time)}
+	for _, name := range []string{"desk", "model", "encode", "rank"} {
+		if list := site.AddWorkers(name, s.endpoints); name == s.work.service {
+			r.workers = list
+		}
+	}
+	r.nodes = []*running{startNode(t, site)}
+	for range s.nodes - 1 {
+		r.nodes = append(r.nodes, startNode(t, site, r.nodes[0].Peer))
+	}
+	for _, n := range r.nodes {
+		n.awaitReady(t)
+	}
+	if s.fault != platformtest.Healthy {
+		for _, w := range r.workers {
+			w.Inject(everySecond(s.fault, 2000)...)
+		}
+	}
+	start := time.Now()
+	var steps sync.WaitGroup
+	for _, step := range s.steps {
+		steps.Go(func() { r.step(start, step) })
+	}
+	r.send(start.Add(s.lasts))
+	steps.Wait()
+	return r
+}
+
+func (r *signalRun) step(start time.Time, s signalStep) {
+	time.Sleep(time.Until(start.Add(s.at)))
+	for _, w := range r.workers[:s.count] {
+		if s.every > 0 {
+			w.RejectEvery(s.every, s.backoff)
+			continue
+		}
+		r.mu.Lock()
+		r.draining[w.ID] = time.Now()
+		r.mu.Unlock()
+		w.AnnounceDraining(true)
+	}
+	if s.every == 0 {
+		return
+	}
+	time.Sleep(s.long)
+	for _, w := range r.workers[:s.count] {
+		w.RejectEvery(0, 0)
+	}
+}
+
+// send has eight clients send requests to the nodes in turn until a moment.
+func (r *signalRun) send(until time.Time) {
+	var sending sync.WaitGroup
+	for c := range 8 {
+		sending.Go(func() {
+			for i := 0; time.Now().Before(until); i++ {
+				q := r.script.work.request
+				q.ID = fmt.Sprintf("s-%d-%d", c, i)
+				if q.Streaming {
+					q.Prefix = fmt.Sprintf("%x:5", c*1000+i)
+				}
+				r.one(q, r.nodes[(c+i)%len(r.nodes)].Front)
+				time.Sleep(30 * time.Millisecond)
+			}
+		})
+	}
+	sending.Wait()
+}
+
+func (r *signalRun) one(q platformtest.Request, node string) {
+	r.mu.Lock()
+	announced := make(map[string]bool, len(r.draining))
+	for id := range r.draining {
+		announced[id] = true
+	}
+	r.mu.Unlock()
+	r.log.Sent(q.ID, node, time.Now())
+	a := do(node, q)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers[a.Status]++
+	if a.Status != http.StatusOK && (a.Status != http.StatusServiceUnavailable || a.RetryAfter == "") {
+		r.unsent = append(r.unsent, fmt.Sprintf("%s: %d %q %v", q.ID, a.Status, a.RetryAfter, a.Err))
+	}
+	// The stamp names the endpoint whose answer it is.
+	if parts := strings.Split(a.Stamp, "."); len(parts) > 1 && announced[parts[1]] {
+		r.log.PassedOn(parts[1], node, time.Now())
+	}
+}
+
+// check holds the arrivals against the rules, and the answers against the script.
+func (r *signalRun) check(t *testing.T) {
+	for _, w := range r.workers {
+		report(t, r.log.Draining(w.ID, w.Arrived()))
+		report(t, r.log.Backoff(w.Rejections(), w.Arrived()))
+		r.checkUsedAgain(t, w)
+		r.checkCalls(t, w)
+	}
+	total := 0
+	for _, n := range r.answers {
+		total += n
+	}
+	if served := float64(r.answers[http.StatusOK]) / float64(total); served < r.script.served {
+		t.Errorf("%.3f of %d requests were served, %.3f must be", served, total, r.script.served)
+	}
+	if r.script.fault == platformtest.Healthy && len(r.unsent) > 0 {
+		t.Errorf("%d were neither served nor rejected with a time to come back: %s", len(r.unsent), r.unsent[0])
+	}
+	t.Logf("answers %v", r.answers)
+}
+
+// checkCalls checks the calls of pieces, which carry no request's id: their leader learns that an
+// endpoint drains from the answer to the next one.
+func (r *signalRun) checkCalls(t *testing.T, w *platformtest.Worker) {
+	announced, ok := r.draining[w.ID]
+	if after := w.LastRun().Sub(announced); ok && len(w.Batches()) > 0 && after > signaltest.DrainTime {
+		t.Errorf("%s ran pieces %v after it had announced that it drains", w.ID, after)
+	}
+}
+
+func (r *signalRun) checkUsedAgain(t *testing.T, w *platformtest.Worker) {
+	rejections := w.Rejections()
+	if r.script.usedAgain == 0 || len(rejections) == 0 {
+		return
+	}
+	last := rejections[len(rejections)-1]
+	ends := last.At.Add(last.Backoff)
+	if !slices.ContainsFunc(w.Arrived(), func(a platformtest.Arrival) bool {
+		return a.At.After(ends) && a.At.Before(ends.Add(r.script.usedAgain))
+	}) {
+		t.Errorf("%s got no request within %v of the end of its backoff", w.ID, r.script.usedAgain)
+	}
+}
+
+func report(t *testing.T, found []string) {
+	if len(found) > 0 {
+		t.Errorf("%d times, first %s", len(found), found[0])
+	}
+}
+
+func playSignals(t *testing.T, pattern string) {
+	files, err := filepath.Glob(filepath.Join("testdata", "signals", pattern))
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			readSignalScript(t, file).play(t).check(t)
+		})
+	}
+}
+
+// TestDrainingEndpointGetsNoRequests guards against requests that reach an endpoint after it
+// announced in an answer that it drains, while the store still lists it as ready.
+func TestDrainingEndpointGetsNoRequests(t *testing.T) { playSignals(t, "draining-*.txt") }
+
+// TestBackoffIsHonored guards against requests that reach an endpoint during the backoff that it
+// asked for with 503 and Retry-After.
+func TestBackoffIsHonored(t *testing.T) { playSignals(t, "backoff-*.txt") }
