internal/node, core/signal: send nothing to an endpoint that announced draining

Callers saw no failure in the record, but were at risk of one: requests went on to a model endpoint for 10 s after its answers announced that it drains, and would have been cut at its end. The store was away, so its list still said ready.

Cause: nothing read the announcement. The list was the only source, for the node that passed the answer on as for the leader that placed prompts.

Fix: a set of draining incarnations (signal.Draining), filled by answers and by heartbeats, with checksum and ages. One state with two sources: the view marks such an endpoint as draining whatever the store says, so placement, stage pools and the watch on crashes follow as for a listed one. The last gate before each send (platform.WithGate, used by both doors, requests and calls) asks the registry, so a choice of a leader, a retry, a resumed stream or a queued call that was made before is stopped too; a blocked send costs neither health nor retry budget. If no endpoint of a service is left, requests are rejected at once, before stages run for them.

Why it works: the gate is on the node that passed the answer on, and is passed by everything it sends.

--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -163,6 +163,16 @@
 	return !known
 }
 
+// Closed reports whether all endpoints are leaving or removed.
+func (p *Pool) Closed() bool {
+	for i := range p.endpoints {
+		if e := &p.endpoints[i]; !e.removed && !e.health.leaving {
+			return false
+		}
+	}
+	return true
+}
+
 // Return takes the mark of Leave back. The endpoint returns by degrees.
 func (p *Pool) Return(i int) {
 	h := &p.endpoints[i].health
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -16,6 +16,7 @@
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/poison"
+	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/platform"
 )
 
@@ -249,6 +250,9 @@
 // servePlain takes a request to an endpoint of a plain service.
 func (n *Node) servePlain(ctx context.Context, w http.ResponseWriter, q *request) {
 	n.budget.Fresh(q.arrived, q.service, 1)
+	if n.rejectClosed(w, q) {
+		return
+	}
 	var tried []string
 	for range mostSends {
 		if n.refusePoison(w, q) {
@@ -256,7 +260,7 @@
 		}
 		c, ok := n.pools.choose(time.Now(), need{service: q.service, tried: tried})
 		if !ok {
-			n.endNotRun(w, q, "no endpoint")
+			n.endNotRun(w, q, noEndpointReason)
 			return
 		}
 		tried = append(tried, c.endpoint.ID)
@@ -277,6 +281,19 @@
 	n.endNotRun(w, q, "no endpoint reached")
 }
 
+// noEndpointReason is the outcome of requests for which no endpoint is in use.
+const noEndpointReason = "no endpoint"
+
+// rejectClosed rejects a request at once if its service has no endpoint in use, before any stage
+// runs for it, and reports whether it did.
+func (n *Node) rejectClosed(w http.ResponseWriter, q *request) bool {
+	if !n.pools.closed(q.service) {
+		return false
+	}
+	n.endNotRun(w, q, noEndpointReason)
+	return true
+}
+
 // next decides about an ended attempt, within the budget of repeats.
 func (n *Node) next(q *request, event attempt.Event, a *platform.Answer) attempt.Next {
 	ended := attempt.Ended{Event: event, Repeatable: q.route.Repeatable(), Sent: q.sent, Most: q.route.MaxAttempts, MayHaveRun: q.ran}
@@ -358,6 +375,12 @@
 	return min(max(usual, leastPatience), left/2)
 }
 
+// isBlocked reports whether an attempt was not sent since its endpoint's signals forbid it.
+func isBlocked(err error) bool {
+	var blocked *signal.BlockedError
+	return errors.As(err, &blocked)
+}
+
 // faulted counts an attempt that has no answer; ctx is the request's, limited the
 // attempt's own.
 func (n *Node) faulted(ctx, limited context.Context, q *request, c *placed, err error) attempt.Event {
@@ -366,7 +389,8 @@
 	// A client that left before its answer was late says nothing of the
 	// endpoint; one that waited longer than the objective does.
 	left := ctx.Err() != nil && time.Since(c.started) < q.route.Objective
-	c.end(time.Now(), place.Result{Neutral: left, Unreachable: !sent})
+	blocked := isBlocked(err)
+	c.end(time.Now(), place.Result{Neutral: left || blocked, Unreachable: !sent && !blocked})
 	n.log.Info(eventAttemptFailed, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Bool("sent", sent), zap.Error(err))
 	if !sent {
 		return attempt.RefuseUnsent
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,7 +174,7 @@
 	}
 	n.serving, n.giveUp = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress, platform.WithEraFaults(func(err error) { n.log.Warn(eventStoreEra, zap.Error(err)) }))
-	n.workers = platform.NewWorkers(platform.WithSignals(n.observeSignals))
+	n.workers = platform.NewWorkers(platform.WithSignals(n.observeSignals), platform.WithGate(n.checkSignals))
 	n.signals = newSignals(hash.Of(s.Node))
 	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.ownPace, n.off)
 	n.budget = n.newBudget()
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -181,6 +181,26 @@
 	return list
 }
 
+// drain takes an endpoint out of use at once; the next update removes it.
+func (p *pools) drain(endpoint string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byService {
+		if i := pool.Find(endpoint); i != place.None {
+			pool.Leave(i)
+		}
+	}
+}
+
+// closed reports whether no endpoint of a service takes requests of this node, for as long as is
+// known.
+func (p *pools) closed(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, ok := p.byService[service]
+	return ok && pool.Closed()
+}
+
 // hold takes in what an endpoint tells to hold.
 func (p *pools) hold(e catalog.Endpoint, parts []place.Part) {
 	p.mu.Lock()
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -45,6 +45,9 @@
 // serveStream takes a request through its stages and passes its events on.
 func (n *Node) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
 	n.budget.Fresh(q.arrived, q.service, 1)
+	if n.rejectClosed(w, q) {
+		return
+	}
 	q.prefix = n.pools.prefix(q)
 	s := &stream{node: n, q: q, w: w, flush: http.NewResponseController(w)}
 	defer func() { s.release() }()
@@ -63,7 +66,7 @@
 		}
 		c, ok := n.pools.choose(time.Now(), s.need(tried))
 		if !ok {
-			n.endStream(ctx, s, attempt.AnswerNotRun, "no endpoint")
+			n.endStream(ctx, s, attempt.AnswerNotRun, noEndpointReason)
 			return
 		}
 		tried = append(tried, c.endpoint.ID)
@@ -219,7 +222,7 @@
 	if err != nil {
 		event := n.faulted(parent, ctx, q, c, err)
 		switch {
-		case parent.Err() != nil:
+		case parent.Err() != nil || isBlocked(err):
 		case event == attempt.RefuseUnsent:
 			s.note(c, wire.PlacementUnreachable)
 		default:
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -143,6 +143,7 @@
 	}
 	if changed {
 		next.endpoints, next.cold = n.list.Endpoints(), n.list.Cold()
+		n.signals.markDraining(next.endpoints)
 		n.logEndpoints(source, listAge, old.endpoints, next.endpoints)
 	}
 	n.view.Store(&next)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -142,6 +142,8 @@
 	// an earlier version. Nearly all messages are such; in a start of all nodes, which their
 	// links bound, each byte of them counts (TestAllStartOnSmallLinks).
 	RateLimits *RateLimits
+	// Draining is nil from nodes that know no endpoint that drains, or are of an earlier version.
+	Draining *Draining
 }
 
 // RateLimits are limits that endpoints advertise and that the receiver may not know. Sum is the
@@ -159,6 +161,19 @@
 	Age       int64
 }
 
+// Draining are endpoints that announced draining and that the receiver may not know. Sum is the
+// same on nodes that know the same ones.
+type Draining struct {
+	Sum     uint64
+	Updates []DrainingEndpoint
+}
+
+// DrainingEndpoint is signal.DrainingUpdate. Age is in milliseconds.
+type DrainingEndpoint struct {
+	Endpoint string
+	Age      int64
+}
+
 // ConfigRequest asks a neighbor for a configuration above a version.
 type ConfigRequest struct {
 	Above uint64
