internal/node, core/signal, core/place, core/stagepool: honor the backoff that an endpoint asks for

Callers of the plain service saw 503 for requests that may not be sent twice, and late answers, although the service had room: one endpoint of three rejected everything for 8 s and was chosen again and again.

Cause: nothing read the Retry-After of a rejection. Only three failures in a row at one node set an endpoint aside, for 0.5 s at first, so each node sent it a request or two every few seconds and all nodes together six a second.

Fix: signal.Backoffs keeps, for each incarnation, until when this node sends nothing, a quarter longer by a share that differs between nodes (1 s at most). A backoff is between one node and one endpoint, so nodes don't exchange it. The gate before each send asks it, and asks again once a new connection is there. Pools of requests and of stages count an endpoint in backoff as no room; the node names it to the leader that places its prompt (StagesSubmit.Avoid). A rejection with a backoff says nothing of the endpoint's health. Afterwards an endpoint takes one call, then two, four and so on. Where all endpoints are in backoff a request waits if the first end is within half of its objective, and is rejected at once otherwise, with the first end and some jitter as Retry-After; so are tasks of stages. Results to give up wait for the end of the backoff.

--- /dev/null
+++ b/internal/core/place/backoff.go
@@ -0,0 +1,57 @@
+package place
+
+import (
+	"slices"
+	"time"
+)
+
+// rampPoll is how soon a call may find room at an endpoint that takes few calls after a backoff.
+const rampPoll = 20 * time.Millisecond
+
+// Backoff has no call go to endpoint i until a moment, and few at first afterwards. The endpoint
+// isn't taken to be unhealthy.
+func (p *Pool) Backoff(i int, until time.Time) {
+	e := &p.endpoints[i]
+	if until.After(e.backoff) {
+		e.backoff = until
+	}
+	if e.health.ramp == 0 {
+		e.health.ramp = 1
+	}
+}
+
+// Closed reports whether all endpoints are leaving, removed or in backoff, and the first end of
+// a backoff, or the zero time.
+func (p *Pool) Closed(now time.Time) (reopens time.Time, closed bool) {
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		switch {
+		case e.removed || e.health.leaving:
+		case !now.Before(e.backoff):
+			return time.Time{}, false
+		case reopens.IsZero() || e.backoff.Before(reopens):
+			reopens = e.backoff
+		}
+	}
+	return reopens, true
+}
+
+// Reopens is when a call may first go to an endpoint that is in backoff, or that takes few calls
+// after one, or the zero time. Endpoints in tried don't count.
+func (p *Pool) Reopens(now time.Time, tried []int) time.Time {
+	var first time.Time
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		if e.removed || e.health.leaving || e.backoff.IsZero() || e.health.ramp == 0 || slices.Contains(tried, i) {
+			continue
+		}
+		at := now.Add(rampPoll)
+		if e.backoff.After(at) {
+			at = e.backoff
+		}
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -46,6 +46,8 @@
 	took     time.Duration
 	measured time.Time // when took last changed
 	health   health
+	// backoff is until when this node sends it nothing, since it asked for that.
+	backoff time.Time
 	// sends are the calls that this node's own choices have sent there of late.
 	sends intake.Sends
 	// removed endpoints are no longer in the configuration.
@@ -65,7 +67,7 @@
 func (e *Endpoint) Health(now time.Time) string { return e.health.state(now).String() }
 
 func (e *Endpoint) available(now time.Time, version string) bool {
-	if e.removed || e.outstanding >= e.health.limit(now, e.spec.Slots) {
+	if e.removed || now.Before(e.backoff) || e.outstanding >= e.health.limit(now, e.spec.Slots) {
 		return false
 	}
 	if version == "" || len(e.spec.Versions) == 0 {
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -163,16 +163,6 @@
 	return !known
 }
 
-// Closed reports whether all endpoints are leaving or removed.
-func (p *Pool) Closed() bool {
-	for i := range p.endpoints {
-		if e := &p.endpoints[i]; !e.removed && !e.health.leaving {
-			return false
-		}
-	}
-	return true
-}
-
 // Return takes the mark of Leave back. The endpoint returns by degrees.
 func (p *Pool) Return(i int) {
 	h := &p.endpoints[i].health
@@ -228,7 +218,10 @@
 	case !r.OK:
 		return e.health.failed(now)
 	}
-	e.health.succeeded(e.spec.Slots)
+	if !now.Before(e.backoff) {
+		// Calls that were under way when a backoff began say nothing about its end.
+		e.health.succeeded(e.spec.Slots)
+	}
 	if r.Read > 0 {
 		p.reading.Observe(r.Read, r.Took)
 	}
--- /dev/null
+++ b/internal/core/signal/backoff_test.go
@@ -0,0 +1,83 @@
+package signal_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gradetiller.example/internal/core/signal"
+)
+
+// TestBackoffEnds guards against a backoff that ends before its time, or long after it.
+func TestBackoffEnds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := signal.NewRegistry(rapid.Uint64().Draw(rt, "seed"))
+		now := time.Unix(1000, 0)
+		asked, latest := time.Time{}, time.Time{}
+		for range rapid.IntRange(1, 20).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(rt, "gap")) * time.Millisecond)
+			if rapid.Bool().Draw(rt, "rejects") {
+				d := time.Duration(rapid.IntRange(1, 5000).Draw(rt, "backoff")) * time.Millisecond
+				r.Observe(now, "e", signal.Signals{Backoff: d})
+				if end := now.Add(d); end.After(asked) {
+					asked = end
+				}
+				if end := now.Add(d + min(d/4, time.Second)); end.After(latest) {
+					latest = end
+				}
+			}
+			if rapid.Bool().Draw(rt, "expires") {
+				r.Backoffs().Expire(now)
+			}
+			err := r.Check(now, "e")
+			if now.Before(asked) && !errors.Is(err, signal.ErrBackoff) {
+				rt.Fatalf("%v before the end that was asked for: %v", asked.Sub(now), err)
+			}
+			if !now.Before(latest) && err != nil {
+				rt.Fatalf("%v after the latest end: %v", now.Sub(latest), err)
+			}
+			if r.Check(now, "f") != nil {
+				rt.Fatal("another endpoint is in backoff")
+			}
+		}
+	})
+}
+
+// TestBackoffsAreSpread guards against nodes that come back at once to an endpoint that rejected
+// all of them at once.
+func TestBackoffsAreSpread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first, last := time.Time{}, time.Time{}
+	for node := range uint64(59) {
+		until := signal.NewBackoffs(node*0x9e3779b97f4a7c15).Observe(now, "e", 4*time.Second)
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+		if until.After(last) {
+			last = until
+		}
+	}
+	if spread := last.Sub(first); spread < 800*time.Millisecond || first.Sub(now) < 4*time.Second || last.Sub(now) > 5*time.Second {
+		t.Errorf("the nodes come back between %v and %v", first.Sub(now), last.Sub(now))
+	}
+}
+
+// TestBackoffsAreBounded guards against a set that grows with the endpoints of all time.
+func TestBackoffsAreBounded(t *testing.T) {
+	b := signal.NewBackoffs(1)
+	now := time.Unix(1000, 0)
+	const count = 5000
+	for i := range count {
+		b.Observe(now, fmt.Sprint(i), time.Minute)
+	}
+	if kept := len(b.Active(now)); kept >= count {
+		t.Errorf("%d backoffs are kept", kept)
+	}
+	b.Expire(now.Add(2 * time.Minute))
+	if kept := len(b.Active(now)); kept != 0 {
+		t.Errorf("%d backoffs that are over are kept", kept)
+	}
+}
--- a/internal/core/stagepool/admit.go
+++ b/internal/core/stagepool/admit.go
@@ -69,13 +69,17 @@
 		if !ok {
 			return 0, false
 		}
-		rate := s.rate(now)
+		backoff, ok := s.awaits(now, t)
+		if !ok {
+			return 0, false
+		}
+		rate := s.rate(now.Add(backoff))
 		if rate == 0 {
 			return 0, false
 		}
 		ahead := s.ahead(t.Priority)
 		queue := time.Duration(float64(ahead) / rate * float64(time.Second))
-		wait := max(queue-ready, 0)
+		wait := max(queue-ready, backoff-ready, 0)
 		if ready == 0 {
 			wait = max(wait, s.free(now))
 		} else if queue > 0 {
--- /dev/null
+++ b/internal/core/stagepool/backoff.go
@@ -0,0 +1,62 @@
+package stagepool
+
+import "time"
+
+// Backoff has nothing go to an endpoint until a moment, neither calls nor results to give up.
+func (p *Pool) Backoff(now time.Time, endpoint string, until time.Time) []Action {
+	for _, s := range p.services {
+		for _, w := range s.endpoints {
+			if w.spec.ID == endpoint && until.After(w.backoff) {
+				w.backoff = until
+			}
+		}
+	}
+	p.dispatchAll(now)
+	return p.take()
+}
+
+func (w *endpoint) inBackoff(now time.Time) bool { return now.Before(w.backoff) }
+
+// reopens is the first end of a backoff of a service of which all endpoints are in backoff or
+// leave, or false.
+func (s *service) reopens(now time.Time) (at time.Time, closed bool) {
+	for _, w := range s.endpoints {
+		switch {
+		case w.leaving:
+		case !w.inBackoff(now):
+			return time.Time{}, false
+		case at.IsZero() || w.backoff.Before(at):
+			at = w.backoff
+		}
+	}
+	return at, !at.IsZero()
+}
+
+// mayAwait is the share of the time until its aim that a task may wait for the end of a backoff.
+const mayAwait = 0.5
+
+// awaits is how long a task has to wait until a service is out of backoff, and false if that is
+// too long.
+func (s *service) awaits(now time.Time, t Task) (time.Duration, bool) {
+	at, closed := s.reopens(now)
+	if !closed {
+		return 0, true
+	}
+	wait := at.Sub(now)
+	return wait, wait <= time.Duration(mayAwait*float64(t.Aim.Sub(now)))
+}
+
+// retryAfter is when a task may come back for which a service has no endpoint.
+func (p *Pool) retryAfter(now time.Time, t Task) time.Duration {
+	again := closedAgain
+	for _, st := range t.Stages {
+		s, ok := p.services[st.Service]
+		if !ok || st.Pieces == 0 {
+			continue
+		}
+		if at, closed := s.reopens(now); closed {
+			again = max(again, at.Sub(now))
+		}
+	}
+	return again
+}
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -141,7 +141,7 @@
 	best := s.best()
 	free := make(map[string][]time.Time)
 	for _, w := range s.endpoints {
-		if w.leaving || now.Before(w.asideTo) || w.speed > slowFactor*best {
+		if w.leaving || now.Before(w.asideTo) || w.inBackoff(now) || w.speed > slowFactor*best {
 			continue
 		}
 		at := w.pace.Next(now, &w.sends)
--- a/internal/core/stagepool/endpoint.go
+++ b/internal/core/stagepool/endpoint.go
@@ -49,7 +49,9 @@
 	// contended is until when others are taken to send it calls too.
 	contended time.Time
 	leaving   bool
-	off       mechanism.Off
+	// backoff is until when nothing is sent, since the endpoint asked for that.
+	backoff time.Time
+	off     mechanism.Off
 	// pace is that of all requests to it, sends what was sent of late. unfreed are results
 	// that take unfreedBytes of room until they are given up with the next turn that is
 	// theirs, which freeTurn tells.
@@ -101,7 +103,7 @@
 }
 
 func (w *endpoint) idle(now time.Time) bool {
-	return !w.leaving && len(w.calls) < w.service.conf.Slots && !now.Before(w.asideTo) && !w.freeTurn && w.pace.Due(now, &w.sends)
+	return !w.leaving && !w.inBackoff(now) && len(w.calls) < w.service.conf.Slots && !now.Before(w.asideTo) && !w.freeTurn && w.pace.Due(now, &w.sends)
 }
 
 // usable reports whether the endpoint is fast enough, or due for a trial.
@@ -255,7 +257,7 @@
 func (s *service) rate(now time.Time) float64 {
 	sum := 0.0
 	for _, w := range s.endpoints {
-		if w.leaving || now.Before(w.asideTo) {
+		if w.leaving || now.Before(w.asideTo) || w.inBackoff(now) {
 			continue
 		}
 		calls := w.callRate(now, 1/(w.speed*s.expected(s.conf.Batch).Seconds()))
@@ -283,7 +285,7 @@
 		if w.leaving {
 			continue
 		}
-		wait := max(w.asideTo.Sub(now), w.pace.Next(now, &w.sends).Sub(now), 0)
+		wait := max(w.asideTo.Sub(now), w.backoff.Sub(now), w.pace.Next(now, &w.sends).Sub(now), 0)
 		if len(w.calls) >= s.conf.Slots {
 			for _, c := range w.calls {
 				left := time.Duration(w.speed*float64(c.expected)) - now.Sub(c.sent)
--- a/internal/core/stagepool/intake.go
+++ b/internal/core/stagepool/intake.go
@@ -28,7 +28,7 @@
 func (p *Pool) giveUp(now time.Time, w *endpoint, handles []string, bytes int64) {
 	w.unfreed = append(w.unfreed, handles...)
 	w.unfreedBytes += bytes
-	if !w.pace.Bounded(now) {
+	if !w.pace.Bounded(now) && !w.inBackoff(now) {
 		p.free(w)
 	}
 }
@@ -49,7 +49,8 @@
 			if w.leaving {
 				w.unfreed, w.unfreedBytes, w.freeTurn = nil, 0, false
 			}
-			if len(w.unfreed) == 0 || !w.pace.Due(now, &w.sends) || len(s.queue) > 0 && !w.freeTurn && w.idle(now) {
+			callFirst := w.pace.Bounded(now) && len(s.queue) > 0 && !w.freeTurn && w.idle(now)
+			if len(w.unfreed) == 0 || w.inBackoff(now) || !w.pace.Due(now, &w.sends) || callFirst {
 				continue
 			}
 			w.sends.Add(now, w.pace)
@@ -72,27 +73,32 @@
 		if len(s.queue) == 0 || !s.bounded(now) {
 			continue
 		}
+		wait := time.Duration(0)
+		if at, closed := s.reopens(now); closed {
+			wait = at.Sub(now)
+		}
 		for _, e := range s.queue {
-			if !e.task.worked && now.Add(p.need(e.task, e.stage)).After(e.task.Aim) {
+			if !e.task.worked && now.Add(wait+p.need(e.task, e.stage)).After(e.task.Aim) {
 				out = append(out, e.task)
 			}
 		}
 	}
 	for _, t := range out {
 		if _, ok := p.tasks[t.id]; ok {
-			p.fail(now, t, crowdedOutReason, closedAgain)
+			p.fail(now, t, crowdedOutReason, p.retryAfter(now, t.Task))
 		}
 	}
 }
 
-// bounded reports whether all endpoints of a service that are not leaving bound what they take.
+// bounded reports whether all endpoints of a service that are not leaving bound what they take, or
+// are in backoff.
 func (s *service) bounded(now time.Time) bool {
 	any := false
 	for _, w := range s.endpoints {
 		if w.leaving {
 			continue
 		}
-		if !w.pace.Bounded(now) {
+		if !w.pace.Bounded(now) && !w.inBackoff(now) {
 			return false
 		}
 		any = true
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -203,7 +203,7 @@
 	planned, ok := p.plan(now, t)
 	if !ok {
 		p.counters.Refused++
-		return Verdict{Again: time.Second}, nil
+		return Verdict{Again: p.retryAfter(now, t)}, nil
 	}
 	finish := p.forecast(t, planned)
 	if v, refused := p.admit(now, t, finish); refused {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -250,7 +250,7 @@
 // servePlain takes a request to an endpoint of a plain service.
 func (n *Node) servePlain(ctx context.Context, w http.ResponseWriter, q *request) {
 	n.budget.Fresh(q.arrived, q.service, 1)
-	if n.rejectClosed(w, q) {
+	if n.rejectClosed(w, q, q.awaitLimit(q.arrived)) {
 		return
 	}
 	var tried []string
@@ -258,7 +258,7 @@
 		if n.refusePoison(w, q) {
 			return
 		}
-		c, ok := n.pools.choose(time.Now(), need{service: q.service, tried: tried})
+		c, ok := n.choose(ctx, q, need{service: q.service, tried: tried})
 		if !ok {
 			n.endNotRun(w, q, noEndpointReason)
 			return
@@ -284,16 +284,46 @@
 // noEndpointReason is the outcome of requests for which no endpoint is in use.
 const noEndpointReason = "no endpoint"
 
-// rejectClosed rejects a request at once if its service has no endpoint in use, before any stage
-// runs for it, and reports whether it did.
-func (n *Node) rejectClosed(w http.ResponseWriter, q *request) bool {
-	if !n.pools.closed(q.service) {
+// rejectClosed rejects a request at once if its service has no endpoint in use, nor will have
+// before a moment, so that no stage runs for it in vain. It reports whether it did.
+func (n *Node) rejectClosed(w http.ResponseWriter, q *request, by time.Time) bool {
+	reopens, closed := n.pools.closed(time.Now(), q.service)
+	if !closed || !reopens.IsZero() && reopens.Before(by) {
 		return false
 	}
 	n.endNotRun(w, q, noEndpointReason)
 	return true
 }
 
+// awaitShare is the share of the objective that a request may wait for the end of a backoff; one
+// whose stages have run may wait for that share of its deadline.
+const awaitShare = 0.5
+
+// awaitLimit is until when a request may wait for the end of a backoff.
+func (q *request) awaitLimit(now time.Time) time.Time {
+	if q.staged > 0 {
+		return now.Add(time.Duration(awaitShare * float64(q.deadline.Sub(now))))
+	}
+	return q.arrived.Add(time.Duration(awaitShare * float64(q.route.Objective)))
+}
+
+// choose picks the endpoint of an attempt. While backoffs keep all from use it waits for the end
+// of one, if that is near.
+func (n *Node) choose(ctx context.Context, q *request, wants need) (*placed, bool) {
+	limit := q.awaitLimit(time.Now())
+	for {
+		now := time.Now()
+		if c, ok := n.pools.choose(now, wants); ok {
+			return c, true
+		}
+		at := n.pools.reopens(now, wants)
+		if at.IsZero() || !at.Before(limit) || ctx.Err() != nil {
+			return nil, false
+		}
+		pause(ctx, at.Sub(now))
+	}
+}
+
 // next decides about an ended attempt, within the budget of repeats.
 func (n *Node) next(q *request, event attempt.Event, a *platform.Answer) attempt.Next {
 	ended := attempt.Ended{Event: event, Repeatable: q.route.Repeatable(), Sent: q.sent, Most: q.route.MaxAttempts, MayHaveRun: q.ran}
@@ -352,7 +382,7 @@
 		event = attempt.Complete
 	}
 	now := time.Now()
-	c.end(now, place.Result{OK: event == attempt.Complete, Neutral: event == attempt.Fail && a.Status < 500, Load: load(a, now)})
+	c.end(now, place.Result{OK: event == attempt.Complete, Neutral: event == attempt.Fail && a.Status < 500 || a.Signals.Backoff > 0, Load: load(a, now)})
 	return a, body, event
 }
 
@@ -390,6 +420,7 @@
 	// endpoint; one that waited longer than the objective does.
 	left := ctx.Err() != nil && time.Since(c.started) < q.route.Objective
 	blocked := isBlocked(err)
+	n.learnBlocked(err)
 	c.end(time.Now(), place.Result{Neutral: left || blocked, Unreachable: !sent && !blocked})
 	n.log.Info(eventAttemptFailed, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Bool("sent", sent), zap.Error(err))
 	if !sent {
@@ -421,7 +452,7 @@
 		n.refuse(w, q, http.StatusBadGateway, reason, 0)
 		return
 	}
-	n.refuse(w, q, http.StatusServiceUnavailable, reason, n.comeBack(q.service))
+	n.refuse(w, q, http.StatusServiceUnavailable, reason, n.retryAfter(q.service))
 }
 
 // endUnknown tells the client that its request failed, and promises nothing.
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -135,6 +135,15 @@
 	c.pool.Contend(now.Add(contention))
 }
 
+// backoff has nothing go to a stage endpoint until a moment.
+func (l *leaders) backoff(now time.Time, endpoint string, until time.Time) {
+	for _, c := range l.all() {
+		c.mu.Lock()
+		c.carryOut(c.pool.Backoff(now, endpoint, until))
+		c.mu.Unlock()
+	}
+}
+
 // giveBack gives the tasks of a cell that have not begun back to their owners.
 func (l *leaders) giveBack(cell int, now time.Time) {
 	c := l.get(cell)
@@ -172,8 +181,8 @@
 		return
 	}
 	now := time.Now()
-	wants := askOf(m)
-	f := l.models.predict(now, wants.need, m.Extra)
+	wants := askOf(now, m)
+	f := l.models.predict(now, wants.at(now), m.Extra)
 	t := stagepool.Task{
 		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: f.domain,
 		Aim:       now.Add(time.Duration(m.Aim)*time.Millisecond - f.read),
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/wire"
 )
 
@@ -145,10 +147,7 @@
 	if !ok {
 		return nil, place.Request{}, place.None, false
 	}
-	req := place.Request{Prefix: n.prefix, Prompt: n.prompt, Exclude: place.None}
-	for _, id := range n.tried {
-		req.Tried = append(req.Tried, pool.Find(id))
-	}
+	req := place.Request{Prefix: n.prefix, Prompt: n.prompt, Exclude: place.None, Tried: indices(pool, n.tried)}
 	req = pool.Consider(now, req)
 	if i := pool.Find(n.wanted); i != place.None && pool.Accepts(now, i, req) {
 		req.Placed = true
@@ -192,13 +191,58 @@
 	}
 }
 
-// closed reports whether no endpoint of a service takes requests of this node, for as long as is
-// known.
-func (p *pools) closed(service string) bool {
+// backoff has nothing go to an endpoint until a moment.
+func (p *pools) backoff(endpoint string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byService {
+		if i := pool.Find(endpoint); i != place.None {
+			pool.Backoff(i, until)
+		}
+	}
+}
+
+// of returns the backoffs of a service's endpoints.
+func (p *pools) of(service string, list []signal.Backoff) []signal.Backoff {
+	if len(list) == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, ok := p.byService[service]
+	return slices.DeleteFunc(list, func(b signal.Backoff) bool { return !ok || pool.Find(b.Endpoint) == place.None })
+}
+
+// closed reports whether no endpoint of a service takes requests of this node, and the first end
+// of a backoff there, or the zero time.
+func (p *pools) closed(now time.Time, service string) (reopens time.Time, closed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pool, ok := p.byService[service]
-	return ok && pool.Closed()
+	if !ok {
+		return time.Time{}, false
+	}
+	return pool.Closed(now)
+}
+
+// reopens is when an endpoint that is in backoff, or was of late, may first take a call, or the
+// zero time.
+func (p *pools) reopens(now time.Time, n need) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, ok := p.byService[n.service]
+	if !ok {
+		return time.Time{}
+	}
+	return pool.Reopens(now, indices(pool, n.tried))
+}
+
+func indices(pool *place.Pool, names []string) []int {
+	list := make([]int, 0, len(names))
+	for _, name := range names {
+		list = append(list, pool.Find(name))
+	}
+	return list
 }
 
 // hold takes in what an endpoint tells to hold.
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -119,6 +120,8 @@
 	}
 	if !c.BackoffUntil.IsZero() {
 		n.meters.observedBackoff()
+		n.pools.backoff(endpoint, c.BackoffUntil)
+		n.leaders.backoff(now, endpoint, c.BackoffUntil)
 		n.log.Info(eventEndpointBackoff, zap.String("endpoint", endpoint), zap.Duration("asked", s.Backoff), zap.Duration("left", c.BackoffUntil.Sub(now)))
 	}
 }
@@ -145,6 +148,23 @@
 	n.signals.mu.Unlock()
 }
 
+// learnBlocked has the pools know why a request was not sent. A pool that was made after the
+// signal was observed lacks it.
+func (n *Node) learnBlocked(err error) {
+	var blocked *signal.BlockedError
+	if errors.As(err, &blocked) && !blocked.Until.IsZero() {
+		n.pools.backoff(blocked.Endpoint, blocked.Until)
+	}
+}
+
+// backoffs returns the backoffs in force that concern a request.
+func (n *Node) backoffs(now time.Time, service string) []signal.Backoff {
+	n.signals.mu.Lock()
+	active := n.signals.registry.Backoffs().Active(now)
+	n.signals.mu.Unlock()
+	return n.pools.of(service, active)
+}
+
 // markDraining marks the endpoints of a list that announced draining, whatever the store says.
 func (s *signals) markDraining(list []catalog.Endpoint) {
 	s.mu.Lock()
--- a/internal/node/signals_test.go
+++ b/internal/node/signals_test.go
@@ -252,7 +252,8 @@
 	if !slices.ContainsFunc(w.Arrived(), func(a platformtest.Arrival) bool {
 		return a.At.After(ends) && a.At.Before(ends.Add(r.script.usedAgain))
 	}) {
-		t.Errorf("%s got no request within %v of the end of its backoff", w.ID, r.script.usedAgain)
+		arrivals := w.Arrivals()
+		t.Errorf("%s got no request within %v of the end of its backoff, %v after its last one", w.ID, r.script.usedAgain, ends.Sub(arrivals[len(arrivals)-1]))
 	}
 }
 
--- a/internal/node/stagecalls.go
+++ b/internal/node/stagecalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -10,6 +11,7 @@
 
 	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/poison"
+	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/core/stagepool"
 )
 
@@ -27,6 +29,10 @@
 		zap.String("endpoint", a.Endpoint), zap.String("service", a.Service), zap.Int("pieces", len(a.Items)),
 		zap.Int("ending", int(outcome.Ending)), zap.Duration("took", time.Since(started)),
 	}
+	var blocked *signal.BlockedError
+	if errors.As(err, &blocked) && !blocked.Until.IsZero() {
+		c.group.backoff(time.Now(), blocked.Endpoint, blocked.Until)
+	}
 	if outcome.Ending == stagepool.BrokenOff {
 		c.group.broke(ctx, catalog.Endpoint{ID: a.Endpoint, Service: a.Service, Address: a.Address}, time.Since(started), contents(a.Items))
 	}
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -45,7 +45,7 @@
 // serveStream takes a request through its stages and passes its events on.
 func (n *Node) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
 	n.budget.Fresh(q.arrived, q.service, 1)
-	if n.rejectClosed(w, q) {
+	if n.rejectClosed(w, q, q.reopenLimit()) {
 		return
 	}
 	q.prefix = n.pools.prefix(q)
@@ -64,7 +64,7 @@
 		if n.endPoison(ctx, s) {
 			return
 		}
-		c, ok := n.pools.choose(time.Now(), s.need(tried))
+		c, ok := n.choose(ctx, q, s.need(tried))
 		if !ok {
 			n.endStream(ctx, s, attempt.AnswerNotRun, noEndpointReason)
 			return
@@ -87,6 +87,15 @@
 	n.endStream(ctx, s, attempt.AnswerUnknown, "no endpoint reached")
 }
 
+// reopenLimit is by when the service of a stream has to be out of backoff so that it is begun:
+// its stages run meanwhile.
+func (q *request) reopenLimit() time.Time {
+	if len(q.route.Stages) == 0 {
+		return q.awaitLimit(q.arrived)
+	}
+	return q.arrived.Add(q.route.Objective)
+}
+
 // endPoison ends a stream whose request is refused since it crashes endpoints, and reports
 // whether it is.
 func (n *Node) endPoison(ctx context.Context, s *stream) bool {
@@ -146,6 +155,7 @@
 		Model: q.service, Prefix: q.prefix, Tokens: q.in.PromptTokens, Parts: q.promptParts(), Content: bytesOf(q.content),
 	}}
 	work.aim = q.arrived.Add(q.route.Objective)
+	work.submit.Avoid = n.avoided(q.service)
 	if !n.off.Has(mechanism.Sizes) {
 		work.submit.Extra = n.sizes.extra(q.route.Name, q.in.PromptTokens)
 	}
@@ -174,6 +184,22 @@
 	return nil
 }
 
+// maxAvoided bounds the endpoints that a submission asks to avoid.
+const maxAvoided = 64
+
+// avoided lists the endpoints of a service that are in backoff towards this node. Their leader
+// can't know them, since a backoff is between one node and one endpoint.
+func (n *Node) avoided(service string) []wire.Avoided {
+	now := time.Now()
+	var list []wire.Avoided
+	for _, b := range n.backoffs(now, service) {
+		if len(list) < maxAvoided {
+			list = append(list, wire.Avoided{Endpoint: b.Endpoint, Left: b.Until.Sub(now).Milliseconds()})
+		}
+	}
+	return list
+}
+
 // endUnprepared ends a request whose stages were not run.
 func (n *Node) endUnprepared(ctx context.Context, s *stream, err error) {
 	var refused *refusal
@@ -255,18 +281,21 @@
 // made again.
 func (n *Node) declined(ctx context.Context, s *stream, c *placed, a *platform.Answer) attempt.Event {
 	now := time.Now()
-	if a.Status != http.StatusConflict {
+	switch {
+	case a.Signals.Backoff > 0:
+		s.note(c, wire.PlacementUnused)
+	case a.Status != http.StatusConflict:
 		s.note(c, wire.PlacementFailed)
 	}
 	if a.Event == attempt.RefuseByEndpoint {
 		n.log.Info(eventEndpointDeclined, zap.String("id", s.q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("status", a.Status))
-		c.end(now, place.Result{Neutral: a.Status == http.StatusConflict, Load: load(a, now)})
+		c.end(now, place.Result{Neutral: a.Status == http.StatusConflict || a.Signals.Backoff > 0, Load: load(a, now)})
 		if a.Status == http.StatusConflict {
 			s.release()
 		}
 		return a.Event
 	}
-	c.end(now, place.Result{Neutral: a.Status < 500, Load: load(a, now)})
+	c.end(now, place.Result{Neutral: a.Status < 500 || a.Signals.Backoff > 0, Load: load(a, now)})
 	if s.started {
 		return attempt.Lose
 	}
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
 )
@@ -79,10 +81,20 @@
 	return at.Sub(now), ok
 }
 
-// comeBack is when a request may come back for which no endpoint was found. Other nodes may
-// have turns before this one, so it is told no more than longestAgain.
-func (n *Node) comeBack(service string) time.Duration {
-	wait, ok := n.pools.nextTurn(time.Now(), service)
+// retryJitter bounds how much later than a service is out of backoff clients may come back, so that
+// they don't come back at once.
+const retryJitter = time.Second
+
+// retryAfter is when a request may come back for which no endpoint was found: at the first end of
+// a backoff if all endpoints are in backoff, else at the next turn. Other nodes may have turns
+// before this one, so for these it is longestAgain at most.
+func (n *Node) retryAfter(service string) time.Duration {
+	now := time.Now()
+	if reopens, closed := n.pools.closed(now, service); closed && !reopens.IsZero() {
+		wait := reopens.Sub(now)
+		return max(wait+rand.N(1+min(wait/4, retryJitter)), againSoon)
+	}
+	wait, ok := n.pools.nextTurn(now, service)
 	if !ok {
 		return againSoon
 	}
@@ -156,7 +168,7 @@
 	if !ok || !c.group.places() {
 		return m, false
 	}
-	wants := a.need
+	wants := a.at(now)
 	wants.prompt.InputDomain = done.Domain
 	wants.prompt.InputBytes = done.Bytes
 	at, ok := c.group.models.choose(now, wants)
@@ -184,17 +196,33 @@
 // ask is what a request asks of its model endpoint.
 type ask struct {
 	need
+	// avoid are endpoints in backoff towards the request's node.
+	avoid    []signal.Backoff
 	priority int
 	aim      time.Time
 	// promised is true until it is placed.
 	promised bool
 }
 
+// at is the need at a moment, without the endpoints that are in backoff then.
+func (a *ask) at(now time.Time) need {
+	n := a.need
+	for _, b := range a.avoid {
+		if now.Before(b.Until) {
+			n.tried = append(n.tried, b.Endpoint)
+		}
+	}
+	return n
+}
+
 // askOf is what a submitted request asks of its model endpoint.
-func askOf(m *wire.StagesSubmit) ask {
+func askOf(now time.Time, m *wire.StagesSubmit) ask {
 	a := ask{need: need{service: m.Model, prefix: m.Prefix, prompt: place.Prompt{Tokens: m.Tokens}}, priority: m.Priority}
 	for _, part := range m.Parts {
 		a.prompt.Parts = append(a.prompt.Parts, place.Part(part))
 	}
+	for _, b := range m.Avoid {
+		a.avoid = append(a.avoid, signal.Backoff{Endpoint: b.Endpoint, Until: now.Add(time.Duration(b.Left) * time.Millisecond)})
+	}
 	return a
 }
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -39,6 +39,14 @@
 	// Content tells tries of the same request; it is empty from nodes of an earlier
 	// version.
 	Content []byte
+	// Avoid are endpoints of Model that are in backoff towards the sender.
+	Avoid []Avoided
+}
+
+// Avoided is an endpoint in backoff, for as many milliseconds as are left.
+type Avoided struct {
+	Endpoint string
+	Left     int64
 }
 
 // PromptPart is a part of a prompt; the last one is the request's own.
