wire: keep heartbeats without draining endpoints as short as before

A heartbeat that tells of no draining endpoint now has the fields of the version before, and a message that lacks its last fields is decoded without being fitted first. The test passes, as do those of wire and peer; fuzzed for 5 s.

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -31,7 +31,7 @@
 	enc.Reset(body)
 	enc.UseArrayEncodedStructs(true)
 	enc.UseCompactInts(true)
-	if err := enc.Encode(m); err != nil {
+	if err := encode(enc, m); err != nil {
 		return buf, fmt.Errorf("encode message: %w", err)
 	}
 	frame := body.Bytes()
--- a/internal/wire/versions.go
+++ b/internal/wire/versions.go
@@ -12,7 +12,7 @@
 // or more: fields are only ever added at the end, and structs are arrays on the wire. The
 // codec refuses arrays of another length, so these are fitted first.
 func unmarshal(body []byte, m Message) error {
-	err := msgpack.Unmarshal(body, m)
+	err := decode(body, m)
 	if err == nil {
 		return nil
 	}
@@ -28,6 +28,45 @@
 	return nil
 }
 
+// encode writes a message. A heartbeat that tells of no draining endpoint has the length of the
+// version before: a byte more delays the start of hundreds of nodes on small links.
+func encode(enc *msgpack.Encoder, m Message) error {
+	g, ok := m.(Gossip)
+	if !ok || g.Draining != nil {
+		return enc.Encode(m)
+	}
+	v := reflect.ValueOf(g)
+	fields := v.NumField() - 1
+	if err := enc.EncodeArrayLen(fields); err != nil {
+		return err
+	}
+	for i := range fields {
+		if err := enc.EncodeValue(v.Field(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// decode reads a message that has all fields of its type or lacks the last ones.
+func decode(body []byte, m Message) error {
+	in := msgpack.NewDecoder(bytes.NewReader(body))
+	n, err := in.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	v := reflect.ValueOf(m).Elem()
+	if n < 0 || n >= v.NumField() {
+		return msgpack.Unmarshal(body, m)
+	}
+	for i := range n {
+		if err := in.DecodeValue(v.Field(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // fit returns a body in which every struct has as many fields as its type here: further
 // ones are left out, missing ones are nil, which the codec reads as zero.
 func fit(body []byte, t reflect.Type) ([]byte, error) {
