core/signal, internal/node: apply the cold time that an answer announces

X-Cold-Ms was read by nothing; the list of endpoints was the only source of cold times, which may be seconds old or missing while the store is away. An answer that carries it now bounds what the endpoint gets, the longer of both in force.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -19,6 +19,8 @@
 	eventSignalUnknown = "endpoint signal unknown"
 	// An endpoint announced in an answer that it drains.
 	eventEndpointDraining = "endpoint draining"
+	// An endpoint announced in an answer that it is cold, or for longer than known.
+	eventEndpointCold = "endpoint cold"
 	// An endpoint rejected a request and asked this node to send nothing for a while.
 	eventEndpointBackoff = "endpoint backoff"
 	// A stream that broke off.
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -20,7 +20,11 @@
 // bound is what an endpoint of a service takes from all nodes together.
 func (n *Node) bound(service catalog.Service, endpoint string, cold discovery.Coldness) intake.Bound {
 	bears := intake.Cold{PerSecond: service.ColdPerSecond, Excess: n.settings.ColdExcess, Slack: n.settings.ColdSlack}
-	return n.signals.bound(endpoint).WithCold(bears, cold.Until)
+	limit, until := n.signals.bound(endpoint)
+	if cold.Until.After(until) {
+		until = cold.Until
+	}
+	return limit.WithCold(bears, until)
 }
 
 // leaderPace is the pace of what this node chooses for all others.
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -70,18 +70,19 @@
 	return len(s.registry.Backoffs().Active(now))
 }
 
-// any reports whether any endpoint has, or lately had, a rate limit.
+// any reports whether a signal bounds, or lately bounded, what any endpoint takes.
 func (s *signals) any() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.registry.Limits().Empty()
+	return s.registry.Bounds()
 }
 
-// bound returns the bound that an endpoint's rate limit sets.
-func (s *signals) bound(endpoint string) intake.Bound {
+// bound returns the bound that an endpoint's rate limit sets, and until when its answers announce
+// that it is cold.
+func (s *signals) bound(endpoint string) (limit intake.Bound, coldUntil time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.Bound(endpoint)
+	return s.registry.Bound(endpoint), s.registry.ColdUntil(endpoint)
 }
 
 // isNew reports whether a signal that is logged once is to be logged.
@@ -115,6 +116,10 @@
 	if c.Limit != nil {
 		n.limitsChanged(sourceEndpoint, *c.Limit)
 	}
+	if c.Cold {
+		n.log.Info(eventEndpointCold, zap.String("endpoint", endpoint), zap.Duration("left", s.Cold))
+		n.ratesChanged.Store(true)
+	}
 	if c.Draining {
 		n.drainingChanged(sourceEndpoint, endpoint)
 	}
@@ -252,8 +257,7 @@
 	n.sweepDraining(now)
 	s := n.signals
 	s.mu.Lock()
-	ended := s.registry.Limits().Expire(now)
-	s.registry.Backoffs().Expire(now)
+	ended := s.registry.Expire(now)
 	send := s.pending && now.Sub(s.sentAt) >= gossipInterval
 	if send {
 		s.pending, s.sentAt = false, now
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -118,7 +118,7 @@
 		service: q.service, prefix: q.prefix, tried: tried, wanted: s.results.endpoint,
 		prompt: place.Prompt{Tokens: q.in.PromptTokens},
 	}
-	if !s.results.bounded && s.node.signals.bound(s.results.endpoint).At(time.Now()).Bounded() {
+	if limit, _ := s.node.signals.bound(s.results.endpoint); !s.results.bounded && limit.At(time.Now()).Bounded() {
 		// The leader does not know what this node has heard, so it has not counted the
 		// request: one that has just begun, or is of an earlier version.
 		asks.wanted = ""
