--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -32,6 +32,7 @@
 	r.checkPoisons()
 	r.checkEvacuation()
 	r.checkLimits()
+	r.checkCold()
 	if served < len(r.record.list)/4 {
 		r.fail("%d of %d requests were served", served, len(r.record.list))
 	}
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -61,6 +61,9 @@
 	if r.of >= limited {
 		r.limitNowAndThen()
 	}
+	if r.of >= cold {
+		r.coolNowAndThen()
+	}
 	if r.of < newest || r.later.IntN(laterShare) > 0 {
 		return
 	}
