internal/soak: workers that announce draining and ask for backoffs

A kind of trouble of its own: now and then a worker rejects one in one to four requests with a backoff of 0.5 to 3 s, and another one after a part of the time. In the last phase two workers of each service announce draining that the store lists as ready, two of each or all of one reject requests with a backoff, while the store is away for 2 s; then again while a node is paused and one is killed. The operators' two rules are checked from what clients and workers saw.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -33,6 +33,7 @@
 	r.checkEvacuation()
 	r.checkLimits()
 	r.checkCold()
+	r.checkSignals()
 	if served < len(r.record.list)/4 {
 		r.fail("%d of %d requests were served", served, len(r.record.list))
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,6 +51,9 @@
 	// cold runs have beside all these workers that turn cold, by further draws of their own, and
 	// in the end a phase in which what they get is checked.
 	cold
+	// announcing runs have beside all these workers that reject requests with a backoff, by further
+	// draws of their own, and in the end a phase in which workers announce draining too.
+	announcing
 )
 
 // regressions are the seeds that ever failed, with the cause. They are run each
@@ -123,6 +126,8 @@
 	restores *rand.Rand
 	limits   *rand.Rand
 	colds    *rand.Rand
+	signals  *rand.Rand
+	signaled signaled
 	limited  []limitedWorker
 	cooled   []cooled
 	excuses  []excuse
@@ -191,7 +196,7 @@
 		list = slices.Concat(regressions, longRegressions)
 	}
 	for i := range *seeds {
-		list = append(list, regression{seed: *firstSeed + uint64(i), of: cold})
+		list = append(list, regression{seed: *firstSeed + uint64(i), of: announcing})
 	}
 	for _, c := range list {
 		t.Run(fmt.Sprintf("seed-%d", c.seed), func(t *testing.T) { soak(t, program, c) })
@@ -229,6 +234,10 @@
 	if r.of >= cold {
 		r.coolWorkers()
 	}
+	if r.of >= announcing {
+		r.signalWorkers()
+		r.awaitConfig()
+	}
 	r.rollAll()
 	stop()
 	sending.Wait()
@@ -248,7 +257,7 @@
 }
 
 func newRun(t *testing.T, program string, c regression) *run {
-	r := &run{t: t, of: c.of, rand: rand.New(rand.NewPCG(c.seed, 0)), later: rand.New(rand.NewPCG(c.seed, laterSeed)), restores: rand.New(rand.NewPCG(c.seed, restoresSeed)), limits: rand.New(rand.NewPCG(c.seed, limitsSeed)), colds: rand.New(rand.NewPCG(c.seed, coldSeed)), workers: make(map[string][]*platformtest.Worker)}
+	r := &run{t: t, of: c.of, rand: rand.New(rand.NewPCG(c.seed, 0)), later: rand.New(rand.NewPCG(c.seed, laterSeed)), restores: rand.New(rand.NewPCG(c.seed, restoresSeed)), limits: rand.New(rand.NewPCG(c.seed, limitsSeed)), colds: rand.New(rand.NewPCG(c.seed, coldSeed)), signals: rand.New(rand.NewPCG(c.seed, signalsSeed)), workers: make(map[string][]*platformtest.Worker)}
 	r.proxies = &proxies{t: t, list: make(map[string]*proxy)}
 	r.site = platformtest.NewSite(t)
 	r.site.Through = r.proxies.through
--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -64,6 +64,9 @@
 	if r.of >= cold {
 		r.coolNowAndThen()
 	}
+	if r.of >= announcing {
+		r.rejectNowAndThen()
+	}
 	if r.of < newest || r.later.IntN(laterShare) > 0 {
 		return
 	}
