internal/soak: signals in the check of bounds

One worker after the other announces draining in its answers while the store lists it as ready for 4 to 8 s, and four more reject requests with backoffs that come and go, beside cuts from the store, freezes, restarts and changes of configuration. The operators' two rules are checked for every node; a restart or freeze of the node excuses it, trouble with the store does not.

--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -19,6 +19,7 @@
 	"github.com/goccy/go-yaml"
 
 	"gradetiller.example/platform/platformtest"
+	"gradetiller.example/platform/platformtest/signaltest"
 )
 
 var (
@@ -84,8 +85,16 @@
 	limiting []*platformtest.Worker
 	limited  []limitedWorker
 	sentTo   map[string]int
-	probes   atomic.Int64
-	poisons  *poisons
+	// signals is what clients sent and saw; draining are the workers that announced draining, and
+	// since when, drained those that the store was to list so since.
+	signals   signaltest.Log
+	draining  map[string]time.Time
+	drained   []announced
+	rejecting []*platformtest.Worker
+	// restarted are the restarts and freezes of nodes.
+	restarted map[int][]span
+	probes    atomic.Int64
+	poisons   *poisons
 	// lapsing is held while entries lapse.
 	lapsing sync.Mutex
 
@@ -145,7 +154,7 @@
 		cases = boundsRegressions
 	}
 	for i := range *seeds {
-		cases = append(cases, boundsCase{seed: *firstSeed + uint64(i), fault: *onlyFault, of: limited})
+		cases = append(cases, boundsCase{seed: *firstSeed + uint64(i), fault: *onlyFault, of: announcing})
 	}
 	for _, c := range cases {
 		t.Run(strings.TrimSpace(fmt.Sprintf("seed-%d %s", c.seed, c.fault)), func(t *testing.T) { checkBounds(t, program, c) })
@@ -160,7 +169,7 @@
 	seed := c.seed
 	d := readDeployment(t, cmp.Or(*boundsOf, unhurried))
 	r := &boundsRun{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), of: d, troubles: c.of, site: platformtest.NewSite(t), desks: make(map[string]string), sentTo: make(map[string]int),
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), of: d, troubles: c.of, site: platformtest.NewSite(t), desks: make(map[string]string), sentTo: make(map[string]int), draining: make(map[string]time.Time), restarted: make(map[int][]span),
 		// Every second seed begins with the many routes.
 		many:    seed%2 == 0,
 		history: history{bounds: d.bounds(), disturbed: make(map[int][]span)},
@@ -183,6 +192,10 @@
 	if c.of >= limited {
 		busy.Go(func() { r.limitWorkers(ctx, rand.New(rand.NewPCG(seed, limitsSeed))) })
 	}
+	if c.of >= announcing {
+		busy.Go(func() { r.drainUnlisted(ctx, rand.New(rand.NewPCG(seed, signalsSeed))) })
+		busy.Go(func() { r.rejectWorkers(ctx, rand.New(rand.NewPCG(seed, signalsSeed+1))) })
+	}
 	busy.Go(func() { r.operate(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	for i := range *clientCount {
 		busy.Go(func() { r.load(ctx, i) })
@@ -322,9 +335,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	o := observation{node: node, life: life, asks: asks, about: about, sent: time.Now()}
+	r.recordSent(id, node, o.sent)
 	a := platformtest.DoOn(ctx, transport, p.Front, platformtest.Request{ID: id, Path: path, Key: key, Deadline: 2 * time.Second})
 	o.got = time.Now()
 	r.noteRefusal(id, a)
+	r.recordAnswer(a, node, o.sent)
 	if a.Err != nil || p.lifeNumber() != life {
 		return
 	}
@@ -361,11 +376,14 @@
 		r.mu.Lock()
 		r.sentTo[id] = node
 		r.mu.Unlock()
+		sent := time.Now()
+		r.recordSent(id, node, sent)
 		a := platformtest.DoOn(limited, transport, r.nodes[node].Front, platformtest.Request{
 			ID: id, Path: k.path + "x", Key: apiKey, Deadline: clientDeadline,
 			Streaming: k.stream, Pieces: k.pieces, Prefix: fmt.Sprintf("a%d:10,b%d:20", number, n%7),
 		})
 		r.noteRefusal(id, a)
+		r.recordAnswer(a, node, sent)
 		cancel()
 		sleep(ctx, time.Duration(betweenMin+draw.IntN(betweenMax))*time.Millisecond)
 	}
--- a/internal/soak/disturb_test.go
+++ b/internal/soak/disturb_test.go
@@ -134,6 +134,20 @@
 	}
 }
 
+// restart notes that nodes are restarted or frozen, and returns what ends it.
+func (r *boundsRun) restart(nodes []int) func() {
+	end := r.disturb(nodes)
+	from := time.Now()
+	return func() {
+		end()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, n := range nodes {
+			r.restarted[n] = append(r.restarted[n], span{from: from, to: time.Now()})
+		}
+	}
+}
+
 // free are those of the nodes that no other fault has.
 func (r *boundsRun) free(nodes []int) (list []int, give func()) {
 	for _, n := range nodes {
@@ -151,7 +165,7 @@
 func (r *boundsRun) kill(nodes []int, length time.Duration) {
 	nodes, give := r.free(nodes)
 	defer give()
-	defer r.disturb(nodes)()
+	defer r.restart(nodes)()
 	for _, n := range nodes {
 		r.nodes[n].end(syscall.SIGKILL)
 	}
@@ -164,7 +178,7 @@
 func (r *boundsRun) freeze(nodes []int, length time.Duration) {
 	nodes, give := r.free(nodes)
 	defer give()
-	defer r.disturb(nodes)()
+	defer r.restart(nodes)()
 	for _, n := range nodes {
 		r.nodes[n].signal(syscall.SIGSTOP)
 	}
@@ -179,7 +193,7 @@
 	nodes, give := r.free(nodes)
 	defer give()
 	for _, n := range nodes {
-		end := r.disturb([]int{n})
+		end := r.restart([]int{n})
 		r.nodes[n].terminate()
 		r.nodes[n].start()
 		end()
--- a/internal/soak/verdict_test.go
+++ b/internal/soak/verdict_test.go
@@ -137,6 +137,7 @@
 	}
 	found = append(found, r.poisoned(timed)...)
 	found = append(found, r.overLimit()...)
+	found = append(found, r.ignoredSignals()...)
 	afterReturn, refusedThen := r.lapsed()
 	if timed && refusedThen*mostRefused > afterReturn {
 		found = append(found, fmt.Sprintf("LAPSED: %d of %d questions after the store's return were refused, though the workers served", refusedThen, afterReturn))
