internal/node: hold off placing at an endpoint that rejected a request

With a leader that places for all, an endpoint that rejects everything looks idle to it and attracts the requests of all nodes that have no backoff there yet: each is rejected once and costs retry budget, after which clients are rejected though other endpoints have room.

It counts no failure: the endpoint may serve other nodes well.

--- a/internal/core/signal/world_test.go
+++ b/internal/core/signal/world_test.go
@@ -23,6 +23,8 @@
 	maxUpdates = 128
 	// lostTime is how long a leader that is lost is still asked.
 	lostTime = time.Second
+	// holdTime is how long a leader places nothing at an endpoint that rejected a request.
+	holdTime = 500 * time.Millisecond
 	tries    = 3
 )
 
@@ -267,7 +269,7 @@
 	if w.rand.IntN(40) == 0 {
 		arrives = arrives.Add(200 * time.Millisecond)
 	}
-	w.after(arrives, func(now time.Time) { w.arrive(now, k, i, sent, tried, finish) })
+	w.after(arrives, func(now time.Time) { w.arrive(now, k, i, sent, tried, led != nil, finish) })
 }
 
 // choose returns the endpoint of a request and, when its leader chose it, the leader's pool.
@@ -287,7 +289,7 @@
 }
 
 // arrive has a request reach its endpoint, which rejects it at once or begins to answer.
-func (w *world) arrive(now time.Time, k, i int, sent time.Time, tried []int, finish func(time.Time, place.Result)) {
+func (w *world) arrive(now time.Time, k, i int, sent time.Time, tried []int, led bool, finish func(time.Time, place.Result)) {
 	w.arrivals[i] = append(w.arrivals[i], arrival{node: k, sent: sent, at: now})
 	at := now.Sub(w.start)
 	s := signal.Signals{Draining: w.script.drainsAt(i, at)}
@@ -298,6 +300,9 @@
 			w.after(now.Add(2*time.Millisecond), func(now time.Time) {
 				w.observe(now, k, i, s)
 				finish(now, place.Result{Neutral: true})
+				if led {
+					w.nodes[w.leader].led.Backoff(i, now.Add(holdTime))
+				}
 				if !w.nodes[k].away {
 					w.send(now, k, sent, append(tried, i))
 				}
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -19,6 +19,9 @@
 const (
 	// listLimit is how long an engine may take to tell what it holds.
 	listLimit = 800 * time.Millisecond
+	// rejectedHold is how long a leader places nothing at an endpoint that asked some node for a
+	// backoff. One that rejects everything looks idle and would get each request of the others.
+	rejectedHold = 500 * time.Millisecond
 	// listsAtOnce bounds the engines that are asked at a time.
 	listsAtOnce = 32
 )
@@ -75,7 +78,11 @@
 	if how == wire.PlacementServed {
 		read = at.ahead + at.work
 	}
-	at.end(time.Now(), place.Result{
-		Read: read, OK: how == wire.PlacementServed, Neutral: how == wire.PlacementUnused, Unreachable: how == wire.PlacementUnreachable,
+	now := time.Now()
+	at.end(now, place.Result{
+		Read: read, OK: how == wire.PlacementServed, Neutral: how == wire.PlacementUnused || how == wire.PlacementRejected, Unreachable: how == wire.PlacementUnreachable,
 	})
+	if how == wire.PlacementRejected {
+		c.group.models.backoff(at.endpoint.ID, now.Add(rejectedHold))
+	}
 }
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -283,7 +283,7 @@
 	now := time.Now()
 	switch {
 	case a.Signals.Backoff > 0:
-		s.note(c, wire.PlacementUnused)
+		s.note(c, wire.PlacementRejected)
 	case a.Status != http.StatusConflict:
 		s.note(c, wire.PlacementFailed)
 	}
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -100,6 +100,9 @@
 	PlacementFailed
 	// PlacementUnreachable endpoints could not be connected to.
 	PlacementUnreachable
+	// PlacementRejected endpoints asked the request's node for a backoff. Nodes of an earlier
+	// version take it for a failure.
+	PlacementRejected
 )
 
 // StagesRelease tells that the results are not needed any more.
