core/stagepool, core/place: don't wait for a backoff in vain

A task with results of earlier stages waited for its deadline when all endpoints of its next stage were in backoff for longer; it is given up at once now, with the end of the backoffs as time to come back. A request waited up to half of its objective for an endpoint that had been in backoff long ago and was set aside for failures since; the end of that time counts, and a backoff is forgotten once the endpoint is in full use again.

TestTasksDoNotWaitForTheirDeadlineInVain, TestSetAsideOutlastsBackoff and TestReturnAfterBackoffIsGradual failed without the changes.

--- a/internal/core/place/backoff.go
+++ b/internal/core/place/backoff.go
@@ -46,8 +46,10 @@
 			continue
 		}
 		at := now.Add(rampPoll)
-		if e.backoff.After(at) {
-			at = e.backoff
+		for _, end := range []time.Time{e.backoff, e.health.until} {
+			if end.After(at) {
+				at = end
+			}
 		}
 		if first.IsZero() || at.Before(first) {
 			first = at
--- a/internal/core/place/backoff_test.go
+++ b/internal/core/place/backoff_test.go
@@ -84,4 +84,25 @@
 	if !p.Reopens(now, nil).IsZero() {
 		t.Error("an endpoint in full use is waited for")
 	}
+	// It fails later, for reasons of its own.
+	for range failuresToSetAside {
+		p.Start(now, 0, Request{})
+		p.Finish(now, 0, Result{})
+	}
+	if !p.Reopens(now, nil).IsZero() {
+		t.Error("an endpoint that was set aside long after its backoff is waited for")
+	}
+}
+
+// TestSetAsideOutlastsBackoff guards against calls that wait for an endpoint whose backoff is over
+// but that was set aside for failures.
+func TestSetAsideOutlastsBackoff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(t, "least_outstanding", 1, 8)
+	p.Backoff(0, now.Add(time.Second))
+	p.Start(now, 0, Request{})
+	p.Finish(now.Add(900*time.Millisecond), 0, Result{})
+	if at := p.Reopens(now.Add(time.Second), nil).Sub(now); at != 1400*time.Millisecond {
+		t.Errorf("reopens after %v, want the end of the time set aside", at)
+	}
 }
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -221,6 +221,9 @@
 	if !now.Before(e.backoff) {
 		// Calls that were under way when a backoff began say nothing about its end.
 		e.health.succeeded(e.spec.Slots)
+		if e.health.ramp == 0 {
+			e.backoff = time.Time{}
+		}
 	}
 	if r.Read > 0 {
 		p.reading.Observe(r.Read, r.Took)
--- a/internal/core/stagepool/backoff_test.go
+++ b/internal/core/stagepool/backoff_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// TestTasksDoNotWaitForTheirDeadlineInVain guards against tasks with results of earlier stages that
+// wait for a backoff which ends after their deadline.
+func TestTasksDoNotWaitForTheirDeadlineInVain(t *testing.T) {
+	w := newWorld(t, 7, 3)
+	deadline := w.now.Add(6 * time.Second)
+	stages := []Stage{{Service: "tag", Pieces: 1}, {Service: "bill", Pieces: 1, After: []int{0}}}
+	verdict, actions := w.pool.Submit(w.now, Task{RequestID: "r", Aim: w.now.Add(5 * time.Second), Deadline: deadline, Stages: stages})
+	if !verdict.Accepted {
+		t.Fatal("rejected")
+	}
+	w.carryOut(actions)
+	w.backoff("bill", 30*time.Second)
+	w.run(2 * time.Second)
+	if _, failed := w.failed[verdict.ID]; !failed {
+		t.Errorf("not given up %v before its deadline", deadline.Sub(w.now))
+	}
+}
+
 // TestBackoffOfAStageRejectsAtOnce guards against tasks that are let in although no endpoint of a
 // stage takes them in time, and against a time to come back before the end of the backoffs.
 func TestBackoffOfAStageRejectsAtOnce(t *testing.T) {
--- a/internal/core/stagepool/intake.go
+++ b/internal/core/stagepool/intake.go
@@ -64,8 +64,9 @@
 const crowdedOutReason = "no endpoint of a stage takes it in time"
 
 // endCrowdedOut gives up the tasks for which no work was done, and that would be late, at
-// services of which all endpoints bound what they take. They were let in when more was taken;
-// behind those that are still in time they would wait for their deadline in vain.
+// services of which all endpoints bound what they take, and any that would miss their deadline
+// since all are in backoff. They were let in when more was taken; behind those that are still in
+// time they would wait for their deadline in vain.
 func (p *Pool) endCrowdedOut(now time.Time) {
 	var out []*task
 	for _, name := range slices.Sorted(maps.Keys(p.services)) {
@@ -78,7 +79,8 @@
 			wait = at.Sub(now)
 		}
 		for _, e := range s.queue {
-			if !e.task.worked && now.Add(wait+p.need(e.task, e.stage)).After(e.task.Aim) {
+			ends := now.Add(wait + p.need(e.task, e.stage))
+			if !e.task.worked && ends.After(e.task.Aim) || wait > 0 && ends.After(e.task.Deadline) {
 				out = append(out, e.task)
 			}
 		}
