internal/node: find a leader's part of a service once for all its endpoints

Cause: since rate limits were divided each endpoint's pace asked for the leader's part, which counts the cells and so looks at every endpoint: 9 million look-ups for 3,000 endpoints, on each change of the view, and on each change of the membership while any endpoint is cold or limited. A profile of BenchmarkViewChanged has 94% of its time there.

The pace of a service is made once now, and that of an endpoint from it.

--- /dev/null
+++ b/internal/node/bench_test.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/discovery"
+	"gradetiller.example/platform"
+)
+
+// BenchmarkViewChanged puts a view of 3,000 endpoints of five services in force.
+func BenchmarkViewChanged(b *testing.B) {
+	n := New(platform.Settings{Node: "a", Heartbeat: time.Second})
+	v := &view{config: &catalog.Config{Version: 1, Services: make(map[string]catalog.Service)}}
+	for s := range 5 {
+		name := fmt.Sprint("s", s)
+		v.config.Services[name] = catalog.Service{Name: name, Model: s == 0}
+		for i := range 600 {
+			v.endpoints = append(v.endpoints, catalog.Endpoint{ID: fmt.Sprintf("i-%d-%d", s, i), Service: name, Domain: "d", Slots: 8})
+		}
+	}
+	v.evacuations = discovery.Evacuations{}.Replace(time.Now(), 1, nil)
+	v.fresh.List = time.Now()
+	n.view.Store(v)
+	for b.Loop() {
+		n.viewChanged()
+	}
+}
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -27,9 +27,13 @@
 	return limit.WithCold(bears, until)
 }
 
-// leaderPace is the pace of what this node chooses for all others.
-func (n *Node) leaderPace(v *view, service catalog.Service, endpoint string, cold discovery.Coldness) intake.Pace {
-	return intake.NewPace(n.bound(service, endpoint, cold), n.leaderPart(v, service))
+// leaderPace is the pace of what this node chooses for all others. Its part is found once for all
+// endpoints of a service, since that looks at the whole list.
+func (n *Node) leaderPace(v *view, service catalog.Service) endpointPace {
+	part := n.leaderPart(v, service)
+	return func(endpoint string, cold discovery.Coldness) intake.Pace {
+		return intake.NewPace(n.bound(service, endpoint, cold), part)
+	}
 }
 
 // leaderPart is this node's part as a leader. Each stage endpoint belongs to one cell, which
@@ -43,10 +47,13 @@
 }
 
 // ownPace is the pace of what this node chooses for its own requests.
-func (n *Node) ownPace(v *view, service catalog.Service, endpoint string, cold discovery.Coldness) intake.Pace {
+func (n *Node) ownPace(v *view, service catalog.Service) endpointPace {
 	s := n.share.Load()
-	part := intake.NodePart(v.config.Placing(service.Name), s.rank, s.nodes, endpoint)
-	return intake.NewPace(n.bound(service, endpoint, cold), part)
+	placing := v.config.Placing(service.Name)
+	return func(endpoint string, cold discovery.Coldness) intake.Pace {
+		part := intake.NodePart(placing, s.rank, s.nodes, endpoint)
+		return intake.NewPace(n.bound(service, endpoint, cold), part)
+	}
 }
 
 // shareOut finds this node's part of all nodes. One that has just begun may know none of
@@ -71,7 +78,7 @@
 		return intake.Pace{}
 	}
 	service := v.config.Services[e.Service]
-	return n.leaderPace(v, service, e.ID, v.coldness(service, e))
+	return n.leaderPace(v, service)(e.ID, v.coldness(service, e))
 }
 
 // recomputeRates puts in force what this node may send to endpoints that bound what they take, if
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -36,8 +36,11 @@
 	promised map[string]int
 }
 
-// pacing tells when calls may go to an endpoint that is cold for a time.
-type pacing func(v *view, service catalog.Service, endpoint string, cold discovery.Coldness) intake.Pace
+// pacing returns, for a service of a view, when calls may go to an endpoint of it that is cold for a
+// time.
+type pacing func(v *view, service catalog.Service) endpointPace
+
+type endpointPace func(endpoint string, cold discovery.Coldness) intake.Pace
 
 func newPools(seed uint64, models string, pace pacing, off mechanism.Off) *pools {
 	return &pools{seed: seed, models: models, pace: pace, off: off, byService: make(map[string]*place.Pool), sharing: make(map[string]*place.Sharing), promised: make(map[string]int)}
@@ -169,13 +172,19 @@
 // cachingEndpoints lists the endpoints of model engines that keep prompts and may be asked
 // about them. One that bounds the requests that it takes is not, as that would be one.
 func (p *pools) cachingEndpoints(now time.Time, v *view) []catalog.Endpoint {
+	paces := make(map[string]endpointPace)
 	var list []catalog.Endpoint
 	for _, e := range v.endpoints {
 		s, ok := v.config.Services[e.Service]
-		if !ok || s.PromptCache.Tokens == 0 || !v.evacuations.Takes(e) || p.pace(v, s, e.ID, v.coldness(s, e)).Bounded(now) {
+		if !ok || s.PromptCache.Tokens == 0 || !v.evacuations.Takes(e) {
 			continue
 		}
-		list = append(list, e)
+		if paces[s.Name] == nil {
+			paces[s.Name] = p.pace(v, s)
+		}
+		if !paces[s.Name](e.ID, v.coldness(s, e)).Bounded(now) {
+			list = append(list, e)
+		}
 	}
 	return list
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -297,6 +297,7 @@
 		cache.Tokens = 0
 	}
 	cache.Copies = cache.Copies && !off.Has(mechanism.Copies)
+	paceOf := pace(v, service)
 	var specs []place.Spec
 	for _, e := range v.endpoints {
 		if e.Service != service.Name || !v.evacuations.Takes(e) {
@@ -304,7 +305,7 @@
 		}
 		specs = append(specs, place.Spec{
 			Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: max(e.Slots, 1),
-			CacheTokens: cache.Tokens, Copies: cache.Copies, Pace: pace(v, service, e.ID, v.coldness(service, e)),
+			CacheTokens: cache.Tokens, Copies: cache.Copies, Pace: paceOf(e.ID, v.coldness(service, e)),
 		})
 	}
 	return specs
