internal/simulated: one event queue for the simulated worlds; internal/soak: one phase that pauses and kills

The two worlds of core/intake and core/signal each had a queue of events, the soak two copies of the phase in which a node is paused and one is killed.

--- a/internal/core/intake/limitworld_test.go
+++ b/internal/core/intake/limitworld_test.go
@@ -1,7 +1,6 @@
 package intake_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 	"gradetiller.example/internal/core/intake/intaketest"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/signal"
+	"gradetiller.example/internal/simulated"
 )
 
 const (
@@ -49,31 +49,13 @@
 	troubled bool
 }
 
-// event is something that happens at a moment.
-type event struct {
-	at time.Time
-	do func(now time.Time)
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(a, b int) bool { return e[a].at.Before(e[b].at) }
-func (e events) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // limitWorld is some nodes before one service of which some endpoints name what they take.
 type limitWorld struct {
 	script   script
 	start    time.Time
 	rand     *rand.Rand
 	nodes    []*limitNode
-	events   events
+	events   simulated.Queue
 	arrivals [][]arrival
 	served   int
 	unserved int
@@ -91,7 +73,7 @@
 }
 
 func (w *limitWorld) after(at time.Time, do func(time.Time)) {
-	heap.Push(&w.events, event{at, do})
+	w.events.At(at, do)
 }
 
 // begin has a node begin without any knowledge.
@@ -145,10 +127,7 @@
 		w.after(w.start.Add(t.at), func(now time.Time) { w.trouble(now, t) })
 	}
 	w.after(w.start, w.request)
-	for len(w.events) > 0 && w.events[0].at.Before(end) {
-		e := heap.Pop(&w.events).(event)
-		e.do(e.at)
-	}
+	w.events.Run(end)
 }
 
 // trouble strikes some nodes, and ends.
--- a/internal/core/signal/world_test.go
+++ b/internal/core/signal/world_test.go
@@ -1,7 +1,6 @@
 package signal_test
 
 import (
-	"container/heap"
 	"errors"
 	"flag"
 	"fmt"
@@ -13,6 +12,7 @@
 
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/signal"
+	"gradetiller.example/internal/simulated"
 )
 
 // The timing of the simulated nodes, as that of real ones.
@@ -35,24 +35,6 @@
 	maxInBackoff = 2
 )
 
-// event is something that happens at a moment.
-type event struct {
-	at time.Time
-	do func(now time.Time)
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(a, b int) bool { return e[a].at.Before(e[b].at) }
-func (e events) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // worldNode is a node of a world.
 type worldNode struct {
 	registry *signal.Registry
@@ -95,7 +77,7 @@
 	nodes      []*worldNode
 	leader     int
 	leaderLost time.Time
-	events     events
+	events     simulated.Queue
 	arrivals   [][]arrival
 	rejections [][]rejection
 	counts     []int
@@ -139,7 +121,7 @@
 	*n = worldNode{registry: signal.NewRegistry(w.rand.Uint64()), own: w.pool(t, "predicted_finish"), led: w.pool(t, place.LeastWork), struck: n.struck, passedOn: make(map[int]time.Time)}
 }
 
-func (w *world) after(at time.Time, do func(time.Time)) { heap.Push(&w.events, event{at, do}) }
+func (w *world) after(at time.Time, do func(time.Time)) { w.events.At(at, do) }
 
 // play runs the script.
 func (w *world) play(t *testing.T) {
@@ -151,10 +133,7 @@
 	}
 	w.after(w.start, w.request)
 	end := w.start.Add(w.script.lasts)
-	for len(w.events) > 0 && w.events[0].at.Before(end) {
-		e := heap.Pop(&w.events).(event)
-		e.do(e.at)
-	}
+	w.events.Run(end)
 }
 
 func (w *world) strike(t *testing.T, now time.Time, s step) {
--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -86,23 +87,29 @@
 		}
 	}
 	time.Sleep(limitKept)
-	paused, killed := r.nodes[r.limits.IntN(len(r.nodes))], r.nodes[r.limits.IntN(len(r.nodes))]
+	r.pauseAndKill(r.limits, intaketest.Contact)
+	time.Sleep(limitKept)
+	for i := range r.limited {
+		r.limited[i].to = time.Now()
+		r.limited[i].worker.NameLimit("")
+	}
+}
+
+// pauseAndKill pauses a node for a while and restarts another one, and excuses them until some time
+// after that.
+func (r *run) pauseAndKill(draw *rand.Rand, excused time.Duration) {
+	paused, killed := r.nodes[draw.IntN(len(r.nodes))], r.nodes[draw.IntN(len(r.nodes))]
 	began := time.Now()
 	r.beginUnplanned()
 	paused.signal(syscall.SIGSTOP)
-	time.Sleep(between(r.limits, shortestFault, longestFault))
+	time.Sleep(between(draw, shortestFault, longestFault))
 	paused.signal(syscall.SIGCONT)
 	killed.end(syscall.SIGKILL)
 	killed.start()
 	r.awaitReady(killed)
 	r.endUnplanned()
 	for _, p := range []*process{paused, killed} {
-		r.excuses = append(r.excuses, excuse{front: p.Front, from: began, to: time.Now().Add(intaketest.Contact)})
-	}
-	time.Sleep(limitKept)
-	for i := range r.limited {
-		r.limited[i].to = time.Now()
-		r.limited[i].worker.NameLimit("")
+		r.excuses = append(r.excuses, excuse{front: p.Front, from: began, to: time.Now().Add(excused)})
 	}
 }
 
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"gradetiller.example/platform/platformtest"
@@ -75,19 +74,8 @@
 	r.storeAway()
 	time.Sleep(signalsKept - storeAway)
 	s.calm = time.Now()
-	paused, killed := r.nodes[r.signals.IntN(len(r.nodes))], r.nodes[r.signals.IntN(len(r.nodes))]
 	r.rejectAll()
-	r.beginUnplanned()
-	paused.signal(syscall.SIGSTOP)
-	time.Sleep(between(r.signals, shortestFault, longestFault))
-	paused.signal(syscall.SIGCONT)
-	killed.end(syscall.SIGKILL)
-	killed.start()
-	r.awaitReady(killed)
-	r.endUnplanned()
-	for _, p := range []*process{paused, killed} {
-		r.excuses = append(r.excuses, excuse{front: p.Front, from: s.calm, to: time.Now()})
-	}
+	r.pauseAndKill(r.signals, 0)
 	time.Sleep(signalsKept)
 	s.to = time.Now()
 	for _, w := range s.rejecting {
