internal/node: tests of draining over a restart and a restored store

An endpoint that starts anew under its id is used again, and one that drains stays out of use when the store comes back from an older copy.

--- /dev/null
+++ b/internal/node/draining_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradetiller.example/platform/platformtest"
+)
+
+// sendUntil sends requests to a node until a condition holds, and fails the test if it doesn't in
+// a generous time.
+func sendUntil(t *testing.T, node string, what string, condition func() bool) {
+	t.Helper()
+	const rounds = 1500
+	for i := range rounds {
+		do(node, platformtest.Request{ID: fmt.Sprintf("%s-%d", what, i), Path: "/read/x"})
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not %s after %d requests", what, rounds)
+}
+
+// drainOne has a node with two endpoints learn that the first one drains.
+func drainOne(t *testing.T) (*platformtest.Site, *running, *platformtest.Worker) {
+	site, _ := desk(t)
+	w := site.AddWorkers("desk", 2)[0]
+	n := startNode(t, site)
+	n.awaitReady(t)
+	w.AnnounceDraining(true)
+	before := w.Total()
+	sendUntil(t, n.Front, "told", func() bool { return w.Total() > before })
+	return site, n, w
+}
+
+// TestRestartedEndpointIsUsedAgain guards against a draining signal that outlives its incarnation:
+// an endpoint that starts anew under its id takes requests.
+func TestRestartedEndpointIsUsedAgain(t *testing.T) {
+	_, n, w := drainOne(t)
+	w.AnnounceDraining(false)
+	w.Restart()
+	before := w.Total()
+	sendUntil(t, n.Front, "used again", func() bool { return w.Total() > before })
+}
+
+// TestOlderListDoesNotEndDraining guards against an endpoint that comes back into use when the store
+// comes back from an older copy, which lists it as ready.
+func TestOlderListDoesNotEndDraining(t *testing.T) {
+	site, n, w := drainOne(t)
+	older := site.Store.Copy()
+	site.AddWorkers("desk", 1)
+	site.Store.Restore(older)
+	w.WriteAgain()
+	got := w.Total()
+	for i := range 200 {
+		do(n.Front, platformtest.Request{ID: fmt.Sprintf("after-%d", i), Path: "/read/x"})
+		time.Sleep(10 * time.Millisecond)
+	}
+	if w.Total() != got {
+		t.Errorf("%d requests reached the endpoint", w.Total()-got)
+	}
+}
