core/intake: failing scripts of mixed placing

A service of which some requests are placed by leaders and others by each node divides a rate limit 0.5 to 0.45 whatever is asked of either.

--- a/internal/core/intake/limits_test.go
+++ b/internal/core/intake/limits_test.go
@@ -17,6 +17,8 @@
 // script is a course of words and troubles, read from a file. Its lines:
 //
 //	placing leaders | nodes | both   who chooses the endpoints
+//	mix F                            where both choose, the share of requests that leaders place;
+//	                                 half if it is left out
 //	traffic N                        requests a second of all nodes
 //	endpoints N limited K            of which K name what the script says
 //	lasts D
@@ -34,6 +36,7 @@
 // A part "leader" is the leader alone, and "named" those nodes that know of the word.
 type script struct {
 	placing            intake.Placing
+	mix                float64
 	traffic            float64
 	endpoints, limited int
 	lasts              time.Duration
@@ -58,7 +61,7 @@
 
 func readScript(t *testing.T, path string) script {
 	t.Helper()
-	s := script{}
+	s := script{mix: 0.5}
 	scripted.Read(t, path, s.line)
 	return s
 }
@@ -72,6 +75,8 @@
 	switch words[0] {
 	case "placing":
 		s.placing = map[string]intake.Placing{"leaders": intake.ByLeaders, "nodes": intake.ByNodes, "both": intake.ByBoth}[words[1]]
+	case "mix":
+		s.mix = number(words[1])
 	case "traffic":
 		s.traffic = number(words[1])
 	case "endpoints":
--- a/internal/core/intake/limitworld_test.go
+++ b/internal/core/intake/limitworld_test.go
@@ -236,7 +236,7 @@
 func (w *limitWorld) send(now time.Time, k int) {
 	n := w.nodes[k]
 	pool := n.chosen
-	if w.script.placing == intake.ByLeaders || w.script.placing == intake.ByBoth && w.rand.IntN(2) == 0 {
+	if w.script.placing == intake.ByLeaders || w.script.placing == intake.ByBoth && w.rand.Float64() < w.script.mix {
 		first := w.leader(n.part)
 		leads := w.nodes[first]
 		if !leads.leads {
