--- a/internal/core/signal/draining.go
+++ b/internal/core/signal/draining.go
@@ -109,9 +109,9 @@
 	return sum
 }
 
-// Updates returns at most max endpoints that a peer was not sent yet, and counts them as sent.
-func (d *Draining) Updates(now time.Time, to string, max int) []DrainingUpdate {
-	endpoints := d.log.News(to, max)
+// Updates returns at most n endpoints that a peer was not sent yet, and counts them as sent.
+func (d *Draining) Updates(now time.Time, to string, n int) []DrainingUpdate {
+	endpoints := d.log.News(to, n)
 	slices.Sort(endpoints)
 	updates := make([]DrainingUpdate, len(endpoints))
 	for i, endpoint := range endpoints {
--- a/internal/core/signal/limits.go
+++ b/internal/core/signal/limits.go
@@ -187,9 +187,9 @@
 	return sum
 }
 
-// Updates returns at most max limits that a peer was not sent yet, and counts them as sent.
-func (l *Limits) Updates(now time.Time, to string, max int) []LimitUpdate {
-	endpoints := l.log.News(to, max)
+// Updates returns at most n limits that a peer was not sent yet, and counts them as sent.
+func (l *Limits) Updates(now time.Time, to string, n int) []LimitUpdate {
+	endpoints := l.log.News(to, n)
 	slices.Sort(endpoints)
 	updates := make([]LimitUpdate, len(endpoints))
 	for i, endpoint := range endpoints {
