core/intake: divide a limit by who places the requests now

Cause: where leaders and nodes both place requests of a service, each kind had a fixed half of the rate limits that endpoints advertise; requests of one kind alone used 0.33 to 0.50 of them. Change: a Mix estimates the fraction that leaders place, from each node's own requests and, at a leader, from submissions, which tell how many requests their node placed itself since the last. A node's time slots stay evenly spaced and it uses a part of them; the slot that expires first is used first; slots under an advertised limit stay open for 2.3 to 2.4 s.

--- a/internal/core/intake/cold_test.go
+++ b/internal/core/intake/cold_test.go
@@ -148,14 +148,14 @@
 		if w.scenario.leaderLost && node == w.scenario.partitions {
 			contendedUntil = since.Add(coldTime)
 		}
-		return intake.NewPace(bound, intake.LeaderShare(placing, 1, 1, contendedUntil))
+		return intake.NewPace(bound, intake.LeaderShare(placing, 1, 1, 1, contendedUntil))
 	case w.strategy == shares:
-		return intake.NewPace(bound, intake.NodeShare(placing, node, w.nodes, endpoint))
+		return intake.NewPace(bound, intake.NodeShare(placing, 0, node, w.nodes, endpoint))
 	case w.strategy == singleOwner && int(hash.Of(endpoint)%uint64(w.nodes)) == node:
-		return intake.NewPace(bound, intake.LeaderShare(intake.ByLeaders, 1, 1, time.Time{}))
+		return intake.NewPace(bound, intake.LeaderShare(intake.ByLeaders, 1, 1, 1, time.Time{}))
 	}
 	// No requests while the endpoint is cold.
-	return intake.NewPace(bound, intake.NodeShare(placing, manyNodes/2, manyNodes, endpoint))
+	return intake.NewPace(bound, intake.NodeShare(placing, 0, manyNodes/2, manyNodes, endpoint))
 }
 
 // leads reports whether a node ever places requests for others: the first node of each partition
--- a/internal/core/intake/doc.go
+++ b/internal/core/intake/doc.go
@@ -19,7 +19,7 @@
 //
 //	rate, err := intake.NewRate(1.5)
 //	bound := intake.NewBound(rate, 0, now).WithCold(intake.ColdLimit{PerSecond: 10, Excess: 1.5, Slack: 5}, until)
-//	pace := intake.NewPace(bound, intake.NodeShare(intake.ByNodes, rank, nodes, endpoint))
+//	pace := intake.NewPace(bound, intake.NodeShare(intake.ByNodes, mix.Leaders(), rank, nodes, endpoint))
 //	var sends intake.Sends
 //	if pace.Due(now, &sends) {
 //		sends.Add(now, pace)
--- a/internal/core/intake/limits_test.go
+++ b/internal/core/intake/limits_test.go
@@ -23,12 +23,14 @@
 //	endpoints N limited K            K of the N endpoints advertise the limits in the script
 //	lasts D                          duration
 //	used F                           minimum fraction of the limits that must be used, for
-//	                                 scripts without free endpoints, or with a leader
+//	                                 scripts without free endpoints, or with a leader, from
+//	                                 8 s after each change of the limits or the mix
 //	again D                          maximum time from the end of the last limit until each
 //	                                 limited endpoint gets an even share again
 //	refused                          some requests are expected to find no endpoint
 //	at D name RATE | none            the limit in the endpoints' answers from then on
 //	every D name RATE | none         alternates with the previous limit at this interval
+//	at D mix F                       changes the mix
 //	at D cut F for E                 partitions a fraction of the nodes from all others
 //	at D freeze F for E              stops a fraction of the nodes
 //	at D restart F for E             stops a fraction of the nodes, which then lose their state
@@ -36,7 +38,7 @@
 // Instead of a fraction, "leader" selects the leader alone.
 type script struct {
 	placing            intake.Placement
-	mix                float64
+	mixes              []mixChange
 	traffic            float64
 	endpoints, limited int
 	lasts              time.Duration
@@ -54,6 +56,12 @@
 	rate float64
 }
 
+// mixChange is the fraction of requests that leaders place from a given time on.
+type mixChange struct {
+	at      time.Duration
+	leaders float64
+}
+
 type fault struct {
 	at, lasts time.Duration
 	kind      string
@@ -62,7 +70,7 @@
 
 func readScript(t *testing.T, path string) script {
 	t.Helper()
-	s := script{mix: 0.5}
+	s := script{mixes: []mixChange{{leaders: 0.5}}}
 	scripted.Read(t, path, s.line)
 	return s
 }
@@ -77,7 +85,7 @@
 	case "placing":
 		s.placing = map[string]intake.Placement{"leaders": intake.ByLeaders, "nodes": intake.ByNodes, "both": intake.ByBoth}[words[1]]
 	case "mix":
-		s.mix = parseNumber(words[1])
+		s.mixes = []mixChange{{leaders: parseNumber(words[1])}}
 	case "traffic":
 		s.traffic = parseNumber(words[1])
 	case "endpoints":
@@ -101,9 +109,13 @@
 }
 
 func (s *script) addEvent(at time.Duration, words []string) {
-	if words[0] == "name" {
+	switch words[0] {
+	case "name":
 		s.limitChanges = append(s.limitChanges, limitChange{at, parseLimit(words[1])})
 		return
+	case "mix":
+		s.mixes = append(s.mixes, mixChange{at, parseNumber(words[1])})
+		return
 	}
 	s.faults = append(s.faults, fault{at: at, kind: words[0], target: words[1], lasts: parseDuration(words[3])})
 }
@@ -150,6 +162,17 @@
 	return rate
 }
 
+// mixAt returns the fraction of requests that leaders place at a given time.
+func (s *script) mixAt(at time.Duration) float64 {
+	leaders := 0.0
+	for _, m := range s.mixes {
+		if m.at <= at {
+			leaders = m.leaders
+		}
+	}
+	return leaders
+}
+
 // allowed returns how many requests an endpoint may get in the span before the given time, or false
 // before the end of the grace period.
 func (s *script) allowed(at time.Duration) (int, bool) {
--- a/internal/core/intake/limitworld_test.go
+++ b/internal/core/intake/limitworld_test.go
@@ -40,6 +40,11 @@
 	gossipedAt    time.Time
 	pacesStale    bool
 	firstObserved map[int]time.Time
+	// ownMix is the mix of the node's own requests, and ledMix that of the requests it leads.
+	// unreported counts the requests that it placed itself since its last one to a leader, which
+	// tells the leader of them.
+	ownMix, ledMix intake.Mix
+	unreported     int
 }
 
 // arrival is a request that reached a limited endpoint.
@@ -98,11 +103,11 @@
 	n.pacesStale = false
 	if w.script.placing != intake.ByLeaders {
 		n.own.Update(w.specs(n, func(endpoint string) intake.Share {
-			return intake.NodeShare(w.script.placing, k, len(w.nodes), endpoint)
+			return intake.NodeShare(w.script.placing, n.ownMix.Leaders(), k, len(w.nodes), endpoint)
 		}))
 	}
 	if n.leads {
-		part := intake.LeaderShare(w.script.placing, 1, 1, n.leadsSince.Add(contentionPeriod))
+		part := intake.LeaderShare(w.script.placing, n.ledMix.Leaders(), 1, 1, n.leadsSince.Add(contentionPeriod))
 		n.forOthers.Update(w.specs(n, func(string) intake.Share { return part }))
 	}
 }
@@ -176,6 +181,7 @@
 	n := w.nodes[k]
 	if !n.down {
 		n.limits.Expire(now)
+		n.pacesStale = n.pacesStale || n.limits.Len() > 0 && now.Sub(w.start)/time.Second != now.Add(-limitTick).Sub(w.start)/time.Second
 		if n.pacesStale {
 			w.updatePaces(k)
 		}
@@ -236,9 +242,12 @@
 func (w *limitWorld) send(now time.Time, k int) {
 	n := w.nodes[k]
 	pool := n.own
-	if w.script.placing == intake.ByLeaders || w.script.placing == intake.ByBoth && w.rand.Float64() < w.script.mix {
+	if w.script.placing == intake.ByLeaders || w.script.placing == intake.ByBoth && w.rand.Float64() < w.script.mixAt(now.Sub(w.start)) {
 		first := w.leader(n.partition)
 		leads := w.nodes[first]
+		n.ownMix.Add(now, 1, 0)
+		leads.ledMix.Add(now, 1, n.unreported)
+		n.unreported = 0
 		if !leads.leads {
 			// It takes a while until the loss of the previous leader is known.
 			leads.leads, leads.leadsSince = true, now
@@ -252,6 +261,9 @@
 			return
 		}
 		pool = leads.forOthers
+	} else {
+		n.ownMix.Add(now, 0, 1)
+		n.unreported++
 	}
 	i, ok := pool.Choose(now, place.Request{Exclude: place.None})
 	if !ok {
@@ -363,11 +375,12 @@
 	return notified, all
 }
 
-// settled reports whether the endpoints have advertised the same limit for long enough that all of
-// it can be used.
+// settled reports whether the endpoints have advertised the same limit, and leaders have placed the
+// same fraction of the requests, for long enough that all of the limit can be used.
 func (w *limitWorld) settled(at time.Duration) bool {
-	rate := w.script.limitAt(at)
-	return rate > 0 && rate == w.script.limitAt(max(at-8*time.Second, 0)) && at > w.script.limitChanges[0].at+8*time.Second
+	const settleTime = 8 * time.Second
+	rate, since := w.script.limitAt(at), max(at-settleTime, 0)
+	return rate > 0 && rate == w.script.limitAt(since) && w.script.mixAt(at) == w.script.mixAt(since) && at > w.script.limitChanges[0].at+settleTime
 }
 
 // slowestRecovery returns the time from the end of the last limit until every limited endpoint has
--- a/internal/core/intake/pace.go
+++ b/internal/core/intake/pace.go
@@ -6,10 +6,20 @@
 )
 
 const (
-	// timeSlotLifetime is how long a time slot may be used after it begins. Slots that never expired
-	// could all be used at the same moment: 295 nodes that had nothing to send for a while would
-	// send 295 requests at once to an endpoint that accepts one per second.
-	timeSlotLifetime = 1500 * time.Millisecond
+	// A time slot may be used for its lifetime after it begins. Slots that never expired could all be
+	// used at the same moment: 295 nodes that had nothing to send for a while would send 295 requests
+	// at once to an endpoint that accepts one per second. A cold endpoint is bounded in each second,
+	// so that fewer open slots are safe there than under an advertised limit.
+	coldSlotLifetime = 1500 * time.Millisecond
+	// Under an advertised limit, the slots that are open at once may add half of what the limit
+	// allows in 4 s, and a few requests more.
+	minSlotLifetime = 2300 * time.Millisecond
+	maxSlotLifetime = 2400 * time.Millisecond
+	slotSlack       = 1.0 // requests
+	// maxSlotlessInterval is the longest interval between requests that is kept without time slots.
+	maxSlotlessInterval = 1500 * time.Millisecond
+	// maxSkippedSlots bounds the search for the next time slot that is used.
+	maxSkippedSlots = 64
 	// burstWindow is the period whose requests may be sent at once.
 	burstWindow = 250 * time.Millisecond
 	// maxInterval is the interval that stands for a rate of zero.
@@ -51,10 +61,24 @@
 // burst returns how many requests may be sent at once.
 func burst(perSecond float64) float64 { return 1 + perSecond*burstWindow.Seconds() }
 
+// slotInterval returns the time between the node's time slots, of which it may use only a part.
+func (p Pace) slotInterval(perSecond float64) time.Duration {
+	return interval(perSecond / p.share.usedPart())
+}
+
+// slotLifetime returns how long a time slot may be used.
+func (p Pace) slotLifetime(now time.Time) time.Duration {
+	if now.Before(p.bound.coldUntil) {
+		return coldSlotLifetime
+	}
+	slack := slotSlack / max(p.bound.At(now).PerSecond(), probePerSecond)
+	return min(minSlotLifetime+time.Duration(slack*float64(time.Second)), maxSlotLifetime)
+}
+
 // usesTimeSlots reports whether the interval is so long that the node has to keep to its time
 // slots. If all nodes saved up requests, together they would exceed what the endpoint accepts.
 func (p Pace) usesTimeSlots(gap time.Duration) bool {
-	return p.share.nodes > 1 && gap > timeSlotLifetime
+	return p.share.nodes > 1 && gap > maxSlotlessInterval
 }
 
 // Due reports whether a request may be sent now.
@@ -67,15 +91,20 @@
 // after one.
 func (p Pace) Advertised() bool { return p.bound.limit.bounded || p.bound.rampFrom > 0 }
 
-// HasTimeSlot reports whether the node now has a time slot, which soon expires, at an endpoint that
-// advertises a rate limit. Time slots at cold endpoints don't count and may go unused: a cold
-// endpoint is slow, and others serve better.
-func (p Pace) HasTimeSlot(now time.Time, s *Sends) bool {
+// TimeSlotEnd returns when the time slot that the node now has at an endpoint which advertises a
+// rate limit expires, or false if it has none. Time slots at cold endpoints don't count and may go
+// unused: a cold endpoint is slow, and others serve better.
+func (p Pace) TimeSlotEnd(now time.Time, s *Sends) (time.Time, bool) {
 	if !p.bound.rampedLimit(now).Bounded() || now.Before(p.bound.coldUntil) {
-		return false
+		return time.Time{}, false
 	}
 	r, _ := p.rate(now)
-	return p.usesTimeSlots(interval(r)) && !p.nextSend(now, r, s).After(now)
+	gap := p.slotInterval(r)
+	if !p.usesTimeSlots(gap) || p.nextSend(now, r, s).After(now) {
+		return time.Time{}, false
+	}
+	_, began := p.timeSlot(now, gap)
+	return began.Add(p.slotLifetime(now)), true
 }
 
 // Next returns when the next request may be sent, as far as is known now.
@@ -103,29 +132,39 @@
 
 // nextSend returns when the next request may be sent at the given rate.
 func (p Pace) nextSend(now time.Time, perSecond float64, s *Sends) time.Time {
-	gap := interval(perSecond)
 	drained := s.nextBelow(now, max(int(perSecond*historyWindow.Seconds()+burst(perSecond)), 1))
-	if p.usesTimeSlots(gap) {
+	if gap := p.slotInterval(perSecond); p.usesTimeSlots(gap) {
 		return later(drained, p.nextTimeSlot(now, gap, s))
 	}
-	return later(drained, s.nextSpaced(gap, burst(perSecond)))
+	return later(drained, s.nextSpaced(interval(perSecond), burst(perSecond)))
 }
 
-// nextTimeSlot returns now if the node has an unused time slot, otherwise the start of its next one.
-// Time slots are derived from the time of day, on which all nodes nearly agree. They move when the
-// rate, the number of nodes or a clock changes, so a slot that comes too soon after the last send is
-// skipped.
-func (p Pace) nextTimeSlot(now time.Time, gap time.Duration, s *Sends) time.Time {
+// timeSlot returns the number since the Unix epoch and the start of the node's newest time slot.
+// Time slots are derived from the time of day, on which all nodes nearly agree.
+func (p Pace) timeSlot(now time.Time, gap time.Duration) (number int64, began time.Time) {
 	seconds := gap.Seconds()
 	offset := seconds * float64(p.share.timeSlot) / float64(p.share.nodes)
-	into := math.Mod(float64(now.UnixNano())/float64(time.Second)-offset, seconds)
-	began := now.Add(-time.Duration(into * float64(time.Second)))
+	sinceEpoch := float64(now.UnixNano())/float64(time.Second) - offset
+	n := math.Floor(sinceEpoch / seconds)
+	return int64(n), now.Add(-time.Duration((sinceEpoch - n*seconds) * float64(time.Second)))
+}
+
+// nextTimeSlot returns now if the node has an unused time slot, otherwise the start of its next one.
+// Time slots move when the rate, the number of nodes or a clock changes, so a slot that comes too
+// soon after the last send is skipped.
+func (p Pace) nextTimeSlot(now time.Time, gap time.Duration, s *Sends) time.Time {
+	number, began := p.timeSlot(now, gap)
 	spaced := min(gap, s.next.Sub(s.last))
-	soon := now.Sub(s.last) < max(spaced/2, spaced-timeSlotLifetime)
-	if s.last.Before(began) && !soon && now.Sub(began) < timeSlotLifetime {
+	lifetime := p.slotLifetime(now)
+	soon := now.Sub(s.last) < max(spaced/2, spaced-lifetime)
+	if s.last.Before(began) && !soon && now.Sub(began) < lifetime && p.share.usesSlot(number) {
 		return now
 	}
-	return began.Add(gap)
+	next := number + 1
+	for next < number+maxSkippedSlots && !p.share.usesSlot(next) {
+		next++
+	}
+	return began.Add(time.Duration(next-number) * gap)
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/core/place/sendallowance.go
+++ b/internal/core/place/sendallowance.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// expiringTimeSlot returns an endpoint at which this node has a time slot that is about to expire
+// expiringTimeSlot returns the endpoint at which a time slot of this node is the next to expire
 // unused, or None. These slots take precedence over the policy: when the policy alone decided, 295
 // nodes used a tenth of the rate limit of such an endpoint while other endpoints had capacity, and
 // for 30 s no node noticed that the limit had been lifted.
@@ -10,13 +10,15 @@
 	if !p.rateLimited {
 		return None
 	}
+	chosen, first := None, time.Time{}
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
-		if e.spec.Pace.HasTimeSlot(now, &e.sends) && p.Accepts(now, i, req) {
-			return i
+		end, ok := e.spec.Pace.TimeSlotEnd(now, &e.sends)
+		if ok && (chosen == None || end.Before(first)) && p.Accepts(now, i, req) {
+			chosen, first = i, end
 		}
 	}
-	return None
+	return chosen
 }
 
 // SendAllowance returns the number of calls this node may send to the available endpoints until
--- a/internal/core/signal/limits_test.go
+++ b/internal/core/signal/limits_test.go
@@ -122,7 +122,7 @@
 				if k == jumping && step > 500 && step < 1000 {
 					clock = now.Add(jump)
 				}
-				pace := intake.NewPace(limits.Bound("e"), intake.NodeShare(intake.ByNodes, k, nodes, "e"))
+				pace := intake.NewPace(limits.Bound("e"), intake.NodeShare(intake.ByNodes, 0, k, nodes, "e"))
 				if pace.Due(clock, &sends[k]) {
 					sends[k].Add(clock, pace)
 					sent = append(sent, now)
--- a/internal/core/stagepool/ratelimit_test.go
+++ b/internal/core/stagepool/ratelimit_test.go
@@ -23,7 +23,7 @@
 			}
 			limits.Observe(w.now, e.ID, rate)
 		}
-		return intake.NewPace(limits.Bound(e.ID), intake.LeaderShare(intake.ByLeaders, 1, 1, time.Time{}))
+		return intake.NewPace(limits.Bound(e.ID), intake.LeaderShare(intake.ByLeaders, 1, 1, 1, time.Time{}))
 	}
 	w.carryOut(w.pool.Configure(w.now, testServices, w.listed()))
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -251,6 +251,7 @@
 // servePlain forwards a request to an endpoint of a plain service, with retries.
 func (n *Node) servePlain(ctx context.Context, w http.ResponseWriter, q *request) {
 	n.budget.AddRequests(q.arrived, q.service, 1)
+	n.recordOwnMix(q)
 	if n.refuseIfBackedOff(w, q, q.backoffWaitLimit(q.arrived)) {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,7 @@
 	verdictTimeouts verdictTimeouts
 	promptSizes     *promptSizes
 	durations       *durations
+	mixes           *mixes
 	meters          *meters
 	// metricsAddress is the address at which metrics are served. If empty, they are not
 	// served.
@@ -169,7 +170,7 @@
 func New(s platform.Settings, options ...Option) *Node {
 	n := &Node{
 		settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(),
-		submissions: newSubmissions(), durations: newDurations(), promptSizes: &promptSizes{averages: make(map[string]float64)},
+		submissions: newSubmissions(), durations: newDurations(), mixes: newMixes(), promptSizes: &promptSizes{averages: make(map[string]float64)},
 		verdictTimeouts: verdictTimeouts{first: verdictTimeout, afterReconnect: reconnectVerdictTimeout},
 		peerAddress:     s.PeerAddress,
 	}
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -41,17 +41,19 @@
 func (n *Node) leaderShare(v *view, service catalog.Service) intake.Share {
 	contendedUntil := n.started.Add(time.Duration(n.contendedUntil.Load()))
 	if service.Batching != nil {
-		return intake.LeaderShare(intake.ByLeaders, 1, 1, contendedUntil)
+		return intake.LeaderShare(intake.ByLeaders, 1, 1, 1, contendedUntil)
 	}
-	return intake.LeaderShare(v.config.Placing(service.Name), n.cellsLed(), v.cellCount(), contendedUntil)
+	_, mix := n.mixes.leaders(service.Name)
+	return intake.LeaderShare(v.config.Placing(service.Name), mix, n.cellsLed(), v.cellCount(), contendedUntil)
 }
 
 // ownPace returns the paces of calls that this node places for its own requests.
 func (n *Node) ownPace(v *view, service catalog.Service) endpointPace {
 	s := n.share.Load()
 	placing := v.config.Placing(service.Name)
+	mix, _ := n.mixes.leaders(service.Name)
 	return func(endpoint string, cold discovery.ColdPeriod) intake.Pace {
-		share := intake.NodeShare(placing, s.rank, s.nodes, endpoint)
+		share := intake.NodeShare(placing, mix, s.rank, s.nodes, endpoint)
 		return intake.NewPace(n.bound(service, endpoint, cold), share)
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -293,6 +293,7 @@
 		return
 	}
 	n.claim(m.Cell)
+	n.recordLedMix(m.Model, m.NodePlaced)
 	n.leaders.submit(taskOwner{key: taskKey{from.Node, from.Incarnation, m.ID}, answer: answer}, m)
 }
 
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -45,6 +45,7 @@
 // serveStream runs the stages of a request and forwards the events of its response.
 func (n *Node) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
 	n.budget.AddRequests(q.arrived, q.service, 1)
+	n.recordOwnMix(q)
 	if n.refuseIfBackedOff(w, q, q.backoffEndLimit()) {
 		return
 	}
@@ -159,6 +160,7 @@
 	}}
 	work.softDeadline = q.arrived.Add(q.route.Objective)
 	work.submit.Avoid = n.avoided(q.service)
+	work.submit.NodePlaced = n.mixes.takeUnreported(q.service)
 	if !n.disabled.Has(mechanism.Sizes) {
 		work.submit.ExtraTokens = n.promptSizes.excess(q.route.Name, q.in.PromptTokens)
 	}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -203,6 +203,7 @@
 	}
 	n.pools.update(v)
 	n.durations.retainRoutes(v.config)
+	n.mixes.retain(func(service string) bool { _, ok := v.config.Services[service]; return ok })
 	n.leaders.update(time.Now(), v)
 }
 
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -40,6 +40,9 @@
 	Content []byte
 	// Avoid lists the endpoints of Model that are in backoff towards the sender.
 	Avoid []Avoided
+	// NodePlaced is the number of requests for Model that the sender placed itself since its last
+	// submission. Nodes of an earlier version leave it out.
+	NodePlaced int
 }
 
 // Avoided is an endpoint in backoff. Remaining is the rest of the backoff in milliseconds.
