rollout, home regions: carry out ordered rollouts, keep requests in their home regions

Change: internal/core/rollout decides about a rollout from the counts of all nodes; platform reads orders and records the status; node assigns requests to arms, reports, and decides at one node. Routes and accounts with home regions: nodes elsewhere answer 421 before they read the body; placement, stages, copies and look-ups keep to the regions.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -57,6 +57,8 @@
 	Resumable bool
 	Sticky    bool
 	Stages    []Stage
+	// homeRegions restricts where requests of the route are served.
+	homeRegions Regions
 }
 
 // Repeatable reports whether a request of the route may run twice.
@@ -109,6 +111,8 @@
 	// Priority overrides the route's priority if HasPriority is true.
 	Priority    int
 	HasPriority bool
+	// HomeRegions restricts where requests of the account are served.
+	HomeRegions Regions
 }
 
 // Limits bound what a client may send.
@@ -131,6 +135,8 @@
 	Keys    map[string]int
 	byHost  map[string][]int
 	placing map[string]intake.Placement
+	// accountRegions are the regions that any account is restricted to.
+	accountRegions Regions
 }
 
 // BuildIndex builds the lookup tables; it must be called once before first use.
@@ -142,6 +148,7 @@
 		c.byHost[host] = append(c.byHost[host], i)
 		c.indexPlacing(&c.Routes[i])
 	}
+	c.indexRegions()
 }
 
 // indexPlacing records whether the endpoints of a route's services are chosen by the leader
@@ -229,4 +236,6 @@
 	// ColdRemaining is the remaining cold time at the time when the endpoint wrote its entry. A
 	// cold endpoint rewrites its entry with each heartbeat.
 	ColdRemaining time.Duration
+	// Version is the version of the endpoint's software, or "" if it states none.
+	Version string
 }
--- a/internal/core/place/leastwork.go
+++ b/internal/core/place/leastwork.go
@@ -96,7 +96,7 @@
 	}
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
-		if e.removed {
+		if e.removed || !req.allows(e) {
 			continue
 		}
 		h.cached[i] = e.cache.prefixTokens(parts)
--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -32,9 +32,12 @@
 // Accepts reports whether endpoint i can take a call that another node placed there. A rate
 // limit of the endpoint is not checked, because that node has charged the call to its own share.
 func (p *Pool) Accepts(now time.Time, i int, req Request) bool {
-	return i != req.Exclude && !slices.Contains(req.Tried, i) && p.endpoints[i].available(now, req.Version)
+	return i != req.Exclude && !slices.Contains(req.Tried, i) && req.allows(&p.endpoints[i]) && p.endpoints[i].available(now, req.Version)
 }
 
+// allows reports whether the request may use an endpoint's failure domain.
+func (r *Request) allows(e *Endpoint) bool { return r.Domains == nil || r.Domains(e.spec.Domain) }
+
 // usable reports whether this node may send a call to endpoint i now, rate limits included.
 func (p *Pool) usable(now time.Time, i int, req Request) bool {
 	e := &p.endpoints[i]
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -26,6 +26,9 @@
 	ChosenByPeer bool
 	// Version is the requested model version; "" means any.
 	Version string
+	// Domains reports whether a failure domain may serve the call or provide cached parts of its
+	// prompt; nil means all.
+	Domains func(domain string) bool
 	// Exclude is an endpoint that must not be chosen, or None.
 	Exclude int
 	// Tried lists further endpoints that must not be chosen.
--- a/internal/core/stagepool/admit.go
+++ b/internal/core/stagepool/admit.go
@@ -1,6 +1,7 @@
 package stagepool
 
 import (
+	"slices"
 	"time"
 
 	"gradetiller.example/internal/core/mechanism"
@@ -57,6 +58,11 @@
 	return planned + p.overruns[t.depth()].value()
 }
 
+// mayServe reports whether an endpoint of the service is in a failure domain that the task may use.
+func (s *service) mayServe(t *Task) bool {
+	return t.Domains == nil || slices.ContainsFunc(s.endpoints, func(w *endpoint) bool { return !w.leaving && t.Domains(w.spec.Domain) })
+}
+
 // estimate returns the time until the last result of a task, given the current queues, calls and
 // room, and false when a service has no endpoint.
 func (p *Pool) estimate(now time.Time, t Task) (time.Duration, bool) {
@@ -69,7 +75,7 @@
 			continue
 		}
 		s, ok := p.services[st.Service]
-		if !ok {
+		if !ok || !s.mayServe(&t) {
 			return 0, false
 		}
 		backoff, ok := s.backoffWait(now, t)
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -159,7 +159,7 @@
 
 // mayUse reports whether the stage may be sent to an endpoint in the given domain.
 func (e *entry) mayUse(domain string) bool {
-	return !e.waitsForHome || e.home == domain
+	return e.task.allows(domain) && (!e.waitsForHome || e.home == domain)
 }
 
 // home returns the home domain of stage i, or "" if it has none or home domains are disabled.
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -43,8 +43,13 @@
 	Priority int
 	// Domain is the failure domain that fetches large results, or "".
 	Domain string
+	// Domains reports whether the stages may run in a failure domain; nil means everywhere.
+	Domains func(domain string) bool
 }
 
+// allows reports whether the task may use a failure domain.
+func (t *Task) allows(domain string) bool { return t.Domains == nil || t.Domains(domain) }
+
 // Item is one piece in a call.
 type Item struct {
 	RequestID string
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -46,6 +46,16 @@
 	eventCellClaimed = "leads a cell"
 	// This node releases its claim to a cell.
 	eventCellReleased = "leads a cell no more"
+	// The operator ordered a rollout.
+	eventRolloutOrdered = "rollout ordered"
+	// An order of a rollout is malformed and has no effect.
+	eventRolloutRefused = "rollout refused"
+	// A rollout reached another phase.
+	eventRolloutStage = "rollout stage"
+	// The status of a rollout was recorded in the store.
+	eventRolloutRecorded = "rollout recorded"
+	// The status of a rollout could not be read or recorded in the store.
+	eventRolloutStatusLost = "rollout status not recorded"
 	// A newer configuration replaces the present one.
 	eventConfigurationApplied = "configuration in force"
 	// A configuration cannot be parsed.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -52,6 +52,8 @@
 	// content identifies the request across client retries, each of which has a request id
 	// of its own.
 	content poison.ID
+	// regions are the regions that may serve the request.
+	regions catalog.Regions
 	// prefix is the key of the prompt prefix by which the request is placed.
 	prefix     uint64
 	source     *http.Request
@@ -87,6 +89,9 @@
 	case http.StatusRequestTimeout:
 		n.refuse(w, q, status, "body came too slowly", 0)
 		return
+	case http.StatusMisdirectedRequest:
+		n.refuse(w, q, status, "outside its home regions", 0)
+		return
 	default:
 		n.refuse(w, q, status, "not allowed", 0)
 		return
@@ -132,6 +137,9 @@
 	if q.in.RequestID == "" {
 		return http.StatusBadRequest
 	}
+	if status := n.checkRegion(q, account); status != 0 {
+		return status
+	}
 	left := q.in.Timeout
 	if left <= 0 {
 		left = defaultTimeout
@@ -260,7 +268,7 @@
 		if n.refusePoison(w, q) {
 			return
 		}
-		c, ok := n.choose(ctx, q, need{service: q.service, tried: tried})
+		c, ok := n.choose(ctx, q, need{service: q.service, tried: tried, arm: n.armOf(q), domains: n.domainsOf(q.regions)})
 		if !ok {
 			n.answerNotRun(w, q, noEndpointReason)
 			return
@@ -317,6 +325,7 @@
 	for {
 		now := time.Now()
 		if c, ok := n.pools.choose(now, wants); ok {
+			n.trackRollout(c, q, wants.arm)
 			return c, true
 		}
 		at := n.pools.nextAfterBackoff(now, wants)
@@ -366,6 +375,7 @@
 		return nil, nil, n.recordSendError(ctx, limited, q, c, err)
 	}
 	defer a.Body.Close()
+	c.answeredAt = time.Now()
 	event := a.Event
 	if !a.Misdirected {
 		q.sent++
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -11,6 +11,7 @@
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/poison"
+	"gradetiller.example/internal/core/rollout"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
@@ -50,9 +51,21 @@
 	mu         sync.Mutex
 	view       *view
 	cells      map[int]*leader
+	// callRates holds the recent calls per second of a cell to each stage service.
+	ratesMu   sync.Mutex
+	callRates map[string]float64
 	// learnOnUpdate reports whether the engines must be asked for the contents of their
 	// prompt caches as soon as there is a view.
 	learnOnUpdate bool
+	// domains returns a function that reports whether a failure domain lies in some regions.
+	domains func(catalog.Regions) func(string) bool
+	// armOf returns the arm of a request that is placed now.
+	armOf func(now time.Time, service, requestID string) rollout.Arm
+	// stageVersions marks the stage endpoints that a rollout keeps from work as draining.
+	stageVersions func(now time.Time, orders rollout.Orders, list []catalog.Endpoint)
+	// tracked is called when a call to a stage endpoint starts, and returns a function that is
+	// called with its outcome.
+	tracked func(service, endpoint string) func(ok bool, took time.Duration)
 	// onBrokenCall is called when a call to an endpoint breaks, with the requests that it
 	// carried.
 	onBrokenCall func(ctx context.Context, e catalog.Endpoint, took time.Duration, requests []poison.ID)
@@ -73,12 +86,14 @@
 	placedCalls       map[stagepool.TaskID]*placedCall
 	pendingPlacements []pendingPlacement
 	lastLogged        time.Time
+	// calls is the number of calls to each stage service at lastLogged.
+	calls map[string]uint64
 	// ticking reports whether a tick is scheduled. It is while there are tasks.
 	ticking bool
 }
 
 func newLeaders(log *zap.Logger, workers *platform.WorkerClient, models *pools, budget func() stagepool.RetryBudget, pace func(catalog.Endpoint) intake.Pace, off mechanism.Disabled) *leaders {
-	return &leaders{log: log, workers: workers, modelPools: models, budget: budget, pace: pace, disabled: off, cells: make(map[int]*leader)}
+	return &leaders{log: log, workers: workers, modelPools: models, budget: budget, pace: pace, disabled: off, cells: make(map[int]*leader), callRates: make(map[string]float64)}
 }
 
 func (l *leaders) update(now time.Time, v *view) {
@@ -124,7 +139,9 @@
 func (c *leader) configure(now time.Time, v *view) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.execute(c.pool.Configure(now, v.config.Services, v.cellEndpoints(c.cell)))
+	list := v.cellEndpoints(c.cell)
+	c.leaders.stageVersions(now, v.rollouts, list)
+	c.execute(c.pool.Configure(now, v.config.Services, list))
 }
 
 // expectContention informs the pool of a cell that another leader may use the same endpoints.
@@ -185,10 +202,11 @@
 		return
 	}
 	now := time.Now()
-	request := newPlacementRequest(now, m)
+	domains := l.domains(m.Regions)
+	request := newPlacementRequest(now, m, domains)
 	f := l.modelPools.predict(now, request.needAt(now), m.ExtraTokens)
 	t := stagepool.Task{
-		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: f.domain,
+		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: f.domain, Domains: domains,
 		SoftDeadline: now.Add(time.Duration(m.SoftDeadline)*time.Millisecond - f.ttft),
 		Allowance:    f.extraPrefill,
 		Deadline:     now.Add(time.Duration(m.Deadline) * time.Millisecond),
@@ -293,8 +311,10 @@
 	if now.Sub(c.lastLogged) < statsLogInterval {
 		return
 	}
+	span := now.Sub(c.lastLogged)
 	c.lastLogged = now
 	for _, s := range c.pool.Stats(now) {
+		c.recordCallRate(s.Service, s.Calls, span)
 		c.leaders.log.Info(eventStageService, zap.Int("cell", c.cell), zap.String("service", s.Service),
 			zap.Int("endpoints", s.Endpoints), zap.Int("busy", s.Busy), zap.Int("queued", s.Queued), zap.Int("backlog", s.Backlog),
 			zap.Uint64("calls", s.Calls), zap.Uint64("pieces", s.Pieces), zap.Float64("room", s.RoomUsed))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,7 +19,6 @@
 	"gradetiller.example/internal/core/member"
 	"gradetiller.example/internal/core/poison"
 	"gradetiller.example/internal/core/stagepool"
-	"gradetiller.example/internal/core/subset"
 	"gradetiller.example/internal/logging"
 	"gradetiller.example/internal/peer"
 	"gradetiller.example/internal/settings"
@@ -55,6 +54,7 @@
 	promptSizes     *promptSizes
 	durations       *durations
 	mixes           *mixes
+	rollouts        *rollouts
 	meters          *meters
 	// metricsAddress is the address at which metrics are served. If empty, they are not
 	// served.
@@ -79,6 +79,8 @@
 	// loggedEvacuationFaults holds the faults of evacuation rows that were logged already. It
 	// is used only by the goroutine that reads the configuration.
 	loggedEvacuationFaults map[string]bool
+	// loggedRolloutFaults is the same for orders of rollouts.
+	loggedRolloutFaults map[string]bool
 
 	// poolsMu is held while the pools are updated from a view.
 	poolsMu sync.Mutex
@@ -108,6 +110,8 @@
 	viewRequestedAt time.Time
 	joinSentAt      time.Time
 	viewRequests    int
+	// stagePacesAt is when the paces of canaries were last refreshed. It is used only by tick.
+	stagePacesAt time.Time
 
 	// candidatesChangedAt is the time from the start to the last change of the set of leader
 	// candidates, and candidatesHash the hash of that set. hasJoined stays true once the set
@@ -170,7 +174,7 @@
 func New(s platform.Settings, options ...Option) *Node {
 	n := &Node{
 		settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(),
-		submissions: newSubmissions(), durations: newDurations(), mixes: newMixes(), promptSizes: &promptSizes{averages: make(map[string]float64)},
+		submissions: newSubmissions(), durations: newDurations(), mixes: newMixes(), rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
 		verdictTimeouts: verdictTimeouts{first: verdictTimeout, afterReconnect: reconnectVerdictTimeout},
 		peerAddress:     s.PeerAddress,
 	}
@@ -188,6 +192,8 @@
 	n.poisonGuard = &lockedGuard{guard: poison.NewGuard(s.HeartbeatInterval)}
 	n.meters = newMeters(n)
 	n.leaders.meters = n.meters
+	n.leaders.domains, n.leaders.armOf, n.leaders.tracked = n.domainsOf, n.rollouts.arm, n.trackStageCall
+	n.leaders.stageVersions = n.stageVersions
 	n.leaders.onBrokenCall = n.recordBrokenStageCall
 	n.refusedEntries = refusedEntries{logged: make(map[refusedEntry]bool), faults: make(map[platform.EntryFault]bool)}
 	n.view.Store(&view{})
@@ -310,6 +316,6 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	addresses := subset.Addresses(*n.entries.Load(), n.settings.Node, platform.ParseLookup(r).Domain)
+	addresses := n.lookupAddresses(platform.ParseLookup(r))
 	platform.WriteLookup(w, addresses, min(maxLookupTTL, n.settings.LookupTTL))
 }
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -79,6 +79,9 @@
 	if v.config == nil {
 		return intake.Pace{}
 	}
+	if pace, ok := n.canaryPace(v, e); ok {
+		return pace
+	}
 	service := v.config.Services[e.Service]
 	return n.leaderPace(v, service)(e.ID, v.coldPeriod(service, e))
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -70,6 +70,7 @@
 	}
 	n.requestView(now, ahead)
 	n.updateCells()
+	n.tickRollouts(now)
 }
 
 // peerAhead returns the address of a node that announced a newer configuration than the
@@ -262,6 +263,10 @@
 		}
 	case *wire.CrashReports:
 		n.handleCrashReports(from, m)
+	case *wire.RolloutReport:
+		n.handleRolloutReport(from, m, answer)
+	case *wire.RolloutStage:
+		n.applyRolloutStage(m)
 	case *wire.ViewRequest:
 		n.handleViewRequest(m, answer)
 	case *wire.View:
--- a/internal/node/pendingplacement.go
+++ b/internal/node/pendingplacement.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/rollout"
 	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/wire"
@@ -172,6 +173,10 @@
 		return m, false
 	}
 	wants := a.needAt(now)
+	if wants.arm == rollout.Any {
+		// The request's node did not know of the rollout yet.
+		wants.arm = c.leaders.armOf(now, wants.service, a.requestID)
+	}
 	wants.prompt.InputDomain = done.Domain
 	wants.prompt.InputBytes = done.Bytes
 	at, ok := c.leaders.modelPools.choose(now, wants)
@@ -204,6 +209,7 @@
 	avoid        []signal.Backoff
 	priority     int
 	softDeadline time.Time
+	requestID    string
 	// reserved is true while the request holds a reservation in the pools.
 	reserved bool
 }
@@ -220,8 +226,8 @@
 }
 
 // newPlacementRequest returns the placement request of a submission.
-func newPlacementRequest(now time.Time, m *wire.StagesSubmit) placementRequest {
-	a := placementRequest{need: need{service: m.Model, prefix: m.Prefix, prompt: place.Prompt{Tokens: m.Tokens}}, priority: m.Priority}
+func newPlacementRequest(now time.Time, m *wire.StagesSubmit, domains func(string) bool) placementRequest {
+	a := placementRequest{need: need{service: m.Model, arm: armNamed(m.Arm), domains: domains, prefix: m.Prefix, prompt: place.Prompt{Tokens: m.Tokens}}, priority: m.Priority, requestID: m.RequestID}
 	for _, part := range m.Parts {
 		a.prompt.Parts = append(a.prompt.Parts, place.Part(part))
 	}
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -10,6 +10,7 @@
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/rollout"
 	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/wire"
 )
@@ -87,6 +88,10 @@
 	queuedTokens int
 	// cacheSource is the address of an endpoint that has cached more of the prompt, or "".
 	cacheSource string
+	// record counts the result for a rollout; nil if there is none. answeredAt is when the answer
+	// began.
+	record     func(place.Result)
+	answeredAt time.Time
 	// bounded is true if, as far as this node knows, the endpoint has a rate limit or is cold.
 	bounded bool
 }
@@ -99,6 +104,10 @@
 	tried   []string
 	// preferred is the endpoint to choose if it accepts the call, or "".
 	preferred string
+	// arm is the arm of the service's rollout that the call belongs to.
+	arm rollout.Arm
+	// domains reports whether a failure domain may serve the call; nil means all.
+	domains func(domain string) bool
 }
 
 // choose picks an endpoint that was not tried yet and records a call to it.
@@ -148,7 +157,7 @@
 	if !ok {
 		return nil, place.Request{}, place.None, false
 	}
-	req := place.Request{Prefix: n.prefix, Prompt: n.prompt, Exclude: place.None, Tried: indices(pool, n.tried)}
+	req := place.Request{Prefix: n.prefix, Prompt: n.prompt, Exclude: place.None, Tried: indices(pool, n.tried), Version: n.arm.String(), Domains: n.domains}
 	req = pool.WithCacheHits(now, req)
 	if i := pool.Find(n.preferred); i != place.None && pool.Accepts(now, i, req) {
 		req.ChosenByPeer = true
@@ -290,6 +299,9 @@
 	if r.Latency == 0 {
 		r.Latency = now.Sub(c.started)
 	}
+	if c.record != nil {
+		c.record(r)
+	}
 	r.PendingTokens = c.pendingTokens
 	if c.pools.disabled.Has(mechanism.Reading) {
 		r.PrefillTokens = 0
--- a/internal/node/stagecalls.go
+++ b/internal/node/stagecalls.go
@@ -22,8 +22,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
 	defer cancel()
 	started := time.Now()
+	end := c.leaders.tracked(a.Service, a.Endpoint)
 	outcome, err := c.leaders.workers.RunStages(ctx, a)
 	lost, unmade := unmadePieces(outcome)
+	end(outcome.Status == stagepool.Answered && !broken(outcome), time.Since(started))
 	c.leaders.meters.stageCall(a.Service, len(a.Items), lost, time.Since(started))
 	fields := []zap.Field{
 		zap.String("endpoint", a.Endpoint), zap.String("service", a.Service), zap.Int("pieces", len(a.Items)),
@@ -49,6 +51,11 @@
 	c.execute(c.pool.Done(time.Now(), a.Call, outcome))
 }
 
+// broken reports whether an endpoint failed to make a piece for a reason of its own.
+func broken(o stagepool.Outcome) bool {
+	return slices.ContainsFunc(o.Items, func(r stagepool.ItemResult) bool { return r.Status == stagepool.Broken })
+}
+
 // contents returns the content IDs of the requests in a call, without duplicates.
 func contents(items []stagepool.Item) []poison.ID {
 	var list []poison.ID
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -120,6 +120,7 @@
 	wants := need{
 		service: q.service, prefix: q.prefix, tried: tried, preferred: s.results.endpoint,
 		prompt: place.Prompt{Tokens: q.in.PromptTokens},
+		arm:    s.node.armOf(q), domains: s.node.domainsOf(q.regions),
 	}
 	if limit, _ := s.node.signals.bound(s.results.endpoint); !s.results.bounded && limit.At(time.Now()).Bounded() {
 		// The leader doesn't know the rate limit that this node knows, so it has not counted the
@@ -160,6 +161,7 @@
 	}}
 	work.softDeadline = q.arrived.Add(q.route.Objective)
 	work.submit.Avoid = n.avoided(q.service)
+	work.submit.Arm, work.submit.Regions = n.armOf(q).String(), q.regions
 	work.submit.NodePlaced = n.mixes.takeUnreported(q.service)
 	if !n.disabled.Has(mechanism.Sizes) {
 		work.submit.ExtraTokens = n.promptSizes.excess(q.route.Name, q.in.PromptTokens)
@@ -244,7 +246,7 @@
 	out := n.workerRequest(q, c.endpoint, time.Now())
 	out.Inputs = s.results.handles
 	out.LastEventID = s.lastEventID
-	if c.endpoint.ID == s.results.endpoint {
+	if c.endpoint.ID == s.results.endpoint && n.mayCopyFrom(q, s.results.copyFrom) {
 		out.CacheSource = s.results.copyFrom
 	}
 	a, err := n.workers.Send(ctx, out)
@@ -261,6 +263,7 @@
 		return nil, event
 	}
 	defer a.Body.Close()
+	c.answeredAt = time.Now()
 	s.recordPlacement(c, wire.PlacementServed)
 	if !a.Misdirected {
 		q.sent++
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -11,6 +11,7 @@
 	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
+	"gradetiller.example/internal/core/rollout"
 	"gradetiller.example/internal/packed"
 	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
@@ -29,6 +30,8 @@
 	revision catalog.Revision
 	// evacuations holds the failure domains to which no work is sent.
 	evacuations discovery.Evacuations
+	// rollouts holds the ordered rollouts.
+	rollouts rollout.Orders
 	// freshness holds the times as of which the data is known to match the store.
 	freshness discovery.Freshness
 }
@@ -219,6 +222,7 @@
 		Age: age(now, v.freshness.List), ConfigAge: age(now, v.freshness.Config), PrimariesAge: age(now, v.freshness.Primaries),
 		CandidatesAge: age(now, v.freshness.Candidates),
 		Evacuated:     v.evacuations.Listed(), EvacuatedRevision: uint64(v.evacuations.Revision()),
+		Rollouts: n.rollouts.listed(now, v.rollouts), RolloutsRevision: uint64(v.rollouts.Revision()),
 	}
 	for _, e := range delta.Changed {
 		out.Changed = append(out.Changed, wire.Worker(e))
@@ -262,6 +266,9 @@
 			return present.Replace(now, catalog.Revision(m.EvacuatedRevision), m.Evacuated)
 		})
 	}
+	if m.RolloutsRevision > 0 {
+		n.applyPeerRollouts(m)
+	}
 	if m.Revision == 0 {
 		return
 	}
@@ -301,6 +308,7 @@
 	}
 	cache.SupportsCopy = cache.SupportsCopy && !off.Has(mechanism.Copies)
 	paceOf := pace(v, service)
+	armOf := v.armNames(service.Name)
 	var specs []place.Spec
 	for _, e := range v.endpoints {
 		if e.Service != service.Name || !v.evacuations.AcceptsWork(e) {
@@ -308,7 +316,7 @@
 		}
 		specs = append(specs, place.Spec{
 			Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: max(e.Slots, 1),
-			CacheTokens: cache.Tokens, CanCopy: cache.SupportsCopy, Pace: paceOf(e.ID, v.coldPeriod(service, e)),
+			CacheTokens: cache.Tokens, CanCopy: cache.SupportsCopy, Versions: armOf(e), Pace: paceOf(e.ID, v.coldPeriod(service, e)),
 		})
 	}
 	return specs
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -57,6 +57,7 @@
 			n.applyConfig(r.Data, sourceStore)
 		}
 		n.applyStoreEvacuations(r)
+		n.applyStoreRollouts(r)
 		// A read of the whole configuration does not wait for changes, and is valid as of its
 		// request.
 		n.recordConfigRead(discovery.AnswerAsOf(start, time.Now(), wait, r.Data != nil || revision == 0))
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -27,6 +27,8 @@
 	kindView
 	kindStagesPing
 	kindCrashReports
+	kindRolloutReport
+	kindRolloutStage
 )
 
 // Role is the kind of a process. The receiver of a connection accepts messages by role.
@@ -280,6 +282,10 @@
 		return &View{}
 	case kindStagesPing:
 		return &StagesPing{}
+	case kindRolloutReport:
+		return new(RolloutReport)
+	case kindRolloutStage:
+		return new(RolloutStage)
 	case kindCrashReports:
 		return &CrashReports{}
 	}
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -43,6 +43,10 @@
 	// NodePlaced is the number of requests for Model that the sender placed itself since its last
 	// submission. Nodes of an earlier version leave it out.
 	NodePlaced int
+	// Arm is the arm of Model's rollout that the request belongs to, or "".
+	Arm string
+	// Regions are the regions that the request is restricted to; none means no restriction.
+	Regions []string
 }
 
 // Avoided is an endpoint in backoff. Remaining is the rest of the backoff in milliseconds.
@@ -141,6 +145,8 @@
 	ModRevision catalog.Revision
 	// ColdRemaining is 0 from nodes of an earlier version.
 	ColdRemaining time.Duration
+	// Version is "" from nodes of an earlier version.
+	Version string
 }
 
 // View answers a ViewRequest. A configuration that is not newer is omitted.
@@ -169,6 +175,10 @@
 	// earlier version.
 	Evacuated         []string
 	EvacuatedRevision uint64
+	// Rollouts lists the ordered rollouts as of RolloutsRevision, which is 0 if the sender does not
+	// know them or is of an earlier version.
+	Rollouts         []Rollout
+	RolloutsRevision uint64
 }
 
 func (StagesSubmit) kind() kind    { return kindStagesSubmit }
