--- a/cmd/gradetiller-node/cmd/main.go
+++ b/cmd/gradetiller-node/cmd/main.go
@@ -21,7 +21,7 @@
 	help = "Runs the node of one instance on the users' platform. The path of its settings file comes from the environment variable " + platform.SettingsVariable + "."
 	// memoryLimitShare is the soft memory limit as a share of the instance's memory.
 	memoryLimitShare = 0.6
-	gcPercent        = 200
+	gcPercent        = 100
 )
 
 type cli struct {
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"gradetiller.example/internal/core/cowmap"
 	"gradetiller.example/internal/core/intake"
 )
 
@@ -220,6 +221,21 @@
 	return r.Backends[len(r.Backends)-1].Service
 }
 
+// Endpoints is an immutable set of endpoints, by ID. The endpoints must not be changed.
+type Endpoints = cowmap.Map[*Endpoint]
+
+// EndpointsOf returns the set of the listed endpoints.
+func EndpointsOf(list []Endpoint) Endpoints {
+	pointers := make([]*Endpoint, len(list))
+	for i := range list {
+		pointers[i] = &list[i]
+	}
+	return Endpoints{}.With(pointers, nil)
+}
+
+// Key implements cowmap.Value.
+func (e *Endpoint) Key() string { return e.ID }
+
 // Endpoint is a worker as listed by the platform.
 type Endpoint struct {
 	// ID identifies one incarnation of the worker: after a restart under the same name
--- a/internal/core/discovery/evacuation.go
+++ b/internal/core/discovery/evacuation.go
@@ -152,5 +152,9 @@
 	return next
 }
 
+// Same reports whether the evacuations apply equally: the same failure domains are evacuated, and the
+// ends of earlier evacuations are the same.
+func (v Evacuations) Same(o Evacuations) bool { return v.Equal(o) && maps.Equal(v.ended, o.ended) }
+
 // Equal reports whether the same failure domains are evacuated.
 func (v Evacuations) Equal(o Evacuations) bool { return slices.Equal(v.Domains(), o.Domains()) }
--- a/internal/core/discovery/freshness.go
+++ b/internal/core/discovery/freshness.go
@@ -70,13 +70,15 @@
 }
 
 const (
-	// ReadInterval is how often a reader reads the list, PollInterval how often any other
-	// node polls a reader, and stalePollAge the age of its view at which it polls another
+	// ReadInterval is how long the store holds a reader's call for changes of the list, and
+	// MinReadInterval the shortest time between two such calls while the list changes all the
+	// time. PollInterval is how often any other node polls a reader, and stalePollAge the age of its view at which it polls another
 	// reader. A reader's answer is at most 0.75 s old, and 0.35 s older when the next poll
 	// is due.
-	ReadInterval = 700 * time.Millisecond
-	PollInterval = 350 * time.Millisecond
-	stalePollAge = 1200 * time.Millisecond
+	ReadInterval    = 700 * time.Millisecond
+	MinReadInterval = 300 * time.Millisecond
+	PollInterval    = 350 * time.Millisecond
+	stalePollAge    = 1200 * time.Millisecond
 	// sharedConfigWait and soloConfigWait are how long the store holds a long poll for
 	// configuration changes, from a node that reads for others and from one that reads only
 	// for itself. An unchanged configuration is confirmed only when the long poll ends, so
--- a/internal/core/discovery/lapse.go
+++ b/internal/core/discovery/lapse.go
@@ -30,13 +30,13 @@
 // this node and are not replicated: other nodes decide by the same list, and an endpoint
 // that one node retains must not return to another node that knows that it has left.
 type lapsedEntries struct {
-	endpoints map[string]catalog.Endpoint
+	endpoints map[string]*catalog.Endpoint
 	// until is when the endpoints that have not registered again are dropped.
 	until time.Time
 }
 
 // add retains an endpoint that was removed from the list, if its entry may have lapsed.
-func (l *lapsedEntries) add(at time.Time, e catalog.Endpoint) {
+func (l *lapsedEntries) add(at time.Time, e *catalog.Endpoint) {
 	if at.Before(l.until) {
 		l.endpoints[e.ID] = e
 	}
@@ -45,10 +45,13 @@
 // expire drops the retained endpoints if the list is as of a time after their deadline to
 // register again, and reports whether there were any. The passage of time alone drops none:
 // without a newer list the node cannot know whether they have registered.
-func (l *lapsedEntries) expire(at time.Time) bool {
+func (l *lapsedEntries) expire(at time.Time, touch func(id string)) bool {
 	if len(l.endpoints) == 0 || at.Before(l.until) {
 		return false
 	}
+	for id := range l.endpoints {
+		touch(id)
+	}
 	clear(l.endpoints)
 	return true
 }
@@ -58,7 +61,7 @@
 // were removed, or were written again unchanged. Both are judged by the store's data alone.
 // Missing reads by this or any other node do not indicate an outage, since the readers may
 // have failed, and endpoints that left meanwhile must not be used.
-func (l *List) entriesLapsed(at time.Time, listed func() map[string]catalog.Endpoint) bool {
+func (l *List) entriesLapsed(at time.Time, listed func() map[string]*catalog.Endpoint) bool {
 	if l.asOf.IsZero() || at.Sub(l.asOf) <= minLapseHeartbeats*l.heartbeat {
 		return false
 	}
@@ -74,12 +77,13 @@
 
 // reregistered reports whether an entry was removed and added again in between, so that
 // only its store revision differs.
-func reregistered(before, after catalog.Endpoint) bool {
+func reregistered(before, after *catalog.Endpoint) bool {
 	if before.ModRevision == 0 || after.ModRevision == 0 || before.ModRevision == after.ModRevision {
 		return false
 	}
-	after.ModRevision = before.ModRevision
-	return after == before
+	unchanged := *after
+	unchanged.ModRevision = before.ModRevision
+	return unchanged == *before
 }
 
 // Outdated returns the number of entries of a restored store that are considered outdated.
@@ -89,14 +93,14 @@
 func (l *List) Lapsed() int { return len(l.lapsed.endpoints) }
 
 // listedAfterDelta returns the listed endpoints after a delta is applied.
-func (l *List) listedAfterDelta(d Delta) map[string]catalog.Endpoint {
-	next := make(map[string]catalog.Endpoint, len(l.endpoints))
+func (l *List) listedAfterDelta(d Delta) map[string]*catalog.Endpoint {
+	next := make(map[string]*catalog.Endpoint, len(l.endpoints))
 	for id, k := range l.endpoints {
 		next[id] = k.endpoint
 	}
 	for _, id := range d.Removed {
 		delete(next, id)
 	}
-	maps.Insert(next, byID(d.Changed))
+	maps.Copy(next, byID(d.Changed))
 	return next
 }
--- a/internal/core/discovery/outdated.go
+++ b/internal/core/discovery/outdated.go
@@ -30,7 +30,7 @@
 // handleRestore records that the store was restored from a copy, from which a list was read
 // at the given time. Entries that the copy lacks are retained as after any outage of the
 // store.
-func (l *List) handleRestore(at time.Time, listed map[string]catalog.Endpoint) {
+func (l *List) handleRestore(at time.Time, listed map[string]*catalog.Endpoint) {
 	l.lapsed.until = at.Add(reregisterPeriod)
 	l.outdated.until = at.Add(outdatedPeriod)
 	for _, g := range l.removed {
@@ -49,6 +49,9 @@
 			l.outdated.entries[id] = outdatedEntry{listed: e.ModRevision}
 		}
 	}
+	for id := range l.outdated.entries {
+		l.touch(id)
+	}
 	// Entries marked after an earlier restore stay marked while they are unchanged.
 	for id, d := range l.outdated.entries {
 		if e, ok := listed[id]; ok && e.ModRevision.Version() == d.listed.Version() {
@@ -64,37 +67,40 @@
 	return ok
 }
 
-// dropRewritten drops the mark of an entry that differs from the copy's.
-func (o *outdatedEntries) dropRewritten(e catalog.Endpoint) {
-	if old, ok := o.entries[e.ID]; ok && old.listed != e.ModRevision {
-		delete(o.entries, e.ID)
+// dropRewritten drops the mark of an entry that differs from the copy's, and reports whether it did.
+func (o *outdatedEntries) dropRewritten(e *catalog.Endpoint) bool {
+	old, ok := o.entries[e.ID]
+	if !ok || old.listed == e.ModRevision {
+		return false
 	}
+	delete(o.entries, e.ID)
+	return true
 }
 
-// applyTo returns a list without the endpoints that are known to have left, and with those
-// that are known to be leaving marked as draining.
-func (o *outdatedEntries) applyTo(list []catalog.Endpoint) []catalog.Endpoint {
-	if len(o.entries) == 0 {
-		return list
+// apply returns a listed endpoint as it is used: nil if it is known to have left, and marked as
+// draining if it is known to be leaving.
+func (o *outdatedEntries) apply(e *catalog.Endpoint) *catalog.Endpoint {
+	entry, ok := o.entries[e.ID]
+	switch {
+	case !ok:
+		return e
+	case entry.left:
+		return nil
 	}
-	kept := list[:0]
-	for _, e := range list {
-		entry, ok := o.entries[e.ID]
-		if ok && entry.left {
-			continue
-		}
-		e.Draining = e.Draining || ok
-		kept = append(kept, e)
-	}
-	return kept
+	draining := *e
+	draining.Draining = true
+	return &draining
 }
 
 // expire drops all marks if the list is as of a time after the end of the outdated period,
 // and reports whether there were any.
-func (o *outdatedEntries) expire(at time.Time) bool {
+func (o *outdatedEntries) expire(at time.Time, touch func(id string)) bool {
 	if len(o.entries) == 0 || at.Before(o.until) {
 		return false
 	}
+	for id := range o.entries {
+		touch(id)
+	}
 	clear(o.entries)
 	return true
 }
--- a/internal/core/discovery/readers.go
+++ b/internal/core/discovery/readers.go
@@ -12,8 +12,11 @@
 	// maxNodesAllRead nodes, all of them read it.
 	minReaders      = 4
 	maxNodesAllRead = 8
-	// nodesPerReader bounds the number of nodes that poll one reader.
+	// nodesPerReader is the number of nodes that poll one reader, up to maxReaders. Beyond, the
+	// readers are polled by more nodes each: a poll costs little, and a call to the store is made
+	// by each reader.
 	nodesPerReader = 48
+	maxReaders     = 8
 	readerSalt     = 0x5bd1e995
 )
 
@@ -47,7 +50,7 @@
 	names := append(hash.Rank(readerSalt, large), hash.Rank(readerSalt, small)...)
 	primaries := len(names)
 	if len(names) > maxNodesAllRead {
-		primaries = max(minReaders, len(names)/nodesPerReader)
+		primaries = min(max(minReaders, len(names)/nodesPerReader), maxReaders)
 	}
 	return Ranking{names: names, primaries: primaries}
 }
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -69,8 +70,12 @@
 	prefill   *PrefillModel
 	// latency is the moving average of the call latency over all endpoints.
 	latency time.Duration
-	// rateLimited reports whether any endpoint advertises a rate limit.
-	rateLimited bool
+	// rateLimited is the number of endpoints that advertise a rate limit.
+	rateLimited int
+	// indexes maps the names of the endpoints to their indexes, including removed ones, which
+	// removed lists.
+	indexes map[string]int
+	removed []int
 }
 
 // SetPolicy switches to the named policy and keeps the state of the endpoints.
@@ -86,7 +91,7 @@
 // NewPool returns an empty pool with the named policy. The seed drives the
 // sampling of endpoints.
 func NewPool(policyName string, seed uint64) (*Pool, error) {
-	p := &Pool{rand: rand.New(rand.NewPCG(seed, seed)), prefixes: newPrefixTable(), prefill: NewPrefillModel()}
+	p := &Pool{rand: rand.New(rand.NewPCG(seed, seed)), prefixes: newPrefixTable(), prefill: NewPrefillModel(), indexes: make(map[string]int)}
 	return p, p.SetPolicy(policyName)
 }
 
@@ -94,38 +99,81 @@
 // is marked as removed; its index is reused once its calls in flight have ended.
 // All other endpoints keep their index, because calls in flight refer to it.
 func (p *Pool) Update(specs []Spec) {
-	wanted := make(map[string]Spec, len(specs))
-	p.rateLimited = false
-	for _, s := range specs {
-		wanted[s.Name] = s
-		p.rateLimited = p.rateLimited || s.Pace.Advertised()
+	listed := make(map[string]bool, len(specs))
+	for i := range specs {
+		listed[specs[i].Name] = true
 	}
-	for i := range p.endpoints {
-		e := &p.endpoints[i]
-		s, ok := wanted[e.spec.Name]
-		e.removed = !ok
-		if ok {
-			e.spec = s
-			e.cache.resize(s.CacheTokens)
-			delete(wanted, s.Name)
+	for name := range p.indexes {
+		if !listed[name] {
+			p.remove(name)
 		}
 	}
-	for _, s := range specs {
-		if _, ok := wanted[s.Name]; ok {
-			p.add(s)
-		}
+	for i := range specs {
+		p.set(specs[i])
+	}
+}
+
+// Apply adds or updates the given endpoints and removes the named ones, as Update does.
+func (p *Pool) Apply(set []Spec, removed []string) {
+	for _, name := range removed {
+		p.remove(name)
+	}
+	for i := range set {
+		p.set(set[i])
+	}
+}
+
+// set adds or updates an endpoint. One that was removed and is listed again keeps its state.
+func (p *Pool) set(s Spec) {
+	p.countRateLimit(s, 1)
+	i, ok := p.indexes[s.Name]
+	if !ok {
+		p.add(s)
+		return
 	}
+	e := &p.endpoints[i]
+	if e.removed {
+		e.removed = false
+		p.removed = slices.DeleteFunc(p.removed, func(k int) bool { return k == i })
+	} else {
+		p.countRateLimit(e.spec, -1)
+	}
+	e.spec = s
+	e.cache.resize(s.CacheTokens)
 }
 
+// add adds an endpoint at the index of a removed one without calls, or at a new one.
 func (p *Pool) add(s Spec) {
-	for i := range p.endpoints {
-		if e := &p.endpoints[i]; e.removed && e.outstanding == 0 {
+	added := Endpoint{spec: s, cache: newPromptCache(s.CacheTokens)}
+	for k, i := range p.removed {
+		if p.endpoints[i].outstanding == 0 {
+			p.removed = slices.Delete(p.removed, k, k+1)
 			p.prefixes.removeEndpoint(i)
-			*e = Endpoint{spec: s, cache: newPromptCache(s.CacheTokens)}
+			delete(p.indexes, p.endpoints[i].spec.Name)
+			p.endpoints[i] = added
+			p.indexes[s.Name] = i
 			return
 		}
 	}
-	p.endpoints = append(p.endpoints, Endpoint{spec: s, cache: newPromptCache(s.CacheTokens)})
+	p.endpoints = append(p.endpoints, added)
+	p.indexes[s.Name] = len(p.endpoints) - 1
+}
+
+func (p *Pool) remove(name string) {
+	i, ok := p.indexes[name]
+	if !ok || p.endpoints[i].removed {
+		return
+	}
+	p.removed = append(p.removed, i)
+	p.endpoints[i].removed = true
+	p.countRateLimit(p.endpoints[i].spec, -1)
+}
+
+// countRateLimit adds to the number of endpoints that advertise a rate limit.
+func (p *Pool) countRateLimit(s Spec, n int) {
+	if s.Pace.Advertised() {
+		p.rateLimited += n
+	}
 }
 
 // Choose returns the index of an endpoint for the call, or false if no endpoint
@@ -154,10 +202,8 @@
 
 // Find returns the index of the named endpoint, or None.
 func (p *Pool) Find(name string) int {
-	for i := range p.endpoints {
-		if p.endpoints[i].spec.Name == name && !p.endpoints[i].removed {
-			return i
-		}
+	if i, ok := p.indexes[name]; ok && !p.endpoints[i].removed {
+		return i
 	}
 	return None
 }
--- a/internal/core/place/promptcache.go
+++ b/internal/core/place/promptcache.go
@@ -27,14 +27,20 @@
 	if maxTokens <= 0 {
 		return nil
 	}
-	c := &promptCache{maxTokens: maxTokens}
+	return &promptCache{maxTokens: maxTokens}
+}
+
+// allocate allocates the list of parts, which most endpoints of a large service never need.
+func (c *promptCache) allocate() {
+	if c.parts != nil {
+		return
+	}
 	parts, err := simplelru.NewLRU(maxCachedParts, func(_ uint64, tokens int) { c.tokens -= tokens })
 	if err != nil {
 		// NewLRU fails only if the size is not positive.
 		panic(err)
 	}
 	c.parts = parts
-	return c
 }
 
 func (c *promptCache) resize(maxTokens int) {
@@ -46,7 +52,7 @@
 }
 
 func (c *promptCache) clear() {
-	if c != nil {
+	if c != nil && c.parts != nil {
 		c.parts.Purge()
 	}
 }
@@ -54,7 +60,7 @@
 // prefixTokens returns the number of tokens at the beginning of a prompt that need
 // no prefill. A cached part is usable only if all parts before it are cached too.
 func (c *promptCache) prefixTokens(parts []Part) int {
-	if c == nil {
+	if c == nil || c.parts == nil {
 		return 0
 	}
 	sum := 0
@@ -69,9 +75,10 @@
 
 // add records the parts of a prompt that is sent to the endpoint.
 func (c *promptCache) add(parts []Part) {
-	if c == nil {
+	if c == nil || len(parts) == 0 {
 		return
 	}
+	c.allocate()
 	for _, part := range parts {
 		if _, ok := c.parts.Get(part.ID); ok {
 			continue
@@ -83,6 +90,9 @@
 }
 
 func (c *promptCache) evict() {
+	if c.parts == nil {
+		return
+	}
 	for c.tokens > c.maxTokens {
 		if _, _, ok := c.parts.RemoveOldest(); !ok {
 			return
--- a/internal/core/place/promptcache_test.go
+++ b/internal/core/place/promptcache_test.go
@@ -14,6 +14,7 @@
 func TestCacheStaysWithinCapacity(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newPromptCache(rapid.IntRange(1, 2000).Draw(t, "memory"))
+		c.allocate()
 		for range rapid.IntRange(1, 60).Draw(t, "prompts") {
 			var parts []Part
 			total := 0
--- a/internal/core/place/sendallowance.go
+++ b/internal/core/place/sendallowance.go
@@ -7,7 +7,7 @@
 // nodes used a tenth of the rate limit of such an endpoint while other endpoints had capacity, and
 // for 30 s no node noticed that the limit had been lifted.
 func (p *Pool) expiringTimeSlot(now time.Time, req Request) int {
-	if !p.rateLimited {
+	if p.rateLimited == 0 {
 		return None
 	}
 	chosen, first := None, time.Time{}
--- a/internal/core/poison/detector.go
+++ b/internal/core/poison/detector.go
@@ -181,13 +181,13 @@
 
 // UpdateEndpoints applies a list of endpoints that was current at the given time. It
 // returns the conclusions, and the endpoints whose connections must be probed.
-func (d *Detector) UpdateEndpoints(now, current time.Time, list []catalog.Endpoint) (findings []Finding, probe []catalog.Endpoint) {
+func (d *Detector) UpdateEndpoints(now, current time.Time, list catalog.Endpoints) (findings []Finding, probe []catalog.Endpoint) {
 	if len(d.watched) == 0 {
 		return nil, nil
 	}
-	l := newEndpointIndex(list)
+	l := lazyIndex{list: list}
 	for id, known := range d.watched {
-		e, listed := l.byID[id]
+		e, listed := list.Get(id)
 		switch {
 		case listed && e.Draining:
 			// The endpoint drains as planned.
@@ -232,25 +232,28 @@
 	return false
 }
 
-// endpointIndex indexes the endpoints of a list.
-type endpointIndex struct {
-	byID             map[string]catalog.Endpoint
+// lazyIndex indexes the endpoints of a list by worker and by address when it is first needed, which
+// is when a watched endpoint is missing from the list.
+type lazyIndex struct {
+	list             catalog.Endpoints
 	byWorker         map[string]bool
 	byServiceAddress map[string]bool
 }
 
-func newEndpointIndex(list []catalog.Endpoint) endpointIndex {
-	l := endpointIndex{byID: make(map[string]catalog.Endpoint, len(list)), byWorker: make(map[string]bool, len(list)), byServiceAddress: make(map[string]bool, len(list))}
-	for _, e := range list {
-		l.byID[e.ID] = e
+func (l *lazyIndex) build() {
+	if l.byWorker != nil {
+		return
+	}
+	l.byWorker, l.byServiceAddress = make(map[string]bool, l.list.Len()), make(map[string]bool, l.list.Len())
+	for e := range l.list.All() {
 		l.byWorker[catalog.WorkerName(e.ID)] = true
 		l.byServiceAddress[e.Service+" "+e.Address] = true
 	}
-	return l
 }
 
 // replaced reports whether another incarnation of an endpoint is listed, either under the worker
 // name that all its incarnations share or at its address.
-func (l *endpointIndex) replaced(e catalog.Endpoint) bool {
+func (l *lazyIndex) replaced(e catalog.Endpoint) bool {
+	l.build()
 	return l.byWorker[catalog.WorkerName(e.ID)] || l.byServiceAddress[e.Service+" "+e.Address]
 }
--- a/internal/core/poison/detector_test.go
+++ b/internal/core/poison/detector_test.go
@@ -71,10 +71,10 @@
 			}
 			if c.after > replacementWindow {
 				// Lists arrive regularly.
-				d.UpdateEndpoints(start.Add(lapsePeriod), start.Add(lapsePeriod), []catalog.Endpoint{endpointIncarnation(1)})
+				d.UpdateEndpoints(start.Add(lapsePeriod), start.Add(lapsePeriod), catalog.EndpointsOf([]catalog.Endpoint{endpointIncarnation(1)}))
 			}
 			now := start.Add(c.after)
-			found, probe := d.UpdateEndpoints(now, now, c.list)
+			found, probe := d.UpdateEndpoints(now, now, catalog.EndpointsOf(c.list))
 			if got := findingString(found); got != c.listed || len(probe) > 0 {
 				t.Errorf("by the list: %s, probes %d, want %s", got, len(probe), c.listed)
 			}
@@ -90,18 +90,18 @@
 		d, _ := newDetectorWithBreak(true)
 		list := []catalog.Endpoint{endpointIncarnation(1)}
 		early := start.Add(lapsePeriod / 2)
-		if found, probe := d.UpdateEndpoints(early, early, list); len(found)+len(probe) > 0 {
+		if found, probe := d.UpdateEndpoints(early, early, catalog.EndpointsOf(list)); len(found)+len(probe) > 0 {
 			t.Error("the endpoint is probed before its entry would have lapsed")
 		}
 		late := start.Add(lapsePeriod)
-		if _, probe := d.UpdateEndpoints(late, early, list); len(probe) > 0 {
+		if _, probe := d.UpdateEndpoints(late, early, catalog.EndpointsOf(list)); len(probe) > 0 {
 			t.Error("the endpoint is probed because of a list that is not current")
 		}
-		_, probe := d.UpdateEndpoints(late, late, list)
+		_, probe := d.UpdateEndpoints(late, late, catalog.EndpointsOf(list))
 		if len(probe) != 1 {
 			t.Fatalf("%d endpoints are probed", len(probe))
 		}
-		if _, again := d.UpdateEndpoints(late, late, list); len(again) > 0 {
+		if _, again := d.UpdateEndpoints(late, late, catalog.EndpointsOf(list)); len(again) > 0 {
 			t.Error("the endpoint is probed again before the first probe has ended")
 		}
 		found := d.RecordProbe(late, probe[0].ID, !alive)
--- a/internal/core/poison/guard.go
+++ b/internal/core/poison/guard.go
@@ -49,7 +49,7 @@
 	detector *Detector
 	ledger   *Ledger
 	// list is the latest list of endpoints.
-	list []catalog.Endpoint
+	list catalog.Endpoints
 	// singleNode is true if no other node exists to confirm a crash.
 	singleNode bool
 	// unconfirmed holds crashes reported by other nodes that this node is verifying, by
@@ -169,7 +169,7 @@
 }
 
 // UpdateEndpoints applies a list of endpoints that was current at the given time.
-func (g *Guard) UpdateEndpoints(now, current time.Time, list []catalog.Endpoint) Outcome {
+func (g *Guard) UpdateEndpoints(now, current time.Time, list catalog.Endpoints) Outcome {
 	var out Outcome
 	g.list = list
 	out.Findings, out.Probe = g.detector.UpdateEndpoints(now, current, list)
@@ -209,7 +209,7 @@
 // serviceSize returns the number of endpoints of a service.
 func (g *Guard) serviceSize(service string) int {
 	n := 0
-	for _, e := range g.list {
+	for e := range g.list.All() {
 		if e.Service == service {
 			n++
 		}
--- a/internal/core/poison/sim_nodes_test.go
+++ b/internal/core/poison/sim_nodes_test.go
@@ -203,7 +203,7 @@
 	if w.now.Sub(n.listed) >= listInterval {
 		n.listed = w.now
 		n.list = w.list()
-		w.apply(n, n.guard.UpdateEndpoints(w.now, w.now, n.list))
+		w.apply(n, n.guard.UpdateEndpoints(w.now, w.now, catalog.EndpointsOf(n.list)))
 	}
 	due := n.probes
 	n.probes = nil
--- a/internal/core/signal/draining.go
+++ b/internal/core/signal/draining.go
@@ -1,6 +1,8 @@
 package signal
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -46,6 +48,9 @@
 	return ok
 }
 
+// All yields the endpoints in the set.
+func (d *Draining) All() iter.Seq[string] { return maps.Keys(d.seen) }
+
 // Observe adds an endpoint that announces draining, and reports whether it was not in the set.
 func (d *Draining) Observe(now time.Time, endpoint string) bool { return d.add(endpoint, now) }
 
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -15,13 +15,15 @@
 func BenchmarkViewChanged(b *testing.B) {
 	n := New(platform.Settings{Node: "a", HeartbeatInterval: time.Second})
 	v := &view{config: &catalog.Config{Version: 1, Services: make(map[string]catalog.Service)}}
+	var list []catalog.Endpoint
 	for s := range 5 {
 		name := fmt.Sprint("s", s)
 		v.config.Services[name] = catalog.Service{Name: name, Model: s == 0}
 		for i := range 600 {
-			v.endpoints = append(v.endpoints, catalog.Endpoint{ID: fmt.Sprintf("i-%d-%d", s, i), Service: name, Domain: "d", Slots: 8})
+			list = append(list, catalog.Endpoint{ID: fmt.Sprintf("i-%d-%d", s, i), Service: name, Domain: "d", Slots: 8})
 		}
 	}
+	v.endpoints = catalog.EndpointsOf(list)
 	v.evacuations = discovery.Evacuations{}.Replace(time.Now(), 1, nil)
 	v.freshness.List = time.Now()
 	n.view.Store(v)
--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/cowmap"
 	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/wire"
 )
@@ -21,36 +23,67 @@
 
 // cellCount returns the number of cells for the endpoints of the view.
 func (v *view) cellCount() int {
-	n := 0
-	for _, e := range v.endpoints {
-		if s, ok := v.config.Services[e.Service]; ok && s.Batching != nil {
-			n++
+	return max(1, (v.stageCount+endpointsPerCell-1)/endpointsPerCell)
+}
+
+// setEndpoints replaces the endpoints of a view that is not published yet.
+func (v *view) setEndpoints(list catalog.Endpoints) {
+	set, removed := cowmap.Diff(v.endpoints, list)
+	for _, e := range set {
+		if old, ok := v.endpoints.Get(e.ID); ok {
+			v.countStage(old, -1)
+		}
+		v.countStage(e, 1)
+	}
+	for _, e := range removed {
+		v.countStage(e, -1)
+	}
+	v.endpoints = list
+}
+
+// setConfig replaces the configuration of a view that is not published yet.
+func (v *view) setConfig(cfg *catalog.Config, file *configFile) {
+	v.config, v.file, v.stageCount = cfg, file, 0
+	for e := range v.endpoints.All() {
+		v.countStage(e, 1)
+	}
+}
+
+// countStage adds to the number of stage endpoints if e is one.
+func (v *view) countStage(e *catalog.Endpoint, n int) {
+	if v.config != nil && v.config.Services[e.Service].Batching != nil {
+		v.stageCount += n
+	}
+}
+
+// stageEndpoints returns the stage endpoints of the view by service, sorted by ID.
+func (v *view) stageEndpoints() map[string][]*catalog.Endpoint {
+	byService := make(map[string][]*catalog.Endpoint)
+	for e := range v.endpoints.All() {
+		if v.config.Services[e.Service].Batching != nil {
+			byService[e.Service] = append(byService[e.Service], e)
 		}
 	}
-	return max(1, (n+endpointsPerCell-1)/endpointsPerCell)
+	for _, list := range byService {
+		slices.SortFunc(list, func(a, b *catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return byService
 }
 
 // cellEndpoints returns the stage endpoints of a cell. The endpoints of each stage service
 // are distributed over the cells in turn.
 func (v *view) cellEndpoints(cell int) []catalog.Endpoint {
-	cells := v.cellCount()
-	sorted := slices.Clone(v.endpoints)
-	slices.SortFunc(sorted, func(a, b catalog.Endpoint) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
-	})
+	cells, stages := v.cellCount(), v.stageEndpoints()
 	var list []catalog.Endpoint
-	position := make(map[string]int)
-	for _, e := range sorted {
-		if s, ok := v.config.Services[e.Service]; !ok || s.Batching == nil {
-			continue
-		}
-		if position[e.Service]%cells == cell {
+	for _, service := range slices.Sorted(maps.Keys(stages)) {
+		endpoints := stages[service]
+		for k := cell; k < len(endpoints); k += cells {
+			e := *endpoints[k]
 			// A stage pool does not distinguish the reasons why an endpoint gets no more
 			// calls.
 			e.Draining = !v.evacuations.AcceptsWork(e)
 			list = append(list, e)
 		}
-		position[e.Service]++
 	}
 	return list
 }
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -66,7 +66,7 @@
 	n := startNode(t, site)
 	n.node.settings.GracePeriod = stopGracePeriod
 	n.awaitReady(t)
-	eventually(t, "all endpoints are listed", func() bool { return len(n.node.view.Load().endpoints) == 4 })
+	eventually(t, "all endpoints are listed", func() bool { return n.node.view.Load().endpoints.Len() == 4 })
 	return n, model
 }
 
--- a/internal/node/draining.go
+++ b/internal/node/draining.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,17 +27,20 @@
 	n.signals.mu.Unlock()
 }
 
-// markDraining marks the endpoints of a list that announced draining, regardless of their state in
-// the store.
-func (s *signals) markDraining(list []catalog.Endpoint) {
+// markDraining returns the endpoints with those marked that announced draining, regardless of their
+// state in the store.
+func (s *signals) markDraining(list catalog.Endpoints) catalog.Endpoints {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.registry.Draining().Len() == 0 {
-		return
-	}
-	for i := range list {
-		list[i].Draining = list[i].Draining || s.registry.Draining().Has(list[i].ID)
+	var marked []*catalog.Endpoint
+	for id := range s.registry.Draining().All() {
+		if e, ok := list.Get(id); ok && !e.Draining {
+			draining := *e
+			draining.Draining = true
+			marked = append(marked, &draining)
+		}
 	}
+	return list.With(marked, nil)
 }
 
 // applyDraining marks endpoints in the view that were found to be draining since the last call.
@@ -52,8 +54,7 @@
 	}
 	n.viewMu.Lock()
 	next := *n.view.Load()
-	next.endpoints = slices.Clone(next.endpoints)
-	n.signals.markDraining(next.endpoints)
+	next.setEndpoints(n.signals.markDraining(next.endpoints))
 	n.view.Store(&next)
 	n.viewMu.Unlock()
 	n.updatePools()
@@ -68,9 +69,9 @@
 		return
 	}
 	s.swept = now
-	listed := make(map[string]bool)
-	for _, e := range n.view.Load().endpoints {
-		listed[e.ID] = true
-	}
-	s.registry.Draining().Expire(now, func(endpoint string) bool { return listed[endpoint] })
+	endpoints := n.view.Load().endpoints
+	s.registry.Draining().Expire(now, func(endpoint string) bool {
+		_, listed := endpoints.Get(endpoint)
+		return listed
+	})
 }
--- a/internal/node/entries_test.go
+++ b/internal/node/entries_test.go
@@ -19,7 +19,7 @@
 	worker.Restart()
 	n := startNode(t, site)
 	n.awaitReady(t)
-	endpoints := func() []catalog.Endpoint { return n.node.view.Load().endpoints }
+	endpoints := func() []catalog.Endpoint { return listedEndpoints(n.node) }
 	eventually(t, "the worker is listed", func() bool { return len(endpoints()) == 1 })
 	oldID := endpoints()[0].ID
 	worker.Crash()
@@ -44,7 +44,7 @@
 	n := startNode(t, site)
 	n.awaitReady(t)
 	ids := func() (list []string) {
-		for _, e := range n.node.view.Load().endpoints {
+		for _, e := range listedEndpoints(n.node) {
 			list = append(list, e.ID)
 		}
 		return list
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -169,10 +169,10 @@
 	}
 	n := New(s)
 	n.applyConfig([]byte(`{"version":1,"services":[{"name":"desk"},{"name":"model","engine":{"slots":8}}]}`), sourceStore)
-	n.applyStoreEndpoints([]catalog.Endpoint{
+	n.applyStoreEndpoints(platform.EndpointUpdate{Full: true, Revision: 5, Endpoints: []catalog.Endpoint{
 		{ID: "a", Service: "model", Address: "127.0.0.1:1", Domain: platformtest.DefaultZone, Slots: 8},
 		{ID: "b", Service: "model", Address: "127.0.0.1:2", Domain: otherZone, Slots: 8},
-	}, 5, time.Now())
+	}}, time.Now())
 	chosen := func(pools *pools) string {
 		c, ok := pools.choose(time.Now(), need{service: "model"})
 		if !ok {
--- a/internal/node/evacuations.go
+++ b/internal/node/evacuations.go
@@ -77,7 +77,7 @@
 // none, its name may be mistyped.
 func (v *view) endpointsIn(domain string) int {
 	count := 0
-	for _, e := range v.endpoints {
+	for e := range v.endpoints.All() {
 		if e.Domain == domain {
 			count++
 		}
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -96,13 +96,16 @@
 	return &leaders{log: log, workers: workers, modelPools: models, budget: budget, pace: pace, disabled: off, cells: make(map[int]*leader), callRates: make(map[string]float64)}
 }
 
-func (l *leaders) update(now time.Time, v *view) {
+func (l *leaders) update(now time.Time, v *view, ratesChanged bool) {
 	l.mu.Lock()
 	l.view = v
 	learn := l.learnOnUpdate
 	l.learnOnUpdate = false
+	if len(l.cells) > 0 {
+		// Most nodes of a large system never lead and need no state for all endpoints.
+		l.modelPools.update(v, ratesChanged)
+	}
 	l.mu.Unlock()
-	l.modelPools.update(v)
 	for _, c := range l.all() {
 		c.configure(now, v)
 	}
@@ -132,6 +135,7 @@
 		modelRequests: make(map[stagepool.TaskID]placementRequest), placedCalls: make(map[stagepool.TaskID]*placedCall),
 	}
 	l.cells[cell] = c
+	l.modelPools.update(l.view, true)
 	c.configure(time.Now(), l.view)
 	return c
 }
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -65,7 +65,7 @@
 	n := startNode(t, site, seeds...)
 	n.node.settings.GracePeriod = longGracePeriod
 	n.awaitReady(t)
-	eventually(t, "all endpoints are listed", func() bool { return len(n.node.view.Load().endpoints) == 3 })
+	eventually(t, "all endpoints are listed", func() bool { return n.node.view.Load().endpoints.Len() == 3 })
 	return n
 }
 
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -31,7 +31,7 @@
 	m := &meters{set: metrics.NewSet(), series: make(map[string]bool)}
 	m.set.NewGauge("gradetiller_in_flight", func() float64 { return float64(n.inFlight.Load()) })
 	m.set.NewGauge("gradetiller_config_version", func() float64 { return float64(n.view.Load().version()) })
-	m.set.NewGauge("gradetiller_endpoints", func() float64 { return float64(len(n.view.Load().endpoints)) })
+	m.set.NewGauge("gradetiller_endpoints", func() float64 { return float64(n.view.Load().endpoints.Len()) })
 	m.set.NewGauge("gradetiller_failure_domains_evacuated", func() float64 { return float64(len(n.view.Load().evacuations.Domains())) })
 	m.set.NewGauge("gradetiller_store_era", func() float64 { return float64(n.view.Load().revision.Era()) })
 	m.set.NewGauge("gradetiller_endpoints_kept", func() float64 { return float64(n.keptEndpoints.Load()) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,6 +186,7 @@
 	n.workers = platform.NewWorkerClient(platform.WithSignalObserver(n.observeSignals), platform.WithSendCheck(n.checkSignals))
 	n.signals = newSignals(hash.Of(s.Node))
 	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.ownPace, n.disabled)
+	n.pools.subset = &endpointSubset{node: hash.Of(s.Node), domain: s.Domain}
 	n.budget = n.newBudget()
 	n.stageBudget = n.newBudget()
 	n.leaders = newLeaders(n.log, n.workers, newPools(hash.Of(s.Node), leaderPolicy, n.leaderPace, n.disabled), func() stagepool.RetryBudget { return n.stageBudget }, n.stagePace, n.disabled)
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -92,7 +92,7 @@
 		return
 	}
 	if v := n.view.Load(); len(v.cold) > 0 || n.signals.hasBounds() {
-		n.updatePools()
+		n.updatePoolsWith(true)
 	}
 }
 
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -24,6 +24,9 @@
 	// of any node. An endpoint that rejects everything looks idle and would otherwise be chosen for
 	// all requests of the other nodes.
 	rejectedBackoff = 500 * time.Millisecond
+	// maxLearned bounds the engines that a new leader asks. Each answer holds up the work of its
+	// engine; with thousands of engines, most prompts are not cached at any that would be asked.
+	maxLearned = 512
 	// maxCacheLists bounds the concurrent requests for cached prompts.
 	maxCacheLists = 32
 )
@@ -39,6 +42,7 @@
 	var engines []catalog.Endpoint
 	if l.view != nil {
 		engines = l.modelPools.cachingEndpoints(time.Now(), l.view)
+		engines = engines[:min(len(engines), maxLearned)]
 	}
 	// The node may lead before it has the first list of endpoints or the configuration.
 	l.learnOnUpdate = len(engines) == 0
--- a/internal/node/poison.go
+++ b/internal/node/poison.go
@@ -151,12 +151,8 @@
 
 // isDrainingOrGone reports whether an endpoint is draining or no longer listed.
 func (n *Node) isDrainingOrGone(id string) bool {
-	for _, e := range n.view.Load().endpoints {
-		if e.ID == id {
-			return e.Draining
-		}
-	}
-	return true
+	e, ok := n.view.Load().endpoints.Get(id)
+	return !ok || e.Draining
 }
 
 // probe checks whether an endpoint at which runs of this node broke accepts connections, and
@@ -179,7 +175,7 @@
 
 // updateGuardEndpoints compares the endpoint list, current as of the given time, with the
 // runs that broke.
-func (n *Node) updateGuardEndpoints(current time.Time, list []catalog.Endpoint) {
+func (n *Node) updateGuardEndpoints(current time.Time, list catalog.Endpoints) {
 	n.applyPoisonEvent(func(g *poison.Guard, now time.Time) poison.Outcome { return g.UpdateEndpoints(now, current, list) })
 }
 
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/cowmap"
 	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/mechanism"
@@ -35,6 +36,14 @@
 	keySelectors map[string]*place.KeySelector
 	// reserved counts the calls of each service that were admitted but not yet placed.
 	reserved map[string]int
+	// view is the view that the pools were last updated from.
+	view *view
+	// counts is the number of endpoints of each service that accept work.
+	counts map[string]int
+	// subset selects the endpoints that a pool holds of a large service, or is nil if pools
+	// hold all of them. extras lists those that were added because a leader chose them.
+	subset *endpointSubset
+	extras map[string][]string
 }
 
 // paceSource returns the paces of the endpoints of a service in a view.
@@ -44,12 +53,44 @@
 type endpointPace func(endpoint string, cold discovery.ColdPeriod) intake.Pace
 
 func newPools(seed uint64, models string, pace paceSource, off mechanism.Disabled) *pools {
-	return &pools{seed: seed, modelPolicy: models, pace: pace, disabled: off, byService: make(map[string]*place.Pool), keySelectors: make(map[string]*place.KeySelector), reserved: make(map[string]int)}
+	return &pools{
+		seed: seed, modelPolicy: models, pace: pace, disabled: off, byService: make(map[string]*place.Pool), keySelectors: make(map[string]*place.KeySelector),
+		reserved: make(map[string]int), counts: make(map[string]int), extras: make(map[string][]string),
+	}
 }
 
-func (p *pools) update(v *view) {
+// update updates the pools from a view. If only endpoints changed since the last view, it costs what
+// changed. ratesChanged reports whether the paces of all endpoints must be computed again.
+func (p *pools) update(v *view, ratesChanged bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	old := p.view
+	p.view = v
+	if old == nil || ratesChanged || old.config != v.config || old.rollouts.Revision() != v.rollouts.Revision() || !old.evacuations.Same(v.evacuations) {
+		p.rebuild(v)
+		return
+	}
+	set, removed := cowmap.Diff(old.endpoints, v.endpoints)
+	if len(set) > v.endpoints.Len()/rebuildDivisor {
+		p.rebuild(v)
+		return
+	}
+	p.apply(old, v, set, removed)
+}
+
+// rebuildDivisor sets the part of the endpoints, 1/rebuildDivisor, above which a change rebuilds the
+// pools.
+const rebuildDivisor = 4
+
+// rebuild updates all pools from a view.
+func (p *pools) rebuild(v *view) {
+	byService := make(map[string][]*catalog.Endpoint)
+	for e := range v.endpoints.All() {
+		if v.evacuations.AcceptsWork(*e) {
+			byService[e.Service] = append(byService[e.Service], e)
+		}
+	}
+	clear(p.counts)
 	for name, service := range v.config.Services {
 		if service.Batching != nil {
 			continue
@@ -59,8 +100,52 @@
 			pool = newPool(service, p.modelPolicy, p.seed)
 			p.byService[name] = pool
 		}
-		pool.Update(v.specs(service, p.pace, p.disabled))
+		p.counts[name] = len(byService[name])
+		specOf := v.specSource(service, p.pace, p.disabled)
+		specs := make([]place.Spec, 0, min(len(byService[name]), maxSubset))
+		for _, e := range byService[name] {
+			if p.holds(v, service, e) || slices.Contains(p.extras[name], e.ID) {
+				specs = append(specs, specOf(e))
+			}
+		}
+		pool.Update(specs)
+	}
+}
+
+// apply updates the pools by the endpoints that changed between two views with the same
+// configuration.
+func (p *pools) apply(old, v *view, set, removed []*catalog.Endpoint) {
+	for _, e := range removed {
+		p.drop(old, e)
+	}
+	specsOf := make(map[string]func(*catalog.Endpoint) place.Spec)
+	for _, e := range set {
+		service, ok := v.config.Services[e.Service]
+		if before, known := old.endpoints.Get(e.ID); known {
+			p.drop(old, before)
+		}
+		if !ok || service.Batching != nil || !v.evacuations.AcceptsWork(*e) {
+			continue
+		}
+		p.counts[e.Service]++
+		if !p.holds(v, service, e) && !slices.Contains(p.extras[e.Service], e.ID) {
+			continue
+		}
+		if specsOf[e.Service] == nil {
+			specsOf[e.Service] = v.specSource(service, p.pace, p.disabled)
+		}
+		p.byService[e.Service].Apply([]place.Spec{specsOf[e.Service](e)}, nil)
+	}
+}
+
+// drop removes an endpoint as it was in a view. The pool keeps its state until its index is reused.
+func (p *pools) drop(old *view, e *catalog.Endpoint) {
+	pool, ok := p.byService[e.Service]
+	if !ok || !old.evacuations.AcceptsWork(*e) {
+		return
 	}
+	p.counts[e.Service]--
+	pool.Apply(nil, []string{e.ID})
 }
 
 func newPool(service catalog.Service, models string, seed uint64) *place.Pool {
@@ -157,6 +242,7 @@
 	if !ok {
 		return nil, place.Request{}, place.None, false
 	}
+	p.admitExtra(pool, n)
 	req := place.Request{Prefix: n.prefix, Prompt: n.prompt, Exclude: place.None, Tried: indices(pool, n.tried), Version: n.arm.String(), Domains: n.domains}
 	req = pool.WithCacheHits(now, req)
 	if i := pool.Find(n.preferred); i != place.None && pool.Accepts(now, i, req) {
@@ -182,16 +268,16 @@
 func (p *pools) cachingEndpoints(now time.Time, v *view) []catalog.Endpoint {
 	paces := make(map[string]endpointPace)
 	var list []catalog.Endpoint
-	for _, e := range v.endpoints {
+	for e := range v.endpoints.All() {
 		s, ok := v.config.Services[e.Service]
-		if !ok || s.PromptCache.Tokens == 0 || !v.evacuations.AcceptsWork(e) {
+		if !ok || s.PromptCache.Tokens == 0 || !v.evacuations.AcceptsWork(*e) {
 			continue
 		}
 		if paces[s.Name] == nil {
 			paces[s.Name] = p.pace(v, s)
 		}
-		if !paces[s.Name](e.ID, v.coldPeriod(s, e)).Bounded(now) {
-			list = append(list, e)
+		if !paces[s.Name](e.ID, v.coldPeriod(s, *e)).Bounded(now) {
+			list = append(list, *e)
 		}
 	}
 	return list
@@ -289,7 +375,7 @@
 	for i, part := range q.in.PromptPrefix {
 		parts[i] = part.ID
 	}
-	return shared.Key(q.route.Name, parts, pool.Len())
+	return shared.Key(q.route.Name, parts, max(p.counts[q.service], pool.Len()))
 }
 
 // finish records the result of the call, which no longer counts as load.
--- a/internal/node/readers_test.go
+++ b/internal/node/readers_test.go
@@ -82,12 +82,12 @@
 	n := New(s)
 	n.setEntries(append(entries, n.entry(false)))
 	start := time.Now()
-	n.applyStoreEndpoints(nil, 1, start)
+	n.applyStoreEndpoints(platform.EndpointUpdate{Full: true, Revision: 1}, start)
 	at := start.Add(3 * time.Second)
 	if !n.shouldReadStore(at) {
 		t.Fatal("the node does not stand in for readers that did not respond for 3 s")
 	}
-	n.applyStoreEndpoints(nil, 2, at)
+	n.applyStoreEndpoints(platform.EndpointUpdate{Full: true, Revision: 2}, at)
 	if !n.shouldReadStore(at.Add(time.Millisecond)) {
 		t.Error("the node stops standing in once it has read a list itself")
 	}
--- a/internal/node/regions.go
+++ b/internal/node/regions.go
@@ -39,9 +39,15 @@
 // address. A leader of an earlier version does not know home regions.
 func (n *Node) mayCopyFrom(q *request, address string) bool {
 	domains := n.domainsOf(q.regions)
-	return domains == nil || slices.ContainsFunc(n.view.Load().endpoints, func(e catalog.Endpoint) bool {
-		return e.Address == address && domains(e.Domain)
-	})
+	if domains == nil {
+		return true
+	}
+	for e := range n.view.Load().endpoints.All() {
+		if e.Address == address && domains(e.Domain) {
+			return true
+		}
+	}
+	return false
 }
 
 // lookupAddresses returns the addresses of the nodes that a client should use: those in the home
--- a/internal/node/stagerollouts.go
+++ b/internal/node/stagerollouts.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"gradetiller.example/internal/core/catalog"
@@ -73,8 +72,8 @@
 		return func(bool, time.Duration) {}
 	}
 	arm := rollout.Old
-	if i := slices.IndexFunc(v.endpoints, func(e catalog.Endpoint) bool { return e.ID == endpoint }); i >= 0 {
-		arm = order.ArmOf(v.endpoints[i])
+	if e, ok := v.endpoints.Get(endpoint); ok {
+		arm = order.ArmOf(*e)
 	}
 	end := n.rollouts.begin(service, arm)
 	return func(ok bool, took time.Duration) {
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/platform"
 	"gradetiller.example/platform/platformtest"
 )
@@ -86,6 +87,15 @@
 	return site, c
 }
 
+// listedEndpoints returns the endpoints of a node's view.
+func listedEndpoints(n *Node) []catalog.Endpoint {
+	var list []catalog.Endpoint
+	for e := range n.view.Load().endpoints.All() {
+		list = append(list, *e)
+	}
+	return list
+}
+
 func do(a string, q platformtest.Request) platformtest.Response {
 	if q.Key == "" {
 		q.Key = key
@@ -323,8 +333,8 @@
 	site.Store.SetDown(true)
 	b := startNode(t, site, a.Peer)
 	b.awaitReady(t)
-	if got := b.node.view.Load(); got.version() != v.version() || len(got.endpoints) != 1 {
-		t.Errorf("the second node has version %d and %d endpoints", got.version(), len(got.endpoints))
+	if got := b.node.view.Load(); got.version() != v.version() || got.endpoints.Len() != 1 {
+		t.Errorf("the second node has version %d and %d endpoints", got.version(), got.endpoints.Len())
 	}
 	if s := do(b.Front, platformtest.Request{ID: "x", Path: "/read/"}); s.Status != 200 {
 		t.Errorf("request by a view from a peer got %d, want 200", s.Status)
@@ -338,10 +348,10 @@
 	workers := site.AddWorkers("desk", 2)
 	n := startNode(t, site)
 	n.awaitReady(t)
-	eventually(t, "both endpoints are listed", func() bool { return len(n.node.view.Load().endpoints) == 2 })
+	eventually(t, "both endpoints are listed", func() bool { return n.node.view.Load().endpoints.Len() == 2 })
 	workers[0].Drain()
 	eventually(t, "the node knows that the endpoint drains", func() bool {
-		for _, e := range n.node.view.Load().endpoints {
+		for _, e := range listedEndpoints(n.node) {
 			if e.Draining {
 				return true
 			}
@@ -351,7 +361,7 @@
 	workers[1].RemoveEntry()
 	workers = append(workers, site.AddWorkers("desk", 1)...)
 	eventually(t, "the list of endpoints is current", func() bool {
-		list := n.node.view.Load().endpoints
+		list := listedEndpoints(n.node)
 		return len(list) == 2 && list[0].ID != workers[1].ID && list[1].ID != workers[1].ID
 	})
 	before := workers[0].TotalRuns()
@@ -395,7 +405,7 @@
 	models := site.AddWorkers("model", 4)
 	n := startNode(t, site)
 	n.awaitReady(t)
-	eventually(t, "all endpoints are listed", func() bool { return len(n.node.view.Load().endpoints) == 4 })
+	eventually(t, "all endpoints are listed", func() bool { return n.node.view.Load().endpoints.Len() == 4 })
 	for _, m := range models[:3] {
 		m.Crash()
 	}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/cowmap"
 	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/place"
@@ -23,7 +24,9 @@
 	config *catalog.Config
 	file   *configFile
 	// endpoints is the endpoint list as of revision.
-	endpoints []catalog.Endpoint
+	endpoints catalog.Endpoints
+	// stageCount is the number of endpoints of stage services.
+	stageCount int
 	// cold holds the cold periods of endpoints, by endpoint ID.
 	cold map[string]discovery.ColdPeriod
 	// revision is the store revision of the list.
@@ -83,8 +86,7 @@
 		return
 	}
 	next := *old
-	next.config = cfg
-	next.file = &configFile{data: data}
+	next.setConfig(cfg, &configFile{data: data})
 	n.view.Store(&next)
 	n.viewMu.Unlock()
 	n.log.Info(eventConfigurationApplied, zap.Uint64("version", cfg.Version), zap.String("source", source), zap.Int("routes", len(cfg.Routes)))
@@ -94,11 +96,15 @@
 	n.updatePools()
 }
 
-// applyStoreEndpoints applies an endpoint list that was read from the store at the given
-// time.
-func (n *Node) applyStoreEndpoints(list []catalog.Endpoint, revision catalog.Revision, at time.Time) {
+// applyStoreEndpoints applies an endpoint list, or its changes, that match the store as of a time.
+func (n *Node) applyStoreEndpoints(u platform.EndpointUpdate, at time.Time) {
 	freshness := n.recordRead(func(own *discovery.DirectReads) { own.RecordList(at) })
-	n.updateEndpoints(sourceStore, freshness, func() bool { return n.list.ApplySnapshot(at, list, revision) })
+	n.updateEndpoints(sourceStore, freshness, func() bool {
+		if u.Full {
+			return n.list.ApplySnapshot(at, u.Endpoints, u.Revision)
+		}
+		return n.list.ApplyChanges(at, u.Endpoints, u.Removed, u.Revision)
+	})
 }
 
 // recordConfigRead records that this node received the store's newest configuration as of the
@@ -146,8 +152,8 @@
 		next.freshness.Candidates = next.freshness.List
 	}
 	if changed {
-		next.endpoints, next.cold = n.list.Endpoints(), n.list.Cold()
-		n.signals.markDraining(next.endpoints)
+		next.setEndpoints(n.signals.markDraining(n.list.InUse()))
+		next.cold = n.list.Cold()
 		n.logEndpoints(source, listAge, old.endpoints, next.endpoints)
 	}
 	n.view.Store(&next)
@@ -177,26 +183,26 @@
 
 // logEndpoints logs the endpoints that were added, changed or removed. The age of the list
 // before the update is in milliseconds.
-func (n *Node) logEndpoints(source string, listAge int64, before, after []catalog.Endpoint) {
-	known := make(map[string]catalog.Endpoint, len(before))
-	for _, e := range before {
-		known[e.ID] = e
-	}
-	for _, e := range after {
-		old, ok := known[e.ID]
-		delete(known, e.ID)
+func (n *Node) logEndpoints(source string, listAge int64, before, after catalog.Endpoints) {
+	set, removed := cowmap.Diff(before, after)
+	for _, e := range set {
+		old, ok := before.Get(e.ID)
 		if !ok || old.Draining != e.Draining || old.ColdRemaining == 0 && e.ColdRemaining > 0 {
 			n.log.Info(eventEndpointListed, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Bool("draining", e.Draining), zap.Duration("cold", e.ColdRemaining), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 		}
 	}
-	for id, e := range known {
-		n.log.Info(eventEndpointRemoved, zap.String("endpoint", id), zap.String("service", e.Service), zap.String("source", source), zap.Int64("list_age_ms", listAge))
+	for _, e := range removed {
+		n.log.Info(eventEndpointRemoved, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 	}
 }
 
 // updatePools updates the pools from the present view, once that is complete. Other nodes may
 // submit work earlier.
-func (n *Node) updatePools() {
+func (n *Node) updatePools() { n.updatePoolsWith(false) }
+
+// updatePoolsWith updates the pools; ratesChanged reports whether the paces of endpoints changed
+// although the view did not.
+func (n *Node) updatePoolsWith(ratesChanged bool) {
 	n.poolsMu.Lock()
 	defer n.poolsMu.Unlock()
 	// The view is loaded under the lock, so that the pools never return to an older one.
@@ -204,10 +210,10 @@
 	if !v.complete() {
 		return
 	}
-	n.pools.update(v)
+	n.pools.update(v, ratesChanged)
 	n.durations.retainRoutes(v.config)
 	n.mixes.retain(func(service string) bool { _, ok := v.config.Services[service]; return ok })
-	n.leaders.update(time.Now(), v)
+	n.leaders.update(time.Now(), v, ratesChanged)
 }
 
 // handleViewRequest sends a peer the parts of the view that it lacks.
@@ -300,24 +306,18 @@
 	n.applyConfig(data, sourcePeer)
 }
 
-// specs returns the placement specs of a service's endpoints that accept new work.
-func (v *view) specs(service catalog.Service, pace paceSource, off mechanism.Disabled) []place.Spec {
+// specSource returns a function that returns the placement specs of a service's endpoints.
+func (v *view) specSource(service catalog.Service, pace paceSource, off mechanism.Disabled) func(*catalog.Endpoint) place.Spec {
 	cache := service.PromptCache
 	if off.Has(mechanism.Holdings) {
 		cache.Tokens = 0
 	}
 	cache.SupportsCopy = cache.SupportsCopy && !off.Has(mechanism.Copies)
-	paceOf := pace(v, service)
-	armOf := v.armNames(service.Name)
-	var specs []place.Spec
-	for _, e := range v.endpoints {
-		if e.Service != service.Name || !v.evacuations.AcceptsWork(e) {
-			continue
-		}
-		specs = append(specs, place.Spec{
+	paceOf, armOf := pace(v, service), v.armNames(service.Name)
+	return func(e *catalog.Endpoint) place.Spec {
+		return place.Spec{
 			Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: max(e.Slots, 1),
-			CacheTokens: cache.Tokens, CanCopy: cache.SupportsCopy, Versions: armOf(e), Pace: paceOf(e.ID, v.coldPeriod(service, e)),
-		})
+			CacheTokens: cache.Tokens, CanCopy: cache.SupportsCopy, Versions: armOf(*e), Pace: paceOf(e.ID, v.coldPeriod(service, *e)),
+		}
 	}
-	return specs
 }
--- a/internal/node/view_test.go
+++ b/internal/node/view_test.go
@@ -41,10 +41,11 @@
 		for i := range changes {
 			next := base
 			last = fmt.Sprintf("e-%d-%d", round, i)
-			next.endpoints = make([]catalog.Endpoint, each)
-			for k := range next.endpoints {
-				next.endpoints[k] = catalog.Endpoint{ID: fmt.Sprintf("%s-%d", last, k), Service: "desk", Domain: platformtest.DefaultZone, Slots: 4}
+			list := make([]catalog.Endpoint, each)
+			for k := range list {
+				list[k] = catalog.Endpoint{ID: fmt.Sprintf("%s-%d", last, k), Service: "desk", Domain: platformtest.DefaultZone, Slots: 4}
 			}
+			next.endpoints = catalog.EndpointsOf(list)
 			n.view.Store(&next)
 			changing.Go(n.updatePools)
 		}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -90,25 +90,25 @@
 // store, the others poll a reader.
 func (n *Node) watchEndpoints(ctx context.Context) {
 	failed, attempt := 0, 0
+	var watch *platform.EndpointWatch
 	for ctx.Err() == nil {
 		start := time.Now()
 		if n.shouldReadStore(start) {
-			list, err := n.store.Endpoints(ctx, discovery.ReadTimeout(n.hasCompleteView(), failed))
-			n.recordStoreResult(callEndpoints, err)
-			if err != nil {
+			if watch == nil {
+				watch = n.newEndpointWatch()
+			}
+			if err := n.readEndpoints(ctx, watch, start, failed); err != nil {
 				failed++
 				sleep(ctx, discovery.RetryDelay(n.hasCompleteView(), failed))
 				continue
 			}
 			failed = 0
-			n.recordRefused(list.Refused)
-			n.applyStoreEndpoints(list.Endpoints, list.Revision, start)
 			attempt++
 			n.pollOwnReaders(attempt)
-			sleep(ctx, discovery.ReadInterval-time.Since(start))
+			sleep(ctx, discovery.MinReadInterval-time.Since(start))
 			continue
 		}
-		failed = 0
+		failed, watch = 0, nil
 		v := n.view.Load()
 		if v.freshness.List.IsZero() {
 			// Until the first list arrives, each tick also requests it from any node.
@@ -123,6 +123,29 @@
 	}
 }
 
+// newEndpointWatch returns a watch of the store's list that continues from the present view.
+func (n *Node) newEndpointWatch() *platform.EndpointWatch {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	return n.store.WatchEndpoints(n.list.InUse(), n.list.Revision())
+}
+
+// readEndpoints applies the next update of the store's list.
+func (n *Node) readEndpoints(ctx context.Context, watch *platform.EndpointWatch, start time.Time, failed int) error {
+	wait := time.Duration(0)
+	if failed == 0 {
+		wait = discovery.ReadInterval
+	}
+	u, err := watch.Next(ctx, discovery.ReadTimeout(n.hasCompleteView(), failed), wait)
+	n.recordStoreResult(callEndpoints, err)
+	if err != nil {
+		return err
+	}
+	n.recordRefused(u.Refused)
+	n.applyStoreEndpoints(u, discovery.AnswerAsOf(start, time.Now(), wait, u.Full || len(u.Endpoints)+len(u.Removed) > 0))
+	return nil
+}
+
 // shouldReadStore reports whether this node has to read the store.
 func (n *Node) shouldReadStore(now time.Time) bool {
 	freshness := n.view.Load().freshness
