core/place: a leader's choice looks at holders and a sample, not at all engines

Change: parts map to the endpoints that have them cached; in pools of more than 512 endpoints a choice compares holders, the home, and samples of the inputs' failure domain and of all.

--- a/internal/core/place/bench_test.go
+++ b/internal/core/place/bench_test.go
@@ -41,3 +41,37 @@
 		p.Finish(now, i, Result{OK: true, PendingTokens: tokens})
 	}
 }
+
+// BenchmarkChooseBySize measures the choice of a leader by the number of engines, each of which has
+// prompts cached that share their first part with a third of all others.
+func BenchmarkChooseBySize(b *testing.B) {
+	for _, engines := range []int{365, 3000, 6576, 13_000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			p, err := NewPool(LeastWork, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			var specs []Spec
+			for i := range engines {
+				specs = append(specs, Spec{Name: fmt.Sprintf("engine-%d", i), Domain: fmt.Sprintf("d%d", i%6), Slots: 16, CacheTokens: 424_392, CanCopy: true})
+			}
+			p.Update(specs)
+			const prompts = 1600
+			for k := range prompts {
+				p.RecordCached(specs[k*7919%engines].Name, []Part{{ID: uint64(k % 3), Tokens: 512}, {ID: uint64(100 + k), Tokens: 4870}})
+			}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				req := Request{Prefix: uint64(n%3 + 1), Exclude: None, Prompt: Prompt{Tokens: 12_000, InputDomain: "d2", InputBytes: 800_000, Parts: []Part{{ID: uint64(n % 3), Tokens: 512}, {ID: uint64(100 + n%prompts), Tokens: 4870}, {ID: uint64(1e6 + n), Tokens: 6000}}}}
+				req = p.WithCacheHits(now, req)
+				i, ok := p.Choose(now, req)
+				if !ok {
+					b.Fatal("no engine")
+				}
+				tokens := p.Start(now, i, req)
+				p.Finish(now, i, Result{OK: true, PendingTokens: tokens})
+			}
+		})
+	}
+}
--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -51,6 +51,8 @@
 	backoffUntil time.Time
 	// sends records the recent calls that this node itself decided to send there.
 	sends intake.Sends
+	// nameHash is the hash of the endpoint's name.
+	nameHash uint64
 	// removed is set once the endpoint is no longer in the configuration.
 	removed bool
 }
--- a/internal/core/place/leastwork.go
+++ b/internal/core/place/leastwork.go
@@ -1,6 +1,10 @@
 package place
 
 import (
+	"cmp"
+	"iter"
+	"maps"
+	"slices"
 	"time"
 
 	"gradetiller.example/internal/core/hash"
@@ -55,7 +59,7 @@
 		if p.endpoints[i].removed {
 			continue
 		}
-		if w := hash.Pair(prefix, hash.Of(p.endpoints[i].spec.Name)); home == None || w > highest {
+		if w := hash.Pair(prefix, p.endpoints[i].nameHash); home == None || w > highest {
 			home, highest = i, w
 		}
 	}
@@ -65,8 +69,10 @@
 // cacheHits holds how much of a prompt's shared parts each endpoint has cached. It is computed
 // once for each choice, so that a choice scans the endpoints' caches only once.
 type cacheHits struct {
-	// cached is the number of cached tokens at each endpoint, maxCached their maximum.
-	cached    []int
+	// dense is the number of cached tokens at each endpoint of a small pool, and sparse that at
+	// those endpoints of a large pool that were looked at. maxCached is their maximum.
+	dense     []int
+	sparse    map[int]int
 	maxCached int
 	// bestSource is the endpoint in each failure domain that has the most tokens
 	// cached and can serve copies; the entry of anyDomain is the best of all.
@@ -74,6 +80,23 @@
 	sharedTokens int
 }
 
+// at returns the number of cached tokens at an endpoint.
+func (h *cacheHits) at(i int) int {
+	if h.dense != nil {
+		return h.dense[i]
+	}
+	return h.sparse[i]
+}
+
+func (h *cacheHits) set(i, tokens int) {
+	h.maxCached = max(h.maxCached, tokens)
+	if h.dense != nil {
+		h.dense[i] = tokens
+		return
+	}
+	h.sparse[i] = tokens
+}
+
 // anyDomain stands for all failure domains together.
 const anyDomain = ""
 
@@ -90,22 +113,30 @@
 		return *req.hits
 	}
 	parts := req.Prompt.shared()
-	h := cacheHits{cached: make([]int, len(p.endpoints)), bestSource: make(map[string]int), sharedTokens: totalTokens(parts)}
+	h := cacheHits{bestSource: make(map[string]int), sharedTokens: totalTokens(parts)}
+	if len(p.endpoints) <= fullScanSize {
+		h.dense = make([]int, len(p.endpoints))
+	} else {
+		h.sparse = make(map[int]int)
+	}
 	if len(parts) == 0 {
 		return h
 	}
-	for i := range p.endpoints {
+	for _, i := range p.holdersOf(parts) {
 		e := &p.endpoints[i]
-		if e.removed || !req.allows(e) {
+		if h.at(i) > 0 || e.removed || !req.allows(e) {
 			continue
 		}
-		h.cached[i] = e.cache.prefixTokens(parts)
-		h.maxCached = max(h.maxCached, h.cached[i])
-		if h.cached[i] == 0 || !e.spec.CanCopy || e.health.state(now) != Healthy {
+		tokens := e.cache.prefixTokens(parts)
+		if tokens == 0 {
+			continue
+		}
+		h.set(i, tokens)
+		if !e.spec.CanCopy || e.health.state(now) != Healthy {
 			continue
 		}
 		for _, domain := range []string{e.spec.Domain, anyDomain} {
-			if best, ok := h.bestSource[domain]; !ok || h.cached[i] > h.cached[best] {
+			if best, ok := h.bestSource[domain]; !ok || h.at(i) > h.at(best) || h.at(i) == h.at(best) && i < best {
 				h.bestSource[domain] = i
 			}
 		}
@@ -113,6 +144,22 @@
 	return h
 }
 
+// holdersOf returns the endpoints that may have the beginning of a prompt cached. A part is usable only
+// after those before it, so that these are the holders of the first one. If they are many, the result
+// is some holders of each part, those of the last parts first: they have the most of the prompt.
+func (p *Pool) holdersOf(parts []Part) []int {
+	first := p.holders[parts[0].ID]
+	if len(first) <= fullScanSize {
+		return first
+	}
+	var list []int
+	for k := len(parts) - 1; k >= 0 && len(list) < maxHolders; k-- {
+		holders := p.holders[parts[k].ID]
+		list = append(list, holders[:min(len(holders), maxHolders-len(list))]...)
+	}
+	return list
+}
+
 // copyPlan describes the beginning of a prompt that an endpoint copies from another one.
 type copyPlan struct {
 	// source is None if nothing is copied.
@@ -132,18 +179,18 @@
 	if !e.spec.CanCopy {
 		return best
 	}
-	lowest := recomputeWeight * float64(h.maxCached-h.cached[i])
+	lowest := recomputeWeight * float64(h.maxCached-h.at(i))
 	for _, domain := range []string{e.spec.Domain, anyDomain} {
 		source, ok := h.bestSource[domain]
-		if !ok || h.cached[source]-h.cached[i] < minCopyTokens {
+		if !ok || h.at(source)-h.at(i) < minCopyTokens {
 			continue
 		}
-		c := copyPlan{source: source, tokens: h.cached[source] - h.cached[i], timeRatio: copyTimeRatio, tokenWeight: copyWeight}
+		c := copyPlan{source: source, tokens: h.at(source) - h.at(i), timeRatio: copyTimeRatio, tokenWeight: copyWeight}
 		if p.endpoints[source].spec.Domain != e.spec.Domain {
 			c.timeRatio *= crossDomainCopyFactor
 			c.tokenWeight *= crossDomainCopyFactor
 		}
-		cost := c.tokenWeight*float64(c.tokens) + recomputeWeight*float64(h.maxCached-h.cached[source])
+		cost := c.tokenWeight*float64(c.tokens) + recomputeWeight*float64(h.maxCached-h.at(source))
 		if cost < lowest {
 			best, lowest = c, cost
 		}
@@ -163,7 +210,7 @@
 func (p *Pool) prefillTokens(now time.Time, i int, req Request) int {
 	h := p.findCacheHits(now, req)
 	c := h.planCopy(p, i)
-	left := req.Prompt.Tokens - h.cached[i] - c.tokens
+	left := req.Prompt.Tokens - h.at(i) - c.tokens
 	return max(left, 0) + int(c.timeRatio*float64(c.tokens))
 }
 
@@ -191,7 +238,7 @@
 		home = p.rendezvousHome(req.Prefix)
 	}
 	chosen, lowest := None, 0.0
-	for i := range p.endpoints {
+	for i := range p.candidates(req, &h, home) {
 		if !p.usable(now, i, req) {
 			continue
 		}
@@ -203,9 +250,68 @@
 			chosen, lowest = i, score
 		}
 	}
+	if chosen == None && len(p.endpoints) > fullScanSize {
+		return p.firstUsable(now, p.rand.IntN(len(p.endpoints)), req)
+	}
 	return chosen
 }
 
+const (
+	// fullScanSize is the size of a pool up to which leastWork compares all endpoints.
+	fullScanSize = 512
+	// A choice in a larger pool compares maxHolders endpoints that have the beginning of the prompt
+	// cached, localSample in the failure domain of its inputs and randomSample of all: in a pool
+	// with room, some of these are idle.
+	maxHolders   = 64
+	localSample  = 24
+	randomSample = 24
+)
+
+// candidates yields the endpoints that leastWork compares.
+func (p *Pool) candidates(req Request, h *cacheHits, home int) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		if len(p.endpoints) <= fullScanSize {
+			for i := range p.endpoints {
+				if !yield(i) {
+					return
+				}
+			}
+			return
+		}
+		local := p.byDomain[req.Prompt.InputDomain]
+		for _, list := range [][]int{p.topHolders(h), {home}, p.sample(local, localSample)} {
+			for _, i := range list {
+				if i != None && !yield(i) {
+					return
+				}
+			}
+		}
+		for range randomSample {
+			if !yield(p.rand.IntN(len(p.endpoints))) {
+				return
+			}
+		}
+	}
+}
+
+// topHolders returns up to maxHolders endpoints, those with the most cached tokens first.
+func (p *Pool) topHolders(h *cacheHits) []int {
+	list := slices.Collect(maps.Keys(h.sparse))
+	slices.SortFunc(list, func(a, b int) int {
+		return cmp.Or(cmp.Compare(h.at(b), h.at(a)), cmp.Compare(p.endpoints[a].pendingTokens, p.endpoints[b].pendingTokens), cmp.Compare(a, b))
+	})
+	return list[:min(len(list), maxHolders)]
+}
+
+// sample returns up to n elements of a list, from a random position on.
+func (p *Pool) sample(list []int, n int) []int {
+	if len(list) <= n {
+		return list
+	}
+	start := p.rand.IntN(len(list))
+	return append(slices.Clone(list[start:min(start+n, len(list))]), list[:max(start+n-len(list), 0)]...)
+}
+
 func totalTokens(parts []Part) int {
 	sum := 0
 	for _, part := range parts {
@@ -219,7 +325,7 @@
 	e := &p.endpoints[i]
 	c := h.planCopy(p, i)
 	score := float64(e.pendingTokens) + c.tokenWeight*float64(c.tokens)
-	score += recomputeWeight * float64(h.maxCached-h.cached[i]-c.tokens)
+	score += recomputeWeight * float64(h.maxCached-h.at(i)-c.tokens)
 	if req.Prompt.InputDomain != "" && e.spec.Domain != req.Prompt.InputDomain {
 		score += crossDomainTokensPerMB * float64(req.Prompt.InputBytes) / megabyte
 	}
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"gradetiller.example/internal/core/hash"
 )
 
 // None stands for no endpoint.
@@ -76,6 +78,10 @@
 	// removed lists.
 	indexes map[string]int
 	removed []int
+	// holders finds the endpoints that have a part of a prompt cached, and byDomain lists the
+	// indexes of the endpoints of each failure domain.
+	holders  holderIndex
+	byDomain map[string][]int
 }
 
 // SetPolicy switches to the named policy and keeps the state of the endpoints.
@@ -91,7 +97,7 @@
 // NewPool returns an empty pool with the named policy. The seed drives the
 // sampling of endpoints.
 func NewPool(policyName string, seed uint64) (*Pool, error) {
-	p := &Pool{rand: rand.New(rand.NewPCG(seed, seed)), prefixes: newPrefixTable(), prefill: NewPrefillModel(), indexes: make(map[string]int)}
+	p := &Pool{rand: rand.New(rand.NewPCG(seed, seed)), prefixes: newPrefixTable(), prefill: NewPrefillModel(), indexes: make(map[string]int), holders: make(holderIndex), byDomain: make(map[string][]int)}
 	return p, p.SetPolicy(policyName)
 }
 
@@ -138,25 +144,40 @@
 	} else {
 		p.countRateLimit(e.spec, -1)
 	}
+	if s.Domain != e.spec.Domain {
+		p.removeFromDomain(e.spec.Domain, i)
+		p.byDomain[s.Domain] = append(p.byDomain[s.Domain], i)
+	}
 	e.spec = s
 	e.cache.resize(s.CacheTokens)
 }
 
+func (p *Pool) removeFromDomain(domain string, i int) {
+	p.byDomain[domain] = slices.DeleteFunc(p.byDomain[domain], func(k int) bool { return k == i })
+}
+
 // add adds an endpoint at the index of a removed one without calls, or at a new one.
 func (p *Pool) add(s Spec) {
-	added := Endpoint{spec: s, cache: newPromptCache(s.CacheTokens)}
-	for k, i := range p.removed {
-		if p.endpoints[i].outstanding == 0 {
-			p.removed = slices.Delete(p.removed, k, k+1)
-			p.prefixes.removeEndpoint(i)
-			delete(p.indexes, p.endpoints[i].spec.Name)
-			p.endpoints[i] = added
-			p.indexes[s.Name] = i
-			return
-		}
+	i := len(p.endpoints)
+	if k := slices.IndexFunc(p.removed, func(i int) bool { return p.endpoints[i].outstanding == 0 }); k >= 0 {
+		i = p.removed[k]
+		p.removed = slices.Delete(p.removed, k, k+1)
+		p.forget(i)
+	} else {
+		p.endpoints = append(p.endpoints, Endpoint{})
 	}
-	p.endpoints = append(p.endpoints, added)
-	p.indexes[s.Name] = len(p.endpoints) - 1
+	p.endpoints[i] = Endpoint{spec: s, nameHash: hash.Of(s.Name), cache: newPromptCache(s.CacheTokens, p.holders, i)}
+	p.indexes[s.Name] = i
+	p.byDomain[s.Domain] = append(p.byDomain[s.Domain], i)
+}
+
+// forget drops what is kept of a removed endpoint outside of its entry.
+func (p *Pool) forget(i int) {
+	e := &p.endpoints[i]
+	p.prefixes.removeEndpoint(i)
+	e.cache.clear()
+	delete(p.indexes, e.spec.Name)
+	p.removeFromDomain(e.spec.Domain, i)
 }
 
 func (p *Pool) remove(name string) {
--- a/internal/core/place/promptcache.go
+++ b/internal/core/place/promptcache.go
@@ -1,6 +1,10 @@
 package place
 
-import "github.com/hashicorp/golang-lru/v2/simplelru"
+import (
+	"slices"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
 
 // Part is a contiguous section of a prompt that is cached as a unit.
 type Part struct {
@@ -19,15 +23,37 @@
 	parts     *simplelru.LRU[uint64, int]
 	tokens    int
 	maxTokens int
+	// index records in the pool which endpoints have a part cached, and endpoint is the index of
+	// this one.
+	index    holderIndex
+	endpoint int
+}
+
+// holderIndex maps parts to the endpoints that are believed to have them cached.
+type holderIndex map[uint64][]int
+
+func (h holderIndex) add(part uint64, endpoint int) { h[part] = append(h[part], endpoint) }
+
+func (h holderIndex) remove(part uint64, endpoint int) {
+	list := h[part]
+	if k := slices.Index(list, endpoint); k >= 0 {
+		list[k] = list[len(list)-1]
+		list = list[:len(list)-1]
+	}
+	if len(list) == 0 {
+		delete(h, part)
+		return
+	}
+	h[part] = list
 }
 
-// newPromptCache returns an empty cache with a capacity of maxTokens. Without
+// newPromptCache returns an empty cache of an endpoint with a capacity of maxTokens. Without
 // capacity it returns nil, which is a valid cache that is always empty.
-func newPromptCache(maxTokens int) *promptCache {
+func newPromptCache(maxTokens int, index holderIndex, endpoint int) *promptCache {
 	if maxTokens <= 0 {
 		return nil
 	}
-	return &promptCache{maxTokens: maxTokens}
+	return &promptCache{maxTokens: maxTokens, index: index, endpoint: endpoint}
 }
 
 // allocate allocates the list of parts, which most endpoints of a large service never need.
@@ -35,7 +61,10 @@
 	if c.parts != nil {
 		return
 	}
-	parts, err := simplelru.NewLRU(maxCachedParts, func(_ uint64, tokens int) { c.tokens -= tokens })
+	parts, err := simplelru.NewLRU(maxCachedParts, func(part uint64, tokens int) {
+		c.tokens -= tokens
+		c.index.remove(part, c.endpoint)
+	})
 	if err != nil {
 		// NewLRU fails only if the size is not positive.
 		panic(err)
@@ -85,6 +114,7 @@
 		}
 		c.parts.Add(part.ID, part.Tokens)
 		c.tokens += part.Tokens
+		c.index.add(part.ID, c.endpoint)
 	}
 	c.evict()
 }
--- a/internal/core/place/promptcache_test.go
+++ b/internal/core/place/promptcache_test.go
@@ -13,7 +13,7 @@
 // added.
 func TestCacheStaysWithinCapacity(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newPromptCache(rapid.IntRange(1, 2000).Draw(t, "memory"))
+		c := newPromptCache(rapid.IntRange(1, 2000).Draw(t, "memory"), make(holderIndex), 0)
 		c.allocate()
 		for range rapid.IntRange(1, 60).Draw(t, "prompts") {
 			var parts []Part
@@ -42,7 +42,7 @@
 // TestPartNeedsItsPredecessors checks that a cached part does not count as a hit
 // if a part before it is not cached.
 func TestPartNeedsItsPredecessors(t *testing.T) {
-	c := newPromptCache(1000)
+	c := newPromptCache(1000, make(holderIndex), 0)
 	c.add([]Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}})
 	for _, check := range []struct {
 		parts []Part
