node, wire: send the endpoint list compressed, apply one at a time, and log it as one line

Change: the list is compressed once per revision for all peers and decoded endpoint by endpoint; a node without a list asks again after 1 s unless the answer says that there is none; more than 500 changes at once are one log line.

--- a/internal/core/discovery/list.go
+++ b/internal/core/discovery/list.go
@@ -321,6 +321,18 @@
 	}
 }
 
+// NeedsFull reports whether a list at the given revision can be brought up to date only by the full
+// list.
+func (l *List) NeedsFull(revision catalog.Revision) bool {
+	return revision < l.deltaFloor || revision == 0
+}
+
+// Version returns the present revision and the digest of all endpoints, and false if this list is
+// known to differ from the store's.
+func (l *List) Version() (revision catalog.Revision, digest uint64, ok bool) {
+	return l.revision, l.digest, !l.diverged
+}
+
 // ChangesSince returns the changes since a revision, or an empty Delta if this list is
 // known to differ from the store's.
 func (l *List) ChangesSince(revision catalog.Revision) Delta {
@@ -328,7 +340,7 @@
 		return Delta{}
 	}
 	d := Delta{Revision: l.revision, Digest: l.digest}
-	if revision < l.deltaFloor || revision == 0 {
+	if l.NeedsFull(revision) {
 		d.Full = true
 		d.Changed = l.listed()
 		return d
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -180,12 +180,15 @@
 		}
 		return c.endpoint.ID
 	}
+	n.leaders.get(0)
 	if got := chosen(n.pools) + chosen(n.leaders.modelPools); got != "" {
 		t.Errorf("endpoint %s is used before evacuations are known", got)
 	}
 	n.updateEvacuations(sourceStore, func(now time.Time, present discovery.Evacuations) discovery.Evacuations {
 		return present.Replace(now, 5, []string{platformtest.DefaultZone})
 	})
+	// Only a node that leads a cell has pools for the requests of others.
+	n.leaders.get(0)
 	if own, placed := chosen(n.pools), chosen(n.leaders.modelPools); own != "b" || placed != "b" {
 		t.Errorf("endpoints %q and %q are used, want b only", own, placed)
 	}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -62,6 +62,8 @@
 	eventConfigurationRefused = "configuration refused"
 	// An endpoint was added to the list, or its draining state changed, or it became cold.
 	eventEndpointListed = "endpoint listed"
+	// So many endpoints changed at once that one line stands for all of them.
+	eventEndpointsReplaced = "endpoints replaced"
 	// An endpoint was removed from the list.
 	eventEndpointRemoved = "endpoint gone"
 	// An entry of the endpoint list is invalid and names no endpoint to use.
--- a/internal/node/fleet_bench_test.go
+++ b/internal/node/fleet_bench_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"runtime"
 	"testing"
@@ -145,3 +146,31 @@
 		})
 	}
 }
+
+// BenchmarkFleetListReceived measures the bytes of the whole list that a node receives when it
+// starts, and what it allocates to apply them.
+func BenchmarkFleetListReceived(b *testing.B) {
+	for _, f := range fleets {
+		b.Run(f.String(), func(b *testing.B) {
+			reader := newFleetNode(f)
+			var frame []byte
+			reader.handleViewRequest(&wire.ViewRequest{AcceptsPacked: true, AcceptsPackedWorkers: true}, func(m wire.Message) (err error) {
+				frame, err = wire.Append(nil, m)
+				return err
+			})
+			b.ReportAllocs()
+			for b.Loop() {
+				n := New(platform.Settings{Node: "a", HeartbeatInterval: 2 * time.Second, StoreAddress: "127.0.0.1:1"})
+				m, err := wire.Read(bytes.NewReader(frame))
+				if err != nil {
+					b.Fatal(err)
+				}
+				n.applyView(m.(*wire.View))
+				if got := n.view.Load().endpoints.Len(); got != f.endpoints {
+					b.Fatalf("%d endpoints applied, want %d", got, f.endpoints)
+				}
+			}
+			b.ReportMetric(float64(len(frame))/1e6, "MB/list")
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,10 @@
 	view        atomic.Pointer[view]
 	list        *discovery.List
 	directReads discovery.DirectReads
+	// packedList is the last full list that was sent to a peer. It is guarded by viewMu.
+	packedList *packedList
+	// fullListMu is held while a full list from a peer is applied.
+	fullListMu sync.Mutex
 	// refusedEntries is used only by the goroutine that reads the endpoint list.
 	refusedEntries refusedEntries
 	// loggedEvacuationFaults holds the faults of evacuation rows that were logged already. It
@@ -109,7 +113,9 @@
 	// tick.
 	viewRequestedAt time.Time
 	joinSentAt      time.Time
-	viewRequests    int
+	// askedInVain reports whether a peer answered since viewRequestedAt that it has no list.
+	askedInVain  atomic.Bool
+	viewRequests int
 	// stagePacesAt is when the paces of canaries were last refreshed. It is used only by tick.
 	stagePacesAt time.Time
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -20,6 +20,9 @@
 	// peerIdleTimeout closes incoming connections that deliver no message for this time.
 	peerIdleTimeout        = 40 * time.Second
 	minViewRequestInterval = 300 * time.Millisecond
+	// minListRequestInterval applies to a node without a list of endpoints. The answer may take a
+	// second on a small link, and a node that asks several others is sent the list several times.
+	minListRequestInterval = time.Second
 	// minSuspectPeriod is how long a node that did not respond is excluded from leading at
 	// first. Each further time in a row doubles the period, up to maxSuspectPeriod.
 	minSuspectPeriod = 2 * time.Second
@@ -176,7 +179,11 @@
 	v := n.view.Load()
 	version := v.version()
 	overdue := n.ranking.Load().Overdue(now, v.freshness)
-	if ahead == "" && !overdue && version > 0 || now.Sub(n.viewRequestedAt) < minViewRequestInterval {
+	interval := minViewRequestInterval
+	if v.freshness.List.IsZero() && !n.askedInVain.Load() {
+		interval = minListRequestInterval
+	}
+	if ahead == "" && !overdue && version > 0 || now.Sub(n.viewRequestedAt) < interval {
 		return
 	}
 	if ahead == "" {
@@ -186,7 +193,8 @@
 		return
 	}
 	n.viewRequestedAt = now
-	n.links.Send(ahead, wire.ViewRequest{ConfigAbove: version, EndpointsAbove: uint64(v.revision), AcceptsPacked: true})
+	n.askedInVain.Store(false)
+	n.links.Send(ahead, wire.ViewRequest{ConfigAbove: version, EndpointsAbove: uint64(v.revision), AcceptsPacked: true, AcceptsPackedWorkers: true})
 }
 
 // viewSource returns the peer address of a node that may have newer data than the view: a
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -181,10 +181,17 @@
 	n.members.SetListRevision(uint64(revision), urgent)
 }
 
+// maxLoggedEndpoints is the number of endpoints up to which each change is a log line of its own.
+const maxLoggedEndpoints = 500
+
 // logEndpoints logs the endpoints that were added, changed or removed. The age of the list
 // before the update is in milliseconds.
 func (n *Node) logEndpoints(source string, listAge int64, before, after catalog.Endpoints) {
 	set, removed := cowmap.Diff(before, after)
+	if len(set)+len(removed) > maxLoggedEndpoints {
+		n.log.Info(eventEndpointsReplaced, zap.Int("endpoints", after.Len()), zap.Int("set", len(set)), zap.Int("removed", len(removed)), zap.String("source", source), zap.Int64("list_age_ms", listAge))
+		return
+	}
 	for _, e := range set {
 		old, ok := before.Get(e.ID)
 		if !ok || old.Draining != e.Draining || old.ColdRemaining == 0 && e.ColdRemaining > 0 {
@@ -216,12 +223,54 @@
 	n.leaders.update(time.Now(), v, ratesChanged)
 }
 
+// packedList is a full list of endpoints as sent to peers.
+type packedList struct {
+	delta discovery.Delta
+	data  []byte
+}
+
+// packedListFor returns the compressed list if a peer with a list at the given revision needs all of
+// it. The list is compressed once for all peers. The caller must hold viewMu.
+func (n *Node) packedListFor(revision catalog.Revision) (*packedList, bool) {
+	current, digest, ok := n.list.Version()
+	if !ok || !n.list.NeedsFull(revision) {
+		return nil, false
+	}
+	if known := n.packedList; known != nil && known.delta.Revision == current && known.delta.Digest == digest {
+		return known, true
+	}
+	delta := n.list.ChangesSince(0)
+	list := make([]wire.Worker, len(delta.Changed))
+	for i, e := range delta.Changed {
+		list[i] = wire.Worker(e)
+	}
+	data, err := wire.PackWorkers(list)
+	if err != nil {
+		n.log.Error(eventUnexpectedMessage, zap.Error(err))
+		return nil, false
+	}
+	delta.Changed = nil
+	n.packedList = &packedList{delta: delta, data: data}
+	return n.packedList, true
+}
+
+// deltaFor returns the changes of the endpoint list that a peer lacks, and the compressed list in
+// place of its endpoints if the peer needs and accepts it.
+func (n *Node) deltaFor(m *wire.ViewRequest) (discovery.Delta, []byte) {
+	n.viewMu.Lock()
+	defer n.viewMu.Unlock()
+	if m.AcceptsPackedWorkers {
+		if p, ok := n.packedListFor(catalog.Revision(m.EndpointsAbove)); ok {
+			return p.delta, p.data
+		}
+	}
+	return n.list.ChangesSince(catalog.Revision(m.EndpointsAbove)), nil
+}
+
 // handleViewRequest sends a peer the parts of the view that it lacks.
 func (n *Node) handleViewRequest(m *wire.ViewRequest, answer func(wire.Message) error) {
-	n.viewMu.Lock()
+	delta, packedWorkers := n.deltaFor(m)
 	v := n.view.Load()
-	delta := n.list.ChangesSince(catalog.Revision(m.EndpointsAbove))
-	n.viewMu.Unlock()
 	now := time.Now()
 	out := wire.View{
 		Revision: uint64(delta.Revision), Full: delta.Full, Removed: delta.Removed, Digest: delta.Digest,
@@ -229,6 +278,7 @@
 		CandidatesAge: age(now, v.freshness.Candidates),
 		Evacuated:     v.evacuations.Listed(), EvacuatedRevision: uint64(v.evacuations.Revision()),
 		Rollouts: n.rollouts.listed(now, v.rollouts), RolloutsRevision: uint64(v.rollouts.Revision()),
+		PackedWorkers: packedWorkers,
 	}
 	for _, e := range delta.Changed {
 		out.Changed = append(out.Changed, wire.Worker(e))
@@ -276,11 +326,18 @@
 		n.applyPeerRollouts(m)
 	}
 	if m.Revision == 0 {
+		n.askedInVain.Store(true)
 		return
 	}
-	delta := discovery.Delta{Revision: catalog.Revision(m.Revision), Full: m.Full, Removed: m.Removed, Digest: m.Digest}
-	for _, w := range m.Changed {
-		delta.Changed = append(delta.Changed, catalog.Endpoint(w))
+	// Full lists are applied one at a time, since a node that starts may be sent several.
+	if m.Full {
+		n.fullListMu.Lock()
+		defer n.fullListMu.Unlock()
+	}
+	delta, err := n.deltaOf(m)
+	if err != nil {
+		n.log.Error(eventUnexpectedMessage, zap.String("source", sourcePeer), zap.Error(err))
+		return
 	}
 	now := time.Now()
 	freshness := discovery.Freshness{List: timeOfAge(now, m.Age), Primaries: timeOfAge(now, m.PrimariesAge), Candidates: timeOfAge(now, m.CandidatesAge)}
@@ -292,6 +349,41 @@
 	n.updateEndpoints(sourcePeer, freshness, func() bool { return n.list.ApplyDelta(freshness.List, delta) })
 }
 
+// deltaOf returns the changes of the endpoint list in a peer's response. If the list is the present
+// one, its endpoints are not decoded.
+func (n *Node) deltaOf(m *wire.View) (discovery.Delta, error) {
+	delta := discovery.Delta{Revision: catalog.Revision(m.Revision), Full: m.Full, Removed: m.Removed, Digest: m.Digest}
+	if m.Full {
+		n.viewMu.Lock()
+		revision, digest, ok := n.list.Version()
+		n.viewMu.Unlock()
+		if ok && revision == delta.Revision && digest == delta.Digest {
+			delta.Full = false
+			return delta, nil
+		}
+	}
+	if m.PackedWorkers == nil {
+		delta.Changed = make([]catalog.Endpoint, len(m.Changed))
+		for i, w := range m.Changed {
+			delta.Changed[i] = catalog.Endpoint(w)
+		}
+		return delta, nil
+	}
+	r, err := wire.NewWorkerReader(m.PackedWorkers)
+	if err != nil {
+		return discovery.Delta{}, err
+	}
+	delta.Changed = make([]catalog.Endpoint, r.Len())
+	for i := range delta.Changed {
+		w, err := r.Next()
+		if err != nil {
+			return discovery.Delta{}, err
+		}
+		delta.Changed[i] = catalog.Endpoint(w)
+	}
+	return delta, nil
+}
+
 // applyPeerConfig applies a configuration that a peer sent.
 func (n *Node) applyPeerConfig(m *wire.View) {
 	data := m.Config
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -225,7 +225,7 @@
 	v := n.view.Load()
 	name := discovery.ReaderFor(readers, n.settings.Node, failed)
 	for _, e := range entriesOf(*n.entries.Load(), []string{name}) {
-		n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.version(), EndpointsAbove: uint64(v.revision), AcceptsPacked: true})
+		n.links.Send(e.PeerAddress, wire.ViewRequest{ConfigAbove: v.version(), EndpointsAbove: uint64(v.revision), AcceptsPacked: true, AcceptsPackedWorkers: true})
 	}
 }
 
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -131,6 +131,8 @@
 	// AcceptsPacked is true if the sender accepts a compressed configuration. Nodes of an earlier
 	// version do not.
 	AcceptsPacked bool
+	// AcceptsPackedWorkers is the same for a compressed list of endpoints.
+	AcceptsPackedWorkers bool
 }
 
 // Worker is an endpoint of the platform's list, with the fields of catalog.Endpoint.
@@ -179,6 +181,8 @@
 	// know them or is of an earlier version.
 	Rollouts         []Rollout
 	RolloutsRevision uint64
+	// PackedWorkers replaces Changed if Full is true and the receiver accepts it (PackWorkers).
+	PackedWorkers []byte
 }
 
 func (StagesSubmit) kind() kind    { return kindStagesSubmit }
