core/member: a start of all sends each record few times, and seeds aren't flooded

Cause: every node sent each record to all of its links, those of members that count it among their neighbors included; listings were bounded by number, not by length; and a node that knew no other greeted all seeds every 0.2 s. In simulated time 985 nodes sent 2.05 GB in 10 s, some were 10 s behind, and not all of them knew the large ones then. Change: records go to own neighbors only, that a small member is alive to the near ones and a third of the others; listings in one interval hold 1,000 members beyond the first; greetings of seeds double their interval, to one seed at a time (JoinAlone). TestStartCostPerMember holds it.

--- a/internal/core/discovery/list.go
+++ b/internal/core/discovery/list.go
@@ -123,6 +123,10 @@
 		}
 	}
 	l.inUse = l.inUse.With(set, removed)
+	if len(l.stale) > maxRecent {
+		// Clearing the map would keep its memory.
+		l.stale = make(map[string]struct{})
+	}
 	clear(l.stale)
 	return l.inUse
 }
@@ -201,6 +205,9 @@
 	}
 	l.observe(at, func() map[string]*catalog.Endpoint { return listed })
 	l.revision, l.diverged = revision, false
+	if len(l.endpoints) == 0 {
+		l.endpoints = make(map[string]knownEndpoint, len(listed))
+	}
 	changed := false
 	for _, e := range listed {
 		changed = l.upsert(at, e) || changed
@@ -261,8 +268,12 @@
 	return true
 }
 
-// recordRecent records that an endpoint changed at the present revision.
+// recordRecent records that an endpoint changed at the present revision. No delta begins before the
+// first list.
 func (l *List) recordRecent(id string) {
+	if l.revision == l.recentFloor {
+		return
+	}
 	if len(l.recent) >= maxRecent {
 		half := len(l.recent) / 2
 		l.recentFloor = l.recent[half-1].changed
@@ -301,8 +312,13 @@
 }
 
 func digestOf(e *catalog.Endpoint) uint64 {
-	text := e.ID + " " + e.Service + " " + e.Address + " " + e.Domain + " " + strconv.Itoa(e.Slots) + " " + strconv.FormatBool(e.Draining)
-	return hash.Of(text)
+	var buffer [256]byte
+	text := buffer[:0]
+	for _, field := range []string{e.ID, e.Service, e.Address, e.Domain} {
+		text = append(append(text, field...), ' ')
+	}
+	text = append(strconv.AppendInt(text, int64(e.Slots), 10), ' ')
+	return hash.OfBytes(strconv.AppendBool(text, e.Draining))
 }
 
 func (l *List) remove(at time.Time, id string) {
--- a/internal/core/hash/hash.go
+++ b/internal/core/hash/hash.go
@@ -21,6 +21,13 @@
 	return Mix(h.Sum64())
 }
 
+// OfBytes returns the hash of the same string as bytes.
+func OfBytes(data []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(data)
+	return Mix(h.Sum64())
+}
+
 // Pair combines two hashes into a weight for rendezvous hashing.
 func Pair(a, b uint64) uint64 { return Mix(a ^ b) }
 
--- a/internal/core/member/node.go
+++ b/internal/core/member/node.go
@@ -30,9 +30,11 @@
 type pacing struct {
 	// heartbeat is the interval between heartbeats on a link.
 	heartbeat time.Duration
-	// records and listings bound what is sent in one heartbeat interval to all links.
+	// records and listings bound what is sent in one heartbeat interval to all links, and listed
+	// the members in these listings, beyond a first one.
 	records  int
 	listings int
+	listed   int
 	// mismatches is the number of heartbeats with a different view after which the link is
 	// sent a listing, and listingInterval the shortest time between two listings.
 	mismatches      int
@@ -43,8 +45,8 @@
 // for startupPeriod after its start: after a loss of all power every member has to learn of
 // every other, and until then they do not agree on the leaders.
 var (
-	normalPacing  = pacing{heartbeat: HeartbeatInterval, records: 192, listings: 2, mismatches: 3, listingInterval: 5 * time.Second}
-	startupPacing = pacing{heartbeat: 200 * time.Millisecond, records: 1024, listings: 8, mismatches: 1, listingInterval: 400 * time.Millisecond}
+	normalPacing  = pacing{heartbeat: HeartbeatInterval, records: 192, listings: 2, listed: 1000, mismatches: 3, listingInterval: 5 * time.Second}
+	startupPacing = pacing{heartbeat: 200 * time.Millisecond, records: 1024, listings: 8, listed: 1000, mismatches: 1, listingInterval: 400 * time.Millisecond}
 )
 
 const startupPeriod = 4 * time.Second
@@ -80,7 +82,10 @@
 	started       time.Time // the first tick
 	nextHeartbeat time.Time
 	nextProbe     time.Time
-	pacing        pacing
+	// nextJoin is when the seeds are greeted again, and joins how often they were.
+	nextJoin time.Time
+	joins    int
+	pacing   pacing
 	// maxCapacity is the largest capacity of any member seen.
 	maxCapacity   int
 	recordBudget  int // records left in this heartbeat interval
@@ -102,8 +107,10 @@
 
 // link holds the state of the messages to a peer.
 type link struct {
-	address      string
-	neighbor     bool
+	address  string
+	neighbor bool
+	// near is true for the neighbors next to this node on the ring.
+	near         bool
 	lastReceived time.Time
 	sendSelf     bool // the own record is pending; it is sent at once
 	pending      recordQueue
--- a/internal/core/member/receive.go
+++ b/internal/core/member/receive.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/wire"
 )
@@ -182,13 +183,29 @@
 	r := n.records[name]
 	n.maxCapacity = max(n.maxCapacity, capacityOf(r.member))
 	urgent := n.isLarge(r.member)
+	// The failure or the end of a member reaches all others by every path. That a small one is alive
+	// takes fewer, which saves most of the messages when all members start.
+	all := urgent || r.member.State != wire.Alive
 	for to, l := range n.links {
-		if to != from {
+		// A member that counts this one among its neighbors, but is none of its own, has
+		// neighbors that send it the record.
+		if to == from || !l.neighbor && to != name {
+			continue
+		}
+		if all || to == name || l.near || n.forwards(name, to) {
 			l.pending.add(name, urgent)
 		}
 	}
 }
 
+// farShare is the part of the farther neighbors to which a record of a small member is sent.
+const farShare = 3
+
+// forwards reports whether a record is sent to a neighbor that is not near on the ring.
+func (n *Node) forwards(name, to string) bool {
+	return hash.Pair(hash.Of(name), hash.Pair(hash.Of(to), hash.Of(n.self.Node)))%farShare == 0
+}
+
 // capacityOf returns the processor share of the largest instance of a member.
 func capacityOf(m wire.Member) int {
 	largest := 0
--- a/internal/core/member/slow_test.go
+++ b/internal/core/member/slow_test.go
@@ -20,6 +20,8 @@
 	byName   map[string]*slowNode
 	queue    eventQueue
 	lossRate float64
+	// sentBytes counts the bytes of all messages.
+	sentBytes int
 }
 
 type slowNode struct {
@@ -102,9 +104,7 @@
 func (w *slowNetwork) tick(n *slowNode) {
 	w.compute(n, messageCost)
 	messages := n.Tick(w.now)
-	if n.LiveCount() < 2 {
-		messages = append(messages, n.Join()...)
-	}
+	messages = append(messages, n.JoinAlone(w.now)...)
 	w.send(n, messages)
 	w.schedule(w.now.Add(FlushInterval), func() { w.tick(n) })
 }
@@ -127,6 +127,7 @@
 		}
 		lost := to == nil || w.rand.Float64() < w.lossRate
 		bytes := len(frame) + frameOverhead
+		w.sentBytes += bytes
 		w.schedule(w.compute(from, messageCost), func() {
 			sent := w.transmit(from, &from.outFreeAt, bytes)
 			if lost {
@@ -222,3 +223,31 @@
 		}
 	}
 }
+
+// TestStartCostPerMember starts nodes at once and counts what they send until they know each other. It
+// guards against a start whose messages grow faster than each node's learning of each other, and
+// against nodes, above all the seeds, that fall behind.
+func TestStartCostPerMember(t *testing.T) {
+	// A record takes some 130 bytes, and reaches a node a few times.
+	const maxBytesPerRecord = 1000
+	for _, nodes := range []int{100, 295} {
+		w := newSlowNetwork(t, 1, nodes, 16)
+		behind := time.Duration(0)
+		w.runUntil(6*time.Second, func() bool {
+			known := true
+			for _, n := range w.nodes {
+				behind = max(behind, n.inFreeAt.Sub(w.now), n.outFreeAt.Sub(w.now), n.cpuFreeAt.Sub(w.now))
+				known = known && n.LiveCount() == nodes
+			}
+			return known
+		})
+		perRecord := w.sentBytes / (nodes * nodes)
+		t.Logf("%d nodes: %d bytes for each member that a node learned of, at most %v behind", nodes, perRecord, behind)
+		if perRecord > maxBytesPerRecord {
+			t.Errorf("%d nodes: %d bytes for each member that a node learned of, want at most %d", nodes, perRecord, maxBytesPerRecord)
+		}
+		if behind > 500*time.Millisecond {
+			t.Errorf("%d nodes: a node was %v behind", nodes, behind)
+		}
+	}
+}
--- a/internal/core/member/tick.go
+++ b/internal/core/member/tick.go
@@ -17,7 +17,7 @@
 		n.pacing = n.pacingAt(now)
 		n.nextHeartbeat = now.Add(n.pacing.heartbeat)
 		n.recordBudget = n.pacing.records
-		n.listingBudget = n.pacing.listings
+		n.listingBudget = max(min(n.pacing.listings, n.pacing.listed/(len(n.records)+1)), 1)
 	}
 	var messages []Message
 	for _, name := range n.linkNames() {
@@ -52,15 +52,19 @@
 	return names
 }
 
+// nearNeighbors is the number of neighbors next to a node on the ring, which neighbors returns first.
+const nearNeighbors = 2
+
 // updateLinks opens links to the ring neighbors, keeps those to members that recently sent
 // messages as neighbors, and drops all others.
 func (n *Node) updateLinks(now time.Time) {
 	wanted := n.neighbors()
-	for _, name := range wanted {
+	for k, name := range wanted {
 		l, ok := n.links[name]
 		if !ok {
 			l = n.addLink(name)
 		}
+		l.near = k < nearNeighbors
 		if !l.neighbor {
 			l.neighbor = true
 			n.records[name].lastHeard = now
@@ -70,7 +74,7 @@
 		if slices.Contains(wanted, name) {
 			continue
 		}
-		l.neighbor = false
+		l.neighbor, l.near = false, false
 		r, ok := n.records[name]
 		if !ok || isTerminal(r.member.State) || now.Sub(l.lastReceived) > inboundLinkTimeout {
 			delete(n.links, name)
@@ -156,6 +160,31 @@
 	return r.member, true
 }
 
+const (
+	// minJoinInterval and maxJoinInterval bound the time between two greetings of the seeds by a
+	// node that knows no other. It doubles with each: when a thousand nodes start at once, a seed
+	// needs seconds to answer them all, and further greetings would delay it more.
+	minJoinInterval = 200 * time.Millisecond
+	maxJoinInterval = 800 * time.Millisecond
+)
+
+// JoinAlone returns greetings to the seeds if this node knows no other and they are due: to all of
+// them first, and then to one at a time. After a power failure they may start later than this node.
+func (n *Node) JoinAlone(now time.Time) []Message {
+	if n.LiveCount() > 1 || now.Before(n.nextJoin) {
+		return nil
+	}
+	interval := min(minJoinInterval<<min(n.joins, 8), maxJoinInterval)
+	n.nextJoin = now.Add(interval + time.Duration(n.rand.Int64N(int64(interval/4))))
+	n.joins++
+	messages := n.Join()
+	if n.joins > 1 && len(messages) > 1 {
+		k := n.rand.IntN(len(messages))
+		return messages[k : k+1]
+	}
+	return messages
+}
+
 // Join returns greetings to all seeds. The caller sends them at its start, so that the node
 // knows the others before its first heartbeats.
 func (n *Node) Join() []Message {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,10 +109,9 @@
 	ratesChanged   atomic.Bool
 	// claimedCells has a bit set for each cell that this node claims to lead.
 	claimedCells atomic.Uint64
-	// viewRequestedAt, joinSentAt and viewRequests are used only by the goroutine that runs
+	// viewRequestedAt and viewRequests are used only by the goroutine that runs
 	// tick.
 	viewRequestedAt time.Time
-	joinSentAt      time.Time
 	// askedInVain reports whether a peer answered since viewRequestedAt that it has no list.
 	askedInVain  atomic.Bool
 	viewRequests int
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -60,10 +60,7 @@
 	}
 	n.members.SetSeeds(n.missingSeeds())
 	sends := n.members.Tick(now)
-	if n.knowsNoPeers() && now.Sub(n.joinSentAt) > joinInterval {
-		n.joinSentAt = now
-		sends = append(sends, n.members.Join()...)
-	}
+	sends = append(sends, n.members.JoinAlone(now)...)
 	ahead := n.peerAhead(now, n.view.Load())
 	entries, changed := n.changedEntries(now)
 	n.membersMu.Unlock()
@@ -337,9 +334,6 @@
 	// stablePeriod is how long the set of leader candidates must stay unchanged before a node
 	// that has just started considers it complete.
 	stablePeriod = 250 * time.Millisecond
-	// joinInterval is how often a node that knows no other sends join messages to its seeds.
-	// After a power failure they may start later than this node.
-	joinInterval = 200 * time.Millisecond
 )
 
 // knowsNoPeers reports whether this node knows no other node.
