peer, node: connections take memory for what is queued; bodies are bounded by a budget

Change: queues grow with what is in them, answers are sent by a goroutine that runs only while there are any, idle connections close after 8 s; listings and rankings no longer copy all members; the memory that decoding a large list took is returned.

--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -45,6 +45,27 @@
 	return large, small
 }
 
+// SplitNames is like SplitBySize for those entries that keep returns true for, and returns only the
+// names of the nodes.
+func SplitNames(entries []wire.Entry, keep func(*wire.Entry) bool) (large, small []string) {
+	largest := 0
+	for i := range entries {
+		if keep(&entries[i]) {
+			largest = max(largest, entries[i].Capacity)
+		}
+	}
+	for i := range entries {
+		switch e := &entries[i]; {
+		case !keep(e):
+		case isLarge(*e, largest):
+			large = append(large, e.Node)
+		default:
+			small = append(small, e.Node)
+		}
+	}
+	return large, small
+}
+
 // Rank orders nodes by precedence as leader of a cell: large instances first, then
 // those that claim the cell, then by rendezvous hashing. A node that returns
 // therefore doesn't take its cell back from the current leader, since each change
@@ -93,10 +114,10 @@
 // CandidatesHash returns a hash of the set of nodes that may lead and read: the large
 // instances that are not leaving. Nodes that know the same set return the same hash.
 func CandidatesHash(entries []wire.Entry) uint64 {
-	large, _ := SplitBySize(entries)
+	largest := maxCapacity(entries)
 	set := uint64(0)
-	for _, e := range large {
-		if !e.Leaving {
+	for i := range entries {
+		if e := &entries[i]; isLarge(*e, largest) && !e.Leaving {
 			set ^= hash.Of(e.Node)
 		}
 	}
--- a/internal/core/member/receive.go
+++ b/internal/core/member/receive.go
@@ -239,16 +239,22 @@
 		}
 	}
 	var missing, small []string
-	for _, m := range n.Members() {
+	add := func(m *wire.Member) {
 		v, ok := theirs[m.Node]
 		switch {
-		case !ok && isTerminal(m.State) || ok && !newer(m, memberOf(v)):
-		case n.isLarge(m):
+		case !ok && isTerminal(m.State) || ok && !newer(*m, memberOf(v)):
+		case n.isLarge(*m):
 			missing = append(missing, m.Node)
 		default:
 			small = append(small, m.Node)
 		}
 	}
+	add(&n.self)
+	for _, r := range n.records {
+		add(&r.member)
+	}
+	slices.Sort(missing)
+	slices.Sort(small)
 	large := len(missing)
 	missing = append(missing, small...)
 	out := n.header()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -36,6 +37,12 @@
 	minAttemptTimeout    = 400 * time.Millisecond
 	// delivered is the outcome of requests whose response was forwarded completely.
 	delivered = "delivered"
+	// heldShare is the part of the instance's memory that the bodies of requests and responses may
+	// take. Each may exist twice for a moment, and the rest of the process needs some.
+	heldShare = 0.25
+	// clientStallTimeout is how long a client may leave a part of its response unread. Its
+	// endpoint ends the response after some seconds too.
+	clientStallTimeout = 5 * time.Second
 )
 
 // request is a client request in flight.
@@ -55,8 +62,10 @@
 	// regions are the regions that may serve the request.
 	regions catalog.Regions
 	// prefix is the key of the prompt prefix by which the request is placed.
-	prefix     uint64
-	source     *http.Request
+	prefix uint64
+	source *http.Request
+	// held is the number of bytes that are reserved for the request.
+	held       int64
 	sent       int
 	mayHaveRun bool
 	endpoint   string
@@ -78,6 +87,7 @@
 	q := &request{in: platform.ParseClientRequest(r), view: n.view.Load(), arrived: time.Now(), source: r}
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	defer func() { n.memory.Release(q.held) }()
 	if s := n.shutdown.Load(); s != nil {
 		q.afterStop = q.arrived.Sub(s.requestedAt)
 	}
@@ -179,9 +189,11 @@
 	}
 	reads := http.NewResponseController(w)
 	_ = reads.SetReadDeadline(q.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.source.Body, limit))
+	body, err := n.readHeld(q, http.MaxBytesReader(w, q.source.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemoryShort):
+		return http.StatusServiceUnavailable
 	case err == nil:
 		_ = reads.SetReadDeadline(time.Time{})
 		q.body = body
@@ -194,6 +206,48 @@
 	return http.StatusBadRequest
 }
 
+// errMemoryShort means that the bodies of other requests take all memory that bodies may take.
+var errMemoryShort = errors.New("no memory for the request's body")
+
+// bodyStep is the number of bytes of a body that are reserved at a time.
+const bodyStep = 32 << 10
+
+// readHeld reads a body whose bytes are reserved before they are read.
+func (n *Node) readHeld(q *request, from io.Reader) ([]byte, error) {
+	var body bytes.Buffer
+	if size := q.source.ContentLength; size > 0 {
+		if !n.memory.TryReserve(size) {
+			return nil, errMemoryShort
+		}
+		q.held += size
+		body.Grow(int(min(size, bodyStep)))
+		_, err := body.ReadFrom(from)
+		return body.Bytes(), err
+	}
+	for {
+		if !n.memory.TryReserve(bodyStep) {
+			return nil, errMemoryShort
+		}
+		q.held += bodyStep
+		switch _, err := io.CopyN(&body, from, bodyStep); {
+		case errors.Is(err, io.EOF):
+			return body.Bytes(), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// limitWrite bounds the time that the client may take to accept the next part of its response, or
+// removes the bound.
+func limitWrite(w http.ResponseWriter, bounded bool) {
+	at := time.Time{}
+	if bounded {
+		at = time.Now().Add(clientStallTimeout)
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(at)
+}
+
 // announceClose adds "Connection: close" to a response header that is not yet sent if this
 // node is shutting down, so that the client opens its next connection to another node.
 func (n *Node) announceClose(w http.ResponseWriter) {
@@ -384,6 +438,8 @@
 		n.log.Info(eventEndpointDeclined, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("status", a.Status))
 	}
 	body, err := io.ReadAll(a.Body)
+	n.memory.Reserve(int64(len(body)))
+	q.held += int64(len(body))
 	if err != nil {
 		n.log.Info(eventAnswerBroken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Error(err))
 		if event != attempt.Rejected {
@@ -450,7 +506,12 @@
 	platform.CopyResponseHeader(w, a.Header)
 	n.announceClose(w)
 	w.WriteHeader(a.Status)
+	limitWrite(w, true)
 	_, err := w.Write(body)
+	if err == nil {
+		err = http.NewResponseController(w).Flush()
+	}
+	limitWrite(w, false)
 	if err == nil && a.Status < http.StatusBadRequest {
 		n.recordServed(q)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/member"
+	"gradetiller.example/internal/core/membudget"
 	"gradetiller.example/internal/core/poison"
 	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/internal/logging"
@@ -53,6 +54,7 @@
 	verdictTimeouts verdictTimeouts
 	promptSizes     *promptSizes
 	durations       *durations
+	memory          *membudget.Budget
 	mixes           *mixes
 	rollouts        *rollouts
 	meters          *meters
@@ -179,7 +181,7 @@
 func New(s platform.Settings, options ...Option) *Node {
 	n := &Node{
 		settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(),
-		submissions: newSubmissions(), durations: newDurations(), mixes: newMixes(), rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
+		submissions: newSubmissions(), durations: newDurations(), memory: membudget.New(int64(heldShare * float64(s.MemoryBytes))), mixes: newMixes(), rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
 		verdictTimeouts: verdictTimeouts{first: verdictTimeout, afterReconnect: reconnectVerdictTimeout},
 		peerAddress:     s.PeerAddress,
 	}
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -363,6 +363,8 @@
 		s.lastEventID = id
 	}
 	s.events++
+	limitWrite(s.w, true)
+	defer limitWrite(s.w, false)
 	if _, err := s.w.Write(event); err != nil {
 		return fmt.Errorf("%w: %w", errClientGone, err)
 	}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -347,8 +348,16 @@
 		freshness.Config = timeOfAge(now, m.ConfigAge)
 	}
 	n.updateEndpoints(sourcePeer, freshness, func() bool { return n.list.ApplyDelta(freshness.List, delta) })
+	if len(delta.Changed) >= largeList {
+		// Decoding took several times the memory that the list keeps, which is not needed again.
+		debug.FreeOSMemory()
+	}
 }
 
+// largeList is the number of endpoints from which on the memory that a list took to decode is returned
+// to the system.
+const largeList = 2000
+
 // deltaOf returns the changes of the endpoint list in a peer's response. If the list is the present
 // one, its endpoints are not decoded.
 func (n *Node) deltaOf(m *wire.View) (discovery.Delta, error) {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -188,14 +188,8 @@
 }
 
 func (n *Node) rankReaders(entries []wire.Entry) discovery.Ranking {
-	var eligible []wire.Entry
-	for _, e := range entries {
-		if !e.Leaving || e.Node == n.settings.Node {
-			eligible = append(eligible, e)
-		}
-	}
-	large, small := lead.SplitBySize(eligible)
-	return discovery.Rank(nodeNames(large), nodeNames(small))
+	large, small := lead.SplitNames(entries, func(e *wire.Entry) bool { return !e.Leaving || e.Node == n.settings.Node })
+	return discovery.Rank(large, small)
 }
 
 func nodeNames(entries []wire.Entry) []string {
--- a/internal/peer/links.go
+++ b/internal/peer/links.go
@@ -13,8 +13,11 @@
 	// maxQueuedMessages bounds the messages that are queued for one peer. Further messages are
 	// dropped.
 	maxQueuedMessages = 1024
-	idleTimeout       = 30 * time.Second
-	redialDelay       = 300 * time.Millisecond
+	// idleTimeout is the time after which a connection that sends nothing is closed. Neighbors and
+	// readers are sent something every second. While all nodes start, each of them opens connections
+	// to many that it never sends to again.
+	idleTimeout = 8 * time.Second
+	redialDelay = 300 * time.Millisecond
 )
 
 // Links sends messages to other processes. Each process sends on connections that it opened
@@ -36,7 +39,7 @@
 
 type outgoing struct {
 	address string
-	queue   chan wire.Message
+	queue   *queue
 	opened  time.Time
 	// ctx is done when the connection is to be closed.
 	ctx    context.Context
@@ -66,17 +69,12 @@
 	}
 	o, ok := l.connections[address]
 	if !ok {
-		o = &outgoing{address: address, queue: make(chan wire.Message, maxQueuedMessages), opened: time.Now()}
+		o = &outgoing{address: address, queue: newQueue(maxQueuedMessages), opened: time.Now()}
 		o.ctx, o.cancel = context.WithCancel(l.ctx)
 		l.connections[address] = o
 		l.wg.Go(func() { l.run(o) })
 	}
-	select {
-	case o.queue <- m:
-		return true
-	default:
-		return false
-	}
+	return o.queue.push(m)
 }
 
 // CloseStale closes the connection to an address if it was opened before the given time, and
@@ -137,8 +135,8 @@
 		case <-ended:
 			l.reportLost(o, context.Canceled)
 			return
-		case m := <-o.queue:
-			if err := conn.Send(m); err != nil {
+		case <-o.queue.ready:
+			if err := o.sendQueued(conn); err != nil {
 				l.reportLost(o, err)
 				return
 			}
@@ -147,6 +145,16 @@
 	}
 }
 
+// sendQueued sends the queued messages.
+func (o *outgoing) sendQueued(conn *Conn) error {
+	for m, ok := o.queue.pop(); ok; m, ok = o.queue.pop() {
+		if err := conn.Send(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (l *Links) reportLost(o *outgoing, err error) {
 	if l.onLost != nil && o.ctx.Err() == nil {
 		l.onLost(o.address, err)
