--- a/internal/core/discovery/readers.go
+++ b/internal/core/discovery/readers.go
@@ -90,16 +90,19 @@
 )
 
 // ReadsAtStart reports whether a node that has no list yet reads the store, given the time
-// since its start. Reads are staggered: after all nodes were killed, full lists for all of
+// since its start, and whether it knows the nodes that come first in the ranking. Before, every
+// one of a thousand nodes that start together takes itself for a reader. Reads are staggered: after all nodes were killed, full lists for all of
 // them at once would overload the store, and while the store is unavailable too, all of
 // these calls would fail.
-func (r Ranking) ReadsAtStart(node string, sinceStart time.Duration) bool {
+func (r Ranking) ReadsAtStart(node string, sinceStart time.Duration, joined bool) bool {
 	offset := time.Duration(hash.Of(node) % uint64(startReadSpread))
 	switch {
 	case len(r.names) < 2:
 		return sinceStart >= startBackupDelay+offset
 	case sinceStart >= startFallbackDelay+offset:
 		return true
+	case !joined:
+		return false
 	case sinceStart >= startBackupDelay:
 		return slices.Contains(r.Readers(primaryStaleAge+sinceStart-startBackupDelay), node)
 	}
--- a/internal/core/discovery/readers_test.go
+++ b/internal/core/discovery/readers_test.go
@@ -84,7 +84,7 @@
 	for at := time.Duration(0); at <= 7*time.Second; at += 100 * time.Millisecond {
 		reading := 0
 		for _, n := range nodes {
-			if r.ReadsAtStart(n, at) {
+			if r.ReadsAtStart(n, at, true) {
 				reading++
 			}
 		}
@@ -180,7 +180,7 @@
 		reading := 0
 		for i := range nodes {
 			name := fmt.Sprintf("node-%d", i)
-			if Rank([]string{name}, nil).ReadsAtStart(name, at) {
+			if Rank([]string{name}, nil).ReadsAtStart(name, at, true) {
 				reading++
 			}
 		}
@@ -192,7 +192,39 @@
 	if before != nodes {
 		t.Errorf("%d of %d nodes read in the end", before, nodes)
 	}
-	if pair := Rank([]string{"a", "b"}, nil); pair.ReadsAtStart("a", 0) || !pair.ReadsAtStart("a", 300*time.Millisecond) {
+	if pair := Rank([]string{"a", "b"}, nil); pair.ReadsAtStart("a", 0, true) || !pair.ReadsAtStart("a", 300*time.Millisecond, true) {
 		t.Error("a reader must read after the greeting period and not before")
 	}
 }
+
+// TestReadersDoNotFollowNodes guards against calls to the store that grow with the system: from some
+// hundred nodes on, as many read it whatever their number.
+func TestReadersDoNotFollowNodes(t *testing.T) {
+	for _, c := range []struct{ nodes, readers int }{{7, 7}, {100, 4}, {295, 6}, {400, 8}, {985, 8}, {2000, 8}} {
+		names := make([]string, c.nodes)
+		for i := range names {
+			names[i] = fmt.Sprint("n", i)
+		}
+		r := Rank(names, nil)
+		if got := len(r.Readers(0)); got != c.readers {
+			t.Errorf("%d of %d nodes read the store, want %d", got, c.nodes, c.readers)
+		}
+		if got := len(r.Readers(time.Hour)); got > c.readers<<maxDoublings {
+			t.Errorf("%d of %d nodes read the store while no reader does, want at most %d", got, c.nodes, c.readers<<maxDoublings)
+		}
+	}
+}
+
+// TestStartingNodeWaitsForRanking guards against nodes that start together and each take themselves for
+// a reader, because they know few others yet. A node that does not learn of the others reads at last.
+func TestStartingNodeWaitsForRanking(t *testing.T) {
+	r := Rank([]string{"a", "b", "c"}, nil)
+	for _, at := range []time.Duration{0, greetingPeriod, startBackupDelay, startFallbackDelay} {
+		if r.ReadsAtStart("a", at, false) {
+			t.Errorf("a node that does not know the others reads the store after %v", at)
+		}
+	}
+	if !r.ReadsAtStart("a", startFallbackDelay+startReadSpread, false) {
+		t.Error("a node that does not learn of the others never reads the store")
+	}
+}
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -27,6 +27,16 @@
 // CellBit returns the bit of wire.Entry.Leads for a cell.
 func CellBit(cell int) uint64 { return 1 << (cell % maxCells) }
 
+// CellOf returns the cell of a request: prompts with the same prefix go to the same cell, so that one
+// leader knows which endpoint has the prefix cached. Requests without a prefix are spread by their ID.
+func CellOf(prefix uint64, requestID string, cells int) int {
+	key := hash.Mix(prefix)
+	if prefix == 0 {
+		key = hash.Of(requestID)
+	}
+	return int(key % uint64(max(cells, 1)))
+}
+
 // largeShare is the minimum capacity of a large instance, as a share of the largest
 // capacity.
 const largeShare = 0.5
--- a/internal/core/lead/lead_test.go
+++ b/internal/core/lead/lead_test.go
@@ -109,3 +109,29 @@
 		}
 	})
 }
+
+// TestPromptsOfOnePrefixShareLeader guards against prompts of one prefix that are placed by several
+// leaders, none of which knows where the others placed them, so that engines prefill the prefix again.
+// Many prefixes, and requests without one, are spread over all cells.
+func TestPromptsOfOnePrefixShareLeader(t *testing.T) {
+	const cells, requests = 21, 4200
+	byPrefix, byID := make([]int, cells), make([]int, cells)
+	for k := range requests {
+		prefix := uint64(k%1613 + 1)
+		if first, second := CellOf(prefix, "a", cells), CellOf(prefix, "b", cells); first != second {
+			t.Errorf("prefix %d is led by cells %d and %d", prefix, first, second)
+		}
+		byPrefix[CellOf(prefix, fmt.Sprint("r", k), cells)]++
+		byID[CellOf(0, fmt.Sprint("r", k), cells)]++
+	}
+	for cell := range cells {
+		for _, got := range []int{byPrefix[cell], byID[cell]} {
+			if mean := requests / cells; got < mean/2 || got > mean*3/2 {
+				t.Errorf("cell %d leads %d requests, want about %d", cell, got, mean)
+			}
+		}
+	}
+	if got := CellOf(7, "a", 0); got != 0 {
+		t.Errorf("cell %d without cells, want 0", got)
+	}
+}
--- a/internal/node/readers_test.go
+++ b/internal/node/readers_test.go
@@ -81,6 +81,7 @@
 	s.Node = firstStandInName(others)
 	n := New(s)
 	n.setEntries(append(entries, n.entry(false)))
+	n.hasJoined.Store(true)
 	start := time.Now()
 	n.applyStoreEndpoints(platform.EndpointUpdate{Full: true, Revision: 1}, start)
 	at := start.Add(3 * time.Second)
--- a/internal/node/stagerollouts.go
+++ b/internal/node/stagerollouts.go
@@ -100,3 +100,21 @@
 	defer l.ratesMu.Unlock()
 	return l.callRates[service]
 }
+
+// stagePaceInterval is how often the paces of canaries of stage services follow the rate of calls.
+const stagePaceInterval = 2 * time.Second
+
+// refreshStagePaces updates the pools if the paces of canaries are due.
+func (n *Node) refreshStagePaces(now time.Time) {
+	v := n.view.Load()
+	if now.Sub(n.stagePacesAt) < stagePaceInterval || v.config == nil {
+		return
+	}
+	n.stagePacesAt = now
+	for _, o := range v.rollouts.List() {
+		if v.config.Services[o.Service].Batching != nil && n.rollouts.stage(now, o.Service).Phase == rollout.Canary {
+			n.updatePools()
+			return
+		}
+	}
+}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"gradetiller.example/internal/core/hash"
+	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/wire"
 )
 
@@ -59,7 +59,7 @@
 // runStages runs the stages of a request through the leader of their cell. The error is a
 // *refusal if the request was not accepted, or the error of the context.
 func (n *Node) runStages(ctx context.Context, w stageWork) (stageResults, error) {
-	w.submit.Cell = int(hash.Of(w.submit.RequestID) % uint64(n.view.Load().cellCount()))
+	w.submit.Cell = lead.CellOf(w.submit.Prefix, w.submit.RequestID, n.view.Load().cellCount())
 	n.awaitJoined(ctx)
 	var lastErr error
 	reconnected := ""
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -150,7 +150,7 @@
 func (n *Node) shouldReadStore(now time.Time) bool {
 	freshness := n.view.Load().freshness
 	if freshness.List.IsZero() || !n.view.Load().evacuations.Known() {
-		return len(n.settings.Seeds) == 0 || n.ranking.Load().ReadsAtStart(n.settings.Node, now.Sub(n.started))
+		return len(n.settings.Seeds) == 0 || n.ranking.Load().ReadsAtStart(n.settings.Node, now.Sub(n.started), n.joined())
 	}
 	return n.ranking.Load().Reads(n.settings.Node, now, freshness)
 }
