--- a/internal/node/fleet_bench_test.go
+++ b/internal/node/fleet_bench_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,7 +56,7 @@
 		list[i] = catalog.Endpoint{
 			ID: fmt.Sprintf("i-%08x@%d", i*2654435761, 1783246512345+i), Service: fmt.Sprint(pattern[i%len(pattern)]),
 			Address: fmt.Sprintf("10.%d.%d.%d:8080", 128+i>>16, i>>8&255, i&255), Domain: fmt.Sprintf("hall-%c", 'a'+i%6),
-			Slots: 16, ModRevision: catalog.NewRevision(0, uint64(1000+i)), Version: fmt.Sprint("v", 1),
+			Slots: 16, ModRevision: catalog.NewRevision(0, uint64(1000+i)), Version: strings.Clone("v1"),
 		}
 	}
 	return list
@@ -68,7 +69,7 @@
 	}
 	return wire.Entry{
 		Node: fmt.Sprintf("front-hall-%c-%d", 'a'+k%6, k), Incarnation: uint64(1783246512345 + k), Address: fmt.Sprintf("10.1.%d.%d:8625", k>>8, k&255),
-		PeerAddress: fmt.Sprintf("10.1.%d.%d:8628", k>>8, k&255), Domain: fmt.Sprintf("hall-%c", 'a'+k%6), Region: fmt.Sprint("kingston"), Capacity: capacity,
+		PeerAddress: fmt.Sprintf("10.1.%d.%d:8628", k>>8, k&255), Domain: fmt.Sprintf("hall-%c", 'a'+k%6), Region: strings.Clone("kingston"), Capacity: capacity,
 	}
 }
 
