node, core/reach: tell which paths to endpoints a node lacks

Callers of nodes without paths to the endpoints were refused, and the logs could not tell a lost path from a failed endpoint: each request left an 'attempt failed' line, and nothing said how many endpoints of a service were out of reach, whether connections were refused or silent, and when the service was last reached.

The node now records the outcome of each connection that it opens, and logs 'endpoint paths lost' once a second and service, and 'endpoint paths restored'. Metrics: gradetiller_endpoint_paths_lost, gradetiller_endpoint_dials_total. No decision uses them.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -124,6 +124,11 @@
 	// A request is no longer refused, because it was served successfully or its crashes were
 	// retracted.
 	eventPoisonPardoned = "request refused no more"
+	// This node can't open connections to some endpoints of a service; logged at most once a second
+	// and service while that is so.
+	eventPathsLost = "endpoint paths lost"
+	// This node can open connections to all endpoints of a service again.
+	eventPathsRestored = "endpoint paths restored"
 	// A connection to another node was lost or could not be opened.
 	eventPeerLost = "peer lost"
 	// A connection from a process that is not a node of this system was refused.
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/booking"
+	"gradetiller.example/internal/core/reach"
 	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/logging"
 )
@@ -56,6 +57,7 @@
 	m.set.NewGauge("gradetiller_endpoints_draining", func() float64 { return float64(n.signals.draining()) })
 	m.set.NewGauge("gradetiller_endpoints_in_backoff", func() float64 { return float64(n.signals.inBackoff(time.Now())) })
 	m.set.NewGauge("gradetiller_endpoint_slowdown", func() float64 { return n.signals.slowdown(time.Now()) })
+	m.set.NewGauge("gradetiller_endpoint_paths_lost", func() float64 { return float64(n.paths.lost()) })
 	m.bookings(n.leaders.bookings)
 	if n.droppedLines != nil {
 		m.droppedLines("ordinary", func() uint64 { return n.droppedLines(logging.Ordinary) })
@@ -158,6 +160,11 @@
 	m.set.GetOrCreateCounter("gradetiller_resubmitted_total").Add(tasks)
 }
 
+// dialed counts an attempt to open a direct connection to an endpoint.
+func (m *meters) dialed(service string, o reach.Outcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_endpoint_dials_total{service=%q,outcome=%q}`, m.label(service), o)).Inc()
+}
+
 // observedLimit counts a response that advertises a rate limit.
 func (m *meters) observedLimit() {
 	m.set.GetOrCreateCounter("gradetiller_answers_of_limited_endpoints_total").Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	log             *zap.Logger
 	store           *platform.Store
 	workers         *platform.WorkerClient
+	dialDirect      platform.DialFunc
 	pools           *pools
 	leaders         *leaders
 	standbys        *standbys
@@ -141,6 +142,7 @@
 	keptEndpoints atomic.Int64
 	poisonGuard   *lockedGuard
 	signals       *signals
+	paths         *paths
 	inFlight      atomic.Int64
 	// shutdown is the graceful shutdown in progress, or nil.
 	shutdown atomic.Pointer[shutdown]
@@ -184,14 +186,15 @@
 		settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(),
 		submissions: newSubmissions(), standbys: newStandbys(), durations: newDurations(), memory: membudget.New(int64(heldShare * float64(s.MemoryBytes))), mixes: &lockedMixes{mixes: intake.NewMixes()}, rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
 		verdictTimeouts: verdictTimeouts{first: verdictTimeout, afterReconnect: reconnectVerdictTimeout},
-		peerAddress:     s.PeerAddress,
+		peerAddress:     s.PeerAddress, dialDirect: platform.DialWorker,
 	}
 	for _, o := range options {
 		o(n)
 	}
 	n.requestContext, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress, platform.WithEraErrorHandler(func(err error) { n.log.Warn(eventStoreEra, zap.Error(err)) }))
-	n.workers = platform.NewWorkerClient(platform.WithSignalObserver(n.observeSignals), platform.WithSendCheck(n.checkSignals))
+	n.workers = platform.NewWorkerClient(platform.WithSignalObserver(n.observeSignals), platform.WithSendCheck(n.checkSignals), platform.WithDial(n.dialEndpoint))
+	n.paths = newPaths()
 	n.signals = newSignals(hash.Of(s.Node))
 	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.ownPace, n.disabled)
 	n.pools.subset = &endpointSubset{node: hash.Of(s.Node), domain: s.Domain}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -71,6 +71,7 @@
 	n.requestView(now, ahead)
 	n.updateCells()
 	n.tickRollouts(now)
+	n.logPaths(now)
 }
 
 // peerAhead returns the address of a node that announced a newer configuration than the
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/intake"
+	"gradetiller.example/internal/core/reach"
 	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/wire"
 )
@@ -110,6 +111,7 @@
 
 // observeSignals applies the signals in an endpoint's response.
 func (n *Node) observeSignals(endpoint string, s signal.Signals) {
+	n.recordPath(endpoint, reach.Answered)
 	n.logUnusableSignals(endpoint, s)
 	if s.Limit.Rate.Bounded() {
 		n.meters.observedLimit()
