--- a/internal/socket/probe.go
+++ b/internal/socket/probe.go
@@ -17,10 +17,10 @@
 	Refused
 )
 
-// Probe opens a connection to an address and closes it at once. An address refuses it if nothing
-// listens there.
-func Probe(ctx context.Context, address string) Answer {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+// Probe opens a connection with dial and closes it at once. An address refuses it if nothing listens
+// there.
+func Probe(ctx context.Context, dial func(context.Context) (net.Conn, error)) Answer {
+	conn, err := dial(ctx)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refused
--- a/internal/socket/probe_test.go
+++ b/internal/socket/probe_test.go
@@ -14,16 +14,20 @@
 		t.Fatal(err)
 	}
 	address := listener.Addr().String()
-	if got := Probe(context.Background(), address); got != Accepted {
+	if got := Probe(context.Background(), dial(address)); got != Accepted {
 		t.Errorf("an address with a listener: answer %d", got)
 	}
 	_ = listener.Close()
-	if got := Probe(context.Background(), address); got != Refused {
+	if got := Probe(context.Background(), dial(address)); got != Refused {
 		t.Errorf("an address without a listener: answer %d", got)
 	}
 	canceled, cancel := context.WithCancel(context.Background())
 	cancel()
-	if got := Probe(canceled, address); got != NoAnswer {
+	if got := Probe(canceled, dial(address)); got != NoAnswer {
 		t.Errorf("a canceled probe counts as answer %d", got)
 	}
 }
+
+func dial(address string) func(context.Context) (net.Conn, error) {
+	return func(ctx context.Context) (net.Conn, error) { return (&net.Dialer{}).DialContext(ctx, "tcp", address) }
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	dialer := net.Dialer{Control: socket.UserTimeout}
-//	if socket.Probe(ctx, address) == socket.Refused { ... }
+//	if socket.Probe(ctx, dial) == socket.Refused { ... }
 package socket
 
 import "syscall"
