node, core/reach, peer: connect to endpoints through another node where the own path is lost

Callers of nodes that had lost their links to the endpoints were served 8 of 134 first attempts, those of the other nodes 185 of 186.

Cause: a node used only its own paths. A connection that didn't open counted as a failure of its endpoint, so each request tried up to six endpoints for 0.4 to 0.7 s each, and once all were ejected, further requests were refused at once.

core/reach keeps what a node knows of its paths and decides whether the next connection is opened directly, or also through another node. A direct attempt that is refused, or unanswered for 100 ms, asks up to five other nodes, one of them at a time; several silent endpoints of a service make both ways start at once. The other node opens a connection of its own and relays the bytes (peer.Tunnel); it never asks a further node, refuses endpoints that it doesn't list, that drain or that asked it for a backoff, and bounds relays by memory and descriptors. Deadlines, cancellation, IDs, rates and budgets stay with the asking node, which sends the request as before. Nothing is exchanged beforehand, so the cost with all paths working is none, at any size.

A request counts as sent as soon as it has a connection, relayed or not, so 'not run' stays true when the link between the nodes breaks, and the end of a stream is framed, so a lost relay never looks like a complete response. Failures at endpoints that other nodes reach say nothing about these: they don't eject them here, nor at the leader. Relayed connections serve one request each, and the relay is told of backoffs in what it relayed. Nodes of the previous version are not asked. The mechanism is 'relays'.

--- a/internal/core/mechanism/mechanism.go
+++ b/internal/core/mechanism/mechanism.go
@@ -90,11 +90,14 @@
 	// EngineMemory reserves the memory that placed prompts take at their engines. If
 	// disabled, prompts are placed without regard to memory.
 	EngineMemory Mechanism = "engine_memory"
+	// Relays connects to endpoints through other nodes where the direct path is
+	// lost. If disabled, such endpoints fail.
+	Relays Mechanism = "relays"
 )
 
 // All lists the mechanisms.
 var All = []Mechanism{
-	Copies, Lists, Holdings, Placement, Admission, ForeignRoom, RoomRate, Forecast, Homes, Priorities, EarlyFrees, Speeds, Overdue, Sizes, Reading, Join, Slowdown, Schedule, Shares, EngineMemory, Standby, Bookings,
+	Copies, Lists, Holdings, Placement, Admission, ForeignRoom, RoomRate, Forecast, Homes, Priorities, EarlyFrees, Speeds, Overdue, Sizes, Reading, Join, Slowdown, Schedule, Shares, EngineMemory, Standby, Bookings, Relays,
 }
 
 // Disabled is a set of disabled mechanisms.
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -255,6 +255,13 @@
 	}
 }
 
+// Readmit ends the ejection of endpoint i without a slow start: it was not the endpoint that
+// failed.
+func (p *Pool) Readmit(i int) {
+	h := &p.endpoints[i].health
+	*h = health{leaving: h.leaving}
+}
+
 // Capacity returns the maximum number of calls this node may have outstanding
 // in the pool.
 func (p *Pool) Capacity(now time.Time) int {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -124,6 +124,10 @@
 	// A request is no longer refused, because it was served successfully or its crashes were
 	// retracted.
 	eventPoisonPardoned = "request refused no more"
+	// Another node reached an endpoint to which this one has lost its path, and relays to it.
+	eventRelayed = "endpoint reached through another node"
+	// This node did not connect to an endpoint for another one.
+	eventRelayRefused = "relay refused"
 	// This node can't open connections to some endpoints of a service; logged at most once a second
 	// and service while that is so.
 	eventPathsLost = "endpoint paths lost"
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -542,7 +542,8 @@
 	left := ctx.Err() != nil && time.Since(c.started) < q.route.Objective
 	blocked := isBlocked(err)
 	n.recordBlocked(err)
-	c.finish(time.Now(), place.Result{Neutral: left || blocked, Unreachable: !sent && !blocked})
+	lost := n.lostHere(c.endpoint.ID)
+	c.finish(time.Now(), place.Result{Neutral: left || blocked || lost, Unreachable: !sent && !blocked})
 	if errors.Is(err, platform.ErrBodyNotTaken) {
 		n.log.Warn(eventBodyNotTaken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("bytes", len(q.body)))
 	}
@@ -551,6 +552,9 @@
 		return attempt.NotSent
 	}
 	q.sent++
+	if !left {
+		n.checkPath(c.endpoint)
+	}
 	n.recordBrokenRuns(limited, c.endpoint, time.Since(c.started), q.content)
 	return attempt.NoResponse
 }
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -15,6 +15,7 @@
 	"gradetiller.example/internal/core/reach"
 	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/logging"
+	"gradetiller.example/internal/wire"
 )
 
 const (
@@ -57,6 +58,7 @@
 	m.set.NewGauge("gradetiller_endpoints_draining", func() float64 { return float64(n.signals.draining()) })
 	m.set.NewGauge("gradetiller_endpoints_in_backoff", func() float64 { return float64(n.signals.inBackoff(time.Now())) })
 	m.set.NewGauge("gradetiller_endpoint_slowdown", func() float64 { return n.signals.slowdown(time.Now()) })
+	m.set.NewGauge("gradetiller_relays_open", func() float64 { return float64(n.relaysOpen.Load()) })
 	m.set.NewGauge("gradetiller_endpoint_paths_lost", func() float64 { return float64(n.paths.lost()) })
 	m.bookings(n.leaders.bookings)
 	if n.droppedLines != nil {
@@ -165,6 +167,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_endpoint_dials_total{service=%q,outcome=%q}`, m.label(service), o)).Inc()
 }
 
+// askedRelay counts the answer of a node that was asked to connect to an endpoint of a service, and
+// relayed the answer of this node to another one.
+func (m *meters) askedRelay(service string, a relayAnswer) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_relays_asked_total{service=%q,answer=%q}`, m.label(service), a)).Inc()
+}
+
+func (m *meters) relayed(r wire.RelayResult) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_relays_total{result=%q}`, r)).Inc()
+}
+
 // observedLimit counts a response that advertises a rate limit.
 func (m *meters) observedLimit() {
 	m.set.GetOrCreateCounter("gradetiller_answers_of_limited_endpoints_total").Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,7 +143,9 @@
 	poisonGuard   *lockedGuard
 	signals       *signals
 	paths         *paths
-	inFlight      atomic.Int64
+	// relaysOpen is the number of connections that this node relays for others.
+	relaysOpen atomic.Int64
+	inFlight   atomic.Int64
 	// shutdown is the graceful shutdown in progress, or nil.
 	shutdown atomic.Pointer[shutdown]
 	// requestContext is the base context of all requests. cancelRequests cancels it with a
@@ -193,8 +195,8 @@
 	}
 	n.requestContext, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress, platform.WithEraErrorHandler(func(err error) { n.log.Warn(eventStoreEra, zap.Error(err)) }))
-	n.workers = platform.NewWorkerClient(platform.WithSignalObserver(n.observeSignals), platform.WithSendCheck(n.checkSignals), platform.WithDial(n.dialEndpoint))
-	n.paths = newPaths()
+	n.workers = platform.NewWorkerClient(platform.WithSignalObserver(n.observeSignals), platform.WithSendCheck(n.checkSignals), platform.WithDialer(n))
+	n.paths = newPaths(s.Node)
 	n.signals = newSignals(hash.Of(s.Node))
 	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.ownPace, n.disabled)
 	n.pools.subset = &endpointSubset{node: hash.Of(s.Node), domain: s.Domain}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -241,6 +241,10 @@
 		if err != nil {
 			return
 		}
+		if m, ok := m.(*wire.RelayOpen); ok {
+			n.serveRelay(c, m)
+			return
+		}
 		n.handleMessage(c.Hello(), m, answer)
 	}
 }
@@ -288,6 +292,8 @@
 		n.handleStandbyState(from, m)
 	case *wire.LeaderChanged:
 		n.handleLeaderChanged(from, m)
+	case *wire.RelayBackoff:
+		n.handleRelayBackoff(m)
 	case *wire.StagesAdmission:
 		n.submissions.deliverVerdict(m)
 	case *wire.StagesDone:
--- a/internal/node/poison.go
+++ b/internal/node/poison.go
@@ -169,7 +169,7 @@
 func (n *Node) refusesConnections(e catalog.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	answer := socket.Probe(ctx, func(ctx context.Context) (net.Conn, error) { return n.dialDirect(ctx, e.ID, e.Address) })
+	answer := socket.Probe(ctx, func(ctx context.Context) (net.Conn, error) { return n.dialRecorded(ctx, e.ID, e.Address) })
 	n.applyPoisonEvent(func(g *poison.Guard, now time.Time) poison.Outcome {
 		if answer == socket.Accepted {
 			return g.RecordAccepted(now, e.ID)
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -332,6 +332,17 @@
 	}
 }
 
+// readmit ends the ejection of an endpoint.
+func (p *pools) readmit(endpoint string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byService {
+		if i := pool.Find(endpoint); i != place.None {
+			pool.Readmit(i)
+		}
+	}
+}
+
 // backoffsOf returns those of a list of backoffs that belong to endpoints of a service. It modifies
 // the list.
 func (p *pools) backoffsOf(service string, list []signal.Backoff) []signal.Backoff {
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -109,10 +109,20 @@
 	s.registry.ForgetPeers(notIn(live))
 }
 
-// observeSignals applies the signals in an endpoint's response.
-func (n *Node) observeSignals(endpoint string, s signal.Signals) {
-	n.recordPath(endpoint, reach.Answered)
+// observeSignals applies the signals in an endpoint's response, which came through another node
+// unless relay is "".
+func (n *Node) observeSignals(endpoint, relay string, s signal.Signals) {
+	if relay == "" {
+		n.recordPath(endpoint, reach.Answered)
+	} else if s.Backoff > 0 {
+		n.reportBackoff(relay, endpoint, s.Backoff)
+	}
 	n.logUnusableSignals(endpoint, s)
+	n.applySignals(endpoint, s)
+}
+
+// applySignals applies the signals of an endpoint.
+func (n *Node) applySignals(endpoint string, s signal.Signals) {
 	if s.Limit.Rate.Bounded() {
 		n.meters.observedLimit()
 	}
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -266,7 +266,7 @@
 	if err != nil {
 		event := n.recordSendError(parent, ctx, q, c, err)
 		switch {
-		case parent.Err() != nil || isBlocked(err):
+		case parent.Err() != nil || isBlocked(err) || n.lostHere(c.endpoint.ID):
 		case event == attempt.NotSent:
 			s.recordPlacement(c, wire.PlacementUnreachable)
 		default:
@@ -291,7 +291,7 @@
 	if err == nil && !resumed {
 		n.leaders.modelPools.observeOutput(q.service, q.in.MaxTokens, now.Sub(c.answeredAt))
 	}
-	c.finish(now, n.withLoad(a, now, place.Result{OK: err == nil, Neutral: parent.Err() != nil}))
+	c.finish(now, n.withLoad(a, now, place.Result{OK: err == nil, Neutral: parent.Err() != nil || n.lostHere(c.endpoint.ID)}))
 	if err != nil {
 		n.log.Info(eventStreamBroken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("events", s.events), zap.Error(err))
 		if !errors.Is(err, errClientGone) {
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -28,6 +28,9 @@
 	Hello{Version: 1, System: "s", Role: RoleNode, Node: "n1", Incarnation: 7, Kinds: Kinds},
 	StandbyState{Cell: 3, Tasks: []StandbyTasks{{Node: "n1", Incarnation: 7, Packed: []byte("p")}}, Ended: true, Snapshot: true, Shares: []byte("s"), Bookings: []byte("b"), Retries: []StandbyRetries{{Service: "x", Requests: []int{5, 1}, Retries: []int{0, 1}}}},
 	LeaderChanged{Cell: 3, Lost: "n1", LostIncarnation: 7},
+	RelayOpen{Endpoint: "e"},
+	RelayOpened{Result: RelayUnavailable},
+	RelayBackoff{Endpoint: "e", Remaining: 300},
 }
 
 // TestOtherVersions checks that heartbeats of nodes of other versions are accepted: those of an
@@ -164,6 +167,9 @@
 	if earlier.Knows(StandbyState{}) || earlier.Knows(&LeaderChanged{}) {
 		t.Error("a node of the earlier version knows the messages of a standby")
 	}
+	if (Hello{Kinds: int(kindLeaderChanged)}).Knows(RelayOpen{}) {
+		t.Error("a node of the version before relays knows their messages")
+	}
 	current := Hello{Kinds: Kinds}
 	for _, m := range samples {
 		if !current.Knows(m) {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -31,6 +31,9 @@
 	kindRolloutStage
 	kindStandbyState
 	kindLeaderChanged
+	kindRelayOpen
+	kindRelayOpened
+	kindRelayBackoff
 	kindEnd
 )
 
@@ -307,6 +310,12 @@
 		return new(StandbyState)
 	case kindLeaderChanged:
 		return new(LeaderChanged)
+	case kindRelayOpen:
+		return new(RelayOpen)
+	case kindRelayOpened:
+		return new(RelayOpened)
+	case kindRelayBackoff:
+		return new(RelayBackoff)
 	}
 	return nil
 }
