node: a refused connection is no crash if another node's is accepted

Cause: after a run broke, its node probes the endpoint and takes a refused connection for a crash. Where a node lost its paths, its runs break and its probes are refused at all endpoints at once, and nodes that confirm the crash may have lost theirs too.

A node whose probe is refused now asks other nodes. If one connects, the endpoint has not crashed; if none answers and the node has lost most of its paths to the service, nothing is concluded. A node that has lost most of its paths doesn't vouch for crashes.

--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -326,3 +326,35 @@
 		}
 	}
 }
+
+// TestLostPathIsNoCrash guards against requests that are taken to crash endpoints because a node lost
+// its paths while they ran: their runs break, and its new connections are refused.
+func TestLostPathIsNoCrash(t *testing.T) {
+	r := newPartitionRun(t, partitionScript{nodes: 3, endpoints: 3, services: "all", mode: platformtest.ConnectionsReset})
+	for _, w := range r.workers {
+		w.Delay(time.Second)
+	}
+	var sending sync.WaitGroup
+	for i := range 9 {
+		sending.Go(func() {
+			do(r.nodes[0].Front, platformtest.Request{ID: fmt.Sprint("r-", i), Path: "/book/x", Body: "the same"})
+		})
+	}
+	eventually(t, "the requests run", func() bool {
+		runs := 0
+		for _, w := range r.workers {
+			runs += w.TotalRuns()
+		}
+		return runs == 9
+	})
+	r.partition([]int{0})
+	sending.Wait()
+	eventually(t, "the broken runs are checked", func() bool {
+		return strings.Contains(r.nodes[0].metrics(), "gradetiller_runs_broken_total")
+	})
+	for _, n := range r.nodes {
+		if m := n.metrics(); strings.Contains(m, "gradetiller_endpoints_ended_total") {
+			t.Errorf("%s counts endpoints that ended", n.Node)
+		}
+	}
+}
--- a/internal/node/poison.go
+++ b/internal/node/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -167,9 +166,7 @@
 // refusesConnections checks whether an endpoint refuses connections and passes the result to
 // the guard.
 func (n *Node) refusesConnections(e catalog.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	answer := socket.Probe(ctx, func(ctx context.Context) (net.Conn, error) { return n.dialRecorded(ctx, e.ID, e.Address) })
+	answer := n.probeEndpoint(e)
 	n.applyPoisonEvent(func(g *poison.Guard, now time.Time) poison.Outcome {
 		if answer == socket.Accepted {
 			return g.RecordAccepted(now, e.ID)
