node, platform, core/stagepool: give up stage calls whose path has become silent

Cause: only attempts to connect showed a lost path. Stage calls are sent on idle connections, on which packets vanish without an error until TCP gives up after 2.5 s. Their endpoints, which take one call at a time, counted as busy until the calls timed out, and the same happened again at the next stage service. Evidence: 'stage call lost' 1.6 s after the cut at all endpoints of the first stage, and 1.7 s later at those of the second, with 'stages would be late' in between.

An overdue call now has its path checked. When another node reaches an endpoint whose path is silent, the calls and repeatable requests in flight on its direct connections are given up with ErrPathLost and sent again: these endpoints are not suspended, and the request's budget of repeats is used, since a call may have arrived. Services from which nothing has been heard since are connected to both ways at once.

--- a/internal/core/reach/table.go
+++ b/internal/core/reach/table.go
@@ -99,6 +99,8 @@
 	// openedAt and suspects are as in service, for all services.
 	openedAt time.Time
 	suspects int
+	// silentAt is when another node last reached an endpoint whose path had become silent.
+	silentAt time.Time
 }
 
 // NewTable returns a table in which all paths are assumed to work.
@@ -158,9 +160,10 @@
 	p.suspectedAt = now
 }
 
-// suspected reports whether all paths to the endpoints of a service are suspected to be lost.
+// suspected reports whether all paths to the endpoints of a service are suspected to be lost: several
+// endpoints stopped answering, or none has answered since a path to another service was lost.
 func (t *Table) suspected(s *service) bool {
-	return s.suspects >= minServiceSuspects || t.suspects >= minSuspects
+	return s.suspects >= minServiceSuspects || t.suspects >= minSuspects || t.silentAt.After(s.openedAt)
 }
 
 // RecordRelay records whether another node, whose own paths it trusts, reached an endpoint. It
@@ -172,6 +175,9 @@
 		return false
 	}
 	first = p.lost() && !p.reachedByOthers()
+	if first && p.cause == Silent {
+		t.silentAt = now
+	}
 	p.relayedAt, p.goneAt = now, time.Time{}
 	return first
 }
@@ -239,6 +245,12 @@
 	return ok && p.lost() && p.reachedByOthers()
 }
 
+// SilentHere reports whether LostHere holds and packets on the path vanish, so that nothing more is to
+// be expected from its connections.
+func (t *Table) SilentHere(to Target) bool {
+	return t.LostHere(to) && t.services[to.Service].paths[to.Endpoint].cause == Silent
+}
+
 // RecentlyLost reports whether the path to an endpoint is lost and was tried so recently that it
 // need not be tried again.
 func (t *Table) RecentlyLost(now time.Time, to Target) bool {
--- a/internal/core/stagepool/completion.go
+++ b/internal/core/stagepool/completion.go
@@ -53,6 +53,7 @@
 		w.contendedUntil = now.Add(contentionPeriod)
 	case WrongEndpoint:
 		w.leaving = true
+	case PathLost:
 	default:
 		w.suspend(now)
 	}
@@ -352,15 +353,19 @@
 	p.scheduledFrees = kept
 }
 
+// overdueAfter returns the duration from which a call takes far too long.
+func (c *call) overdueAfter(factor float64) time.Duration {
+	return time.Duration(factor*max(c.endpoint.speed, 1)*float64(c.expected)) + overdueMargin
+}
+
 // requeueOverdue queues the pieces of a call for a retry if the call takes far too long.
 func (p *Pool) requeueOverdue(now time.Time, c *call) {
 	w := c.endpoint
-	usual := time.Duration(max(w.speed, 1) * float64(c.expected))
 	factor := overdueFactor
 	if p.scheduled {
 		factor = scheduledOverdueFactor
 	}
-	if c.overdue || p.off.Has(mechanism.Overdue) || now.Sub(c.sent) < time.Duration(factor*float64(usual))+overdueMargin {
+	if c.overdue || p.off.Has(mechanism.Overdue) || now.Sub(c.sent) < c.overdueAfter(factor) {
 		return
 	}
 	c.overdue = true
--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -295,6 +295,7 @@
 	c := &call{id: p.lastCall, endpoint: w, items: items, sent: now, expected: w.service.callDuration(len(items))}
 	out := StartCall{Call: c.id, Service: w.service.name, Endpoint: w.spec.ID, Address: w.spec.Address}
 	out.Timeout = time.Duration(callTimeoutFactor*float64(c.expected)) + callTimeoutMargin
+	out.Overdue = c.overdueAfter(overdueFactor)
 	for _, ref := range items {
 		c.reserved += ref.bytes
 		ref.task.started = true
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -130,6 +130,9 @@
 	// ConnectionBroken means that the connection broke while the call was running. The endpoint may
 	// have crashed because of any of the call's pieces.
 	ConnectionBroken
+	// PathLost means that the call was given up because its path to the endpoint was lost, while the
+	// endpoint can be reached in another way.
+	PathLost
 )
 
 // Outcome is the result of a call.
@@ -148,8 +151,9 @@
 	Endpoint string
 	Address  string
 	Items    []Item
-	// Timeout is the time after which the call is reported as lost.
-	Timeout time.Duration
+	// Timeout is the time after which the call is reported as lost, and Overdue the time after which
+	// the path to the endpoint is in doubt.
+	Timeout, Overdue time.Duration
 }
 
 // Free requests that results be freed at the endpoint that holds them.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -552,6 +552,9 @@
 		return attempt.NotSent
 	}
 	q.sent++
+	if errors.Is(err, platform.ErrPathLost) {
+		return attempt.NoResponse
+	}
 	if !left {
 		n.checkPath(c.endpoint)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -209,6 +209,7 @@
 	n.leaders.domains, n.leaders.armOf, n.leaders.tracked = n.domainsOf, n.rollouts.arm, n.trackStageCall
 	n.leaders.stageVersions = n.stageVersions
 	n.leaders.onBrokenCall = n.recordBrokenStageCall
+	n.leaders.checkPath = n.checkPath
 	n.leaders.standbyAddress, n.leaders.retries = n.standbyAddress, newStageRetries(n.stageBudget)
 	n.leaders.send = func(address string, m wire.Message) { n.links.Send(address, m) }
 	n.refusedEntries = refusedEntries{logged: make(map[refusedEntry]bool), faults: make(map[platform.EntryFault]bool)}
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -82,6 +82,12 @@
 	return p.table.LostHere(to)
 }
 
+func (p *paths) silentHere(to reach.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.SilentHere(to)
+}
+
 func (p *paths) trusted(to reach.Target) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -231,6 +231,9 @@
 	if a.answer == relayConnected && n.paths.recordRelay(now, to, true) {
 		// It was ejected because of calls that broke when the path was lost.
 		n.pools.readmit(to.Endpoint)
+		if n.paths.silentHere(to) {
+			n.workers.CancelDirect(to.Endpoint)
+		}
 		n.log.Info(eventRelayed, zap.String("endpoint", to.Endpoint), zap.String("service", to.Service), zap.String("node", a.node))
 	}
 }
--- a/internal/node/stagecalls.go
+++ b/internal/node/stagecalls.go
@@ -23,7 +23,10 @@
 	defer cancel()
 	started := time.Now()
 	end := c.leaders.tracked(a.Service, a.Endpoint)
+	e := catalog.Endpoint{ID: a.Endpoint, Service: a.Service, Address: a.Address}
+	overdue := time.AfterFunc(a.Overdue, func() { c.leaders.checkPath(e) })
 	outcome, err := c.leaders.workers.RunStages(ctx, a)
+	overdue.Stop()
 	lost, unmade := unmadePieces(outcome)
 	end(outcome.Status == stagepool.Answered && !broken(outcome), time.Since(started))
 	c.leaders.meters.stageCall(a.Service, len(a.Items), lost, time.Since(started))
@@ -36,7 +39,7 @@
 		c.leaders.backoff(time.Now(), blocked.Endpoint, blocked.Until)
 	}
 	if outcome.Status == stagepool.ConnectionBroken {
-		c.leaders.onBrokenCall(ctx, catalog.Endpoint{ID: a.Endpoint, Service: a.Service, Address: a.Address}, time.Since(started), contents(a.Items))
+		c.leaders.onBrokenCall(ctx, e, time.Since(started), contents(a.Items))
 	}
 	switch {
 	case err != nil:
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -294,7 +294,7 @@
 	c.finish(now, n.withLoad(a, now, place.Result{OK: err == nil, Neutral: parent.Err() != nil || n.lostHere(c.endpoint.ID)}))
 	if err != nil {
 		n.log.Info(eventStreamBroken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("events", s.events), zap.Error(err))
-		if !errors.Is(err, errClientGone) {
+		if !errors.Is(err, errClientGone) && !n.lostHere(c.endpoint.ID) {
 			n.recordBrokenRuns(ctx, c.endpoint, time.Since(c.started), q.content)
 		}
 		return a, attempt.NoResponse
