socket: keep-alive probes that fit the user timeout

Callers of streams whose path fell silent got nothing until they gave up: nothing is in flight towards the endpoint then, so only keep-alive probes show the loss, and these came every 15 s. A sound peer that was silent when one of them was sent lost the connection, since Linux lets the user timeout of 2.5 s decide whatever the count of probes is.

Connections to endpoints and nodes now send a probe every second, and the user timeout is 3.2 s: three probes fall within it, so a silent second costs none of them, and a connection that is silent for good ends within 4 s also where nothing is sent.

TestSilentSecondKeepsConnection reads the options of a connection. With the former ones it fails: '1 probes fall within the user timeout of 2.5s (first after 15s, then every 15s), want 3'.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -54,8 +54,7 @@
 
 // dialTCP is the dialFunc of TCP.
 func dialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Control: socket.UserTimeout, Timeout: timeout}
-	return dialer.DialContext(ctx, "tcp", address)
+	return socket.Dialer(timeout).DialContext(ctx, "tcp", address)
 }
 
 // dialFunc opens a connection within a timeout.
