core/place, node: an endpoint that was silent for a second keeps its cache

A sound endpoint may be silent for a second and go on.

Only a refused connection shows that the process has ended. An endpoint that is silent is ejected as before, and copies are not taken from it while it is, but what it holds stays known.

TestUnreachableEndpointIsNoCopySource, which now has a silent endpoint too, failed before for it ('its cache is kept: false').

--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -51,10 +51,14 @@
 	// Neutral results do not affect the endpoint's health, for example when the
 	// caller canceled the call.
 	Neutral bool
-	// Unreachable reports that nothing listens at the endpoint's address; the
+	// Unreachable reports that no connection to the endpoint could be opened; the
 	// endpoint is ejected at once.
 	Unreachable bool
-	Load        Load
+	// Refused reports that an unreachable endpoint refused the connection: its
+	// process has ended, and with it what its cache held. A silent one may
+	// still hold it.
+	Refused bool
+	Load    Load
 	// Slowdown is the slowdown that the answer stated, or 0 if it stated none.
 	Slowdown float64
 	// PendingTokens is the value that Start returned for the call.
@@ -309,7 +313,9 @@
 	case r.Neutral:
 		return false
 	case r.Unreachable:
-		e.cache.clear()
+		if r.Refused {
+			e.cache.clear()
+		}
 		return e.health.recordUnreachable(now)
 	case !r.OK:
 		return e.health.recordFailure(now)
--- a/internal/core/place/promptcache_test.go
+++ b/internal/core/place/promptcache_test.go
@@ -96,16 +96,23 @@
 	}
 }
 
-// TestUnreachableEndpointIsNoCopySource guards against copies from an endpoint at
-// whose address nothing listens.
+// TestUnreachableEndpointIsNoCopySource guards against copies from an endpoint to which no connection
+// can be opened, and against prompts that are prefilled again because an endpoint was silent for a
+// second: unless it refused the connection, it still holds what it had cached.
 func TestUnreachableEndpointIsNoCopySource(t *testing.T) {
-	now := time.Unix(1000, 0)
-	p := copyingPool(t)
-	req := Request{Exclude: None, Prefix: 7, Prompt: promptOf(6000, 7, 5000)}
-	p.RecordCached("e0", []Part{{ID: 7, Tokens: 5000}})
-	tokens := p.Start(now, 0, req)
-	p.Finish(now, 0, Result{Unreachable: true, PendingTokens: tokens})
-	if source := p.CopySource(now, 2, req); source != None {
-		t.Errorf("copies from unreachable endpoint %d", source)
+	for _, refused := range []bool{true, false} {
+		now := time.Unix(1000, 0)
+		p := copyingPool(t)
+		req := Request{Exclude: None, Prefix: 7, Prompt: promptOf(6000, 7, 5000)}
+		p.RecordCached("e0", []Part{{ID: 7, Tokens: 5000}})
+		tokens := p.Start(now, 0, req)
+		p.Finish(now, 0, Result{Unreachable: true, Refused: refused, PendingTokens: tokens})
+		if source := p.CopySource(now, 2, req); source != None {
+			t.Errorf("refused %t: copies from unreachable endpoint %d", refused, source)
+		}
+		hits := p.findCacheHits(now, req)
+		if kept := hits.at(0) > 0; kept == refused {
+			t.Errorf("refused %t: its cache is kept: %t", refused, kept)
+		}
 	}
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -532,6 +533,9 @@
 	return errors.As(err, &blocked)
 }
 
+// isRefused reports whether an attempt failed because the endpoint refused the connection.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // recordSendError records an attempt without a response. ctx is the context of the request and
 // limited that of the attempt.
 func (n *Node) recordSendError(ctx, limited context.Context, q *request, c *placedCall, err error) attempt.Event {
@@ -543,7 +547,7 @@
 	blocked := isBlocked(err)
 	n.recordBlocked(err)
 	lost := n.lostHere(c.endpoint.ID)
-	c.finish(time.Now(), place.Result{Neutral: left || blocked || lost, Unreachable: !sent && !blocked})
+	c.finish(time.Now(), place.Result{Neutral: left || blocked || lost, Unreachable: !sent && !blocked, Refused: isRefused(err)})
 	if errors.Is(err, platform.ErrBodyNotTaken) {
 		n.log.Warn(eventBodyNotTaken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("bytes", len(q.body)))
 	}
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -358,3 +359,38 @@
 		}
 	}
 }
+
+// TestSilentSecond guards against requests that are lost, run twice or refused because a sound endpoint of
+// each service is silent for a second and goes on.
+func TestSilentSecond(t *testing.T) {
+	r := newPartitionRun(t, partitionScript{nodes: 3, endpoints: 3, services: "all", works: readPartitionScript(t, os.DevNull).works})
+	silent := make(map[string]bool)
+	for k, w := range r.workers {
+		if k%r.script.endpoints == 0 {
+			silent[w.Address()] = true
+		}
+	}
+	begun := time.Now()
+	go func() {
+		time.Sleep(time.Until(begun.Add(time.Second)))
+		for _, p := range r.partitions {
+			p.Cut(platformtest.Delayed, func(address string) bool { return silent[address] })
+		}
+		time.Sleep(1200 * time.Millisecond)
+		r.heal()
+	}()
+	r.sendUntil(begun.Add(4 * time.Second))
+	r.checkRuns(t)
+	served, total := r.served(begun, begun.Add(4*time.Second), false)
+	t.Logf("served %d of %d", served, total)
+	for _, q := range r.requests {
+		if q.status != http.StatusOK {
+			t.Errorf("%s was sent after %v and answered %d", q.id, q.sentAt.Sub(begun), q.status)
+		}
+	}
+	for _, n := range r.nodes {
+		if m := n.metrics(); strings.Contains(m, "gradetiller_endpoints_ended_total") {
+			t.Errorf("%s counts endpoints that ended", n.Node)
+		}
+	}
+}
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -91,7 +91,7 @@
 	}
 	now := time.Now()
 	at.finish(now, place.Result{
-		PrefillTokens: read, Slowdown: slowdown, OK: how == wire.PlacementServed, Neutral: how == wire.PlacementUnused || how == wire.PlacementRejected, Unreachable: how == wire.PlacementUnreachable,
+		PrefillTokens: read, Slowdown: slowdown, OK: how == wire.PlacementServed, Neutral: how == wire.PlacementUnused || how == wire.PlacementRejected, Unreachable: how == wire.PlacementUnreachable || how == wire.PlacementRefused, Refused: how == wire.PlacementRefused,
 	})
 	if how == wire.PlacementRejected {
 		c.leaders.modelPools.setBackoff(at.endpoint.ID, now.Add(rejectedBackoff))
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -267,6 +267,8 @@
 		event := n.recordSendError(parent, ctx, q, c, err)
 		switch {
 		case parent.Err() != nil || isBlocked(err) || n.lostHere(c.endpoint.ID):
+		case event == attempt.NotSent && isRefused(err):
+			s.recordPlacement(c, wire.PlacementRefused)
 		case event == attempt.NotSent:
 			s.recordPlacement(c, wire.PlacementUnreachable)
 		default:
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -120,11 +120,15 @@
 	PlacementServed
 	// PlacementFailed means that the endpoint failed or declined the request.
 	PlacementFailed
-	// PlacementUnreachable means that no connection to the endpoint could be opened.
+	// PlacementUnreachable means that nothing answered an attempt to connect to the endpoint. From
+	// nodes of an earlier version, it may also have refused.
 	PlacementUnreachable
 	// PlacementRejected means that the endpoint requested a backoff from the request's node.
 	// Nodes of an earlier version treat it as a failure.
 	PlacementRejected
+	// PlacementRefused means that the endpoint refused the connection. Nodes of an earlier version
+	// treat it as a failure.
+	PlacementRefused
 )
 
 // StagesRelease reports that the results are no longer needed.
