node, core/brittle: nodes share the slots of brittle endpoints

The endpoints of a service may say, in all answers, that they are brittle: from 3 s later on they let few requests wait, and one that must reject more than N in a second falls over for some seconds. The header was unknown.

While a service is brittle, its endpoints' slots are dealt to the nodes, evenly over all endpoints and by an order that all nodes agree on; leaders keep a part of the slots of what they place. All nodes together then never send more than an endpoint works on, so that it has nothing to reject, whatever N is. Requests without a slot wait at their node for up to half of the objective, as for the end of a backoff, and are refused as not run after that. A leader leaves a stage endpoint that rejected a call alone for long enough. The state is kept by service, since an endpoint that has fallen over is brittle again before its first answer.

Also tried: a rate limit derived from N, the slots and the latency, exchanged like an advertised limit.

--- a/internal/core/signal/invalid.go
+++ b/internal/core/signal/invalid.go
@@ -16,6 +16,7 @@
 	NameCold     Name = "cold"
 	NameLoad     Name = "load"
 	NameSlowdown Name = "slowdown"
+	NameBrittle  Name = "brittle"
 )
 
 // InvalidError reports a signal that could not be parsed.
--- a/internal/core/signal/signals.go
+++ b/internal/core/signal/signals.go
@@ -19,6 +19,8 @@
 	Cold time.Duration
 	// Load is the number of requests that the endpoint is running or has queued.
 	Load Load
+	// Brittle tells whether the endpoint fails if it must reject too many requests.
+	Brittle Brittle
 	// Invalid lists the signals that could not be parsed, and Unknown the names of those that this
 	// version does not support.
 	Invalid []*InvalidError
@@ -33,6 +35,13 @@
 	Known bool
 }
 
+// Brittle tells how many requests an endpoint can reject without failing.
+type Brittle struct {
+	// MaxRejected is the number of requests that it can reject in a second, if Known is true.
+	MaxRejected float64
+	Known       bool
+}
+
 // Load is the load reported in an answer.
 type Load struct {
 	Busy float64
--- a/internal/core/stagepool/completion.go
+++ b/internal/core/stagepool/completion.go
@@ -49,7 +49,7 @@
 		}
 		w.recordLatency(now, now.Sub(c.sent), c.expected)
 	case NotRun:
-		w.suspendedUntil = now.Add(declinedSuspension)
+		w.suspendedUntil = now.Add(max(declinedSuspension, o.Pause))
 		w.contendedUntil = now.Add(contentionPeriod)
 	case WrongEndpoint:
 		w.leaving = true
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -139,6 +139,8 @@
 type Outcome struct {
 	Status CallStatus
 	Items  []ItemResult
+	// Pause is how long an endpoint that declined the call must get no other one, or 0.
+	Pause time.Duration
 }
 
 // Action is an instruction for the caller of the pool.
--- a/internal/node/endpointsubset.go
+++ b/internal/node/endpointsubset.go
@@ -56,7 +56,7 @@
 		return
 	}
 	p.trimExtras(pool, n.service)
-	pool.Apply([]place.Spec{p.view.specSource(p.view.config.Services[n.service], p.pace, p.disabled)(e)}, nil)
+	pool.Apply([]place.Spec{p.view.specSource(p.view.config.Services[n.service], p.pace, p.slots, p.disabled)(e)}, nil)
 	p.extras[n.service] = append(p.extras[n.service], e.ID)
 }
 
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -124,6 +124,8 @@
 	// A request is no longer refused, because it was served successfully or its crashes were
 	// retracted.
 	eventPoisonPardoned = "request refused no more"
+	// The endpoints of a service began or ceased to fail if they must reject too many requests.
+	eventBrittleChanged = "service brittle"
 	// Another node reached an endpoint to which this one has lost its path, and relays to it.
 	eventRelayed = "endpoint reached through another node"
 	// This node did not connect to an endpoint for another one.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -419,6 +419,9 @@
 	return q.arrived.Add(time.Duration(backoffWaitShare * float64(q.route.Objective)))
 }
 
+// slotPollInterval is how often a request looks for a free slot of a brittle endpoint.
+const slotPollInterval = 10 * time.Millisecond
+
 // choose picks the endpoint of an attempt. If all endpoints are in backoff it waits for the first
 // one to leave it, up to backoffWaitLimit.
 func (n *Node) choose(ctx context.Context, q *request, wants need) (*placedCall, bool) {
@@ -430,6 +433,9 @@
 			return c, true
 		}
 		at := n.pools.nextAfterBackoff(now, wants)
+		if at.IsZero() && n.brittle.active(wants.service) {
+			at = now.Add(slotPollInterval)
+		}
 		if at.IsZero() || !at.Before(limit) || ctx.Err() != nil {
 			return nil, false
 		}
--- a/internal/node/invalidsignals_test.go
+++ b/internal/node/invalidsignals_test.go
@@ -20,7 +20,7 @@
 	core, lines := observer.New(zap.InfoLevel)
 	n := New(platform.Settings{Node: "n"}, WithLog(zap.New(core)))
 	for i := range 3000 {
-		n.observeSignals(fmt.Sprint("e", i%30), "", signal.Signals{Invalid: []*signal.InvalidError{signal.NewInvalidError(signal.NameSlowdown, errors.New("bad"))}})
+		n.observeSignals(fmt.Sprint("e", i%30), "", 200, signal.Signals{Invalid: []*signal.InvalidError{signal.NewInvalidError(signal.NameSlowdown, errors.New("bad"))}})
 	}
 	if got := lines.FilterMessage(eventSignalInvalid).Len(); got != 20 {
 		t.Errorf("%d lines, want 20", got)
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -73,6 +73,8 @@
 	// onBrokenCall is called when a call to an endpoint breaks, with the requests that it
 	// carried.
 	onBrokenCall func(ctx context.Context, e catalog.Endpoint, took time.Duration, requests []poison.ID)
+	// brittle reports whether the endpoints of a service fail if they must reject too many requests.
+	brittle func(service string) bool
 	// checkPath is called when a call to an endpoint takes far too long.
 	checkPath func(catalog.Endpoint)
 	// standbyAddress returns the address of the standby of a cell, or "", and send sends a message to
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -58,6 +58,7 @@
 	m.set.NewGauge("gradetiller_endpoints_draining", func() float64 { return float64(n.signals.draining()) })
 	m.set.NewGauge("gradetiller_endpoints_in_backoff", func() float64 { return float64(n.signals.inBackoff(time.Now())) })
 	m.set.NewGauge("gradetiller_endpoint_slowdown", func() float64 { return n.signals.slowdown(time.Now()) })
+	m.set.NewGauge("gradetiller_services_brittle", func() float64 { return float64(n.brittle.count()) })
 	m.set.NewGauge("gradetiller_relays_open", func() float64 { return float64(n.relaysOpen.Load()) })
 	m.set.NewGauge("gradetiller_endpoint_paths_lost", func() float64 { return float64(n.paths.lost()) })
 	m.bookings(n.leaders.bookings)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,7 @@
 	keptEndpoints atomic.Int64
 	poisonGuard   *lockedGuard
 	signals       *signals
+	brittle       *brittleServices
 	paths         *paths
 	// relaysOpen is the number of connections that this node relays for others.
 	relaysOpen atomic.Int64
@@ -197,12 +198,16 @@
 	n.store = platform.NewStore(s.StoreAddress, platform.WithEraErrorHandler(func(err error) { n.log.Warn(eventStoreEra, zap.Error(err)) }))
 	n.workers = platform.NewWorkerClient(platform.WithSignalObserver(n.observeSignals), platform.WithSendCheck(n.checkSignals), platform.WithDialer(n))
 	n.paths = newPaths(s.Node)
+	n.brittle = newBrittleServices()
 	n.signals = newSignals(hash.Of(s.Node))
 	n.pools = newPools(hash.Of(s.Node), modelPolicy, n.ownPace, n.disabled)
+	n.pools.slots = n.ownSlots
 	n.pools.subset = &endpointSubset{node: hash.Of(s.Node), domain: s.Domain}
 	n.budget = n.newBudget()
 	n.stageBudget = n.newBudget()
 	n.leaders = newLeaders(n.log, n.workers, newPools(hash.Of(s.Node), leaderPolicy, n.leaderPace, n.disabled), func() stagepool.RetryBudget { return n.stageBudget }, n.stagePace, n.disabled)
+	n.leaders.modelPools.slots = n.leaderSlots
+	n.leaders.brittle = n.brittle.active
 	n.poisonGuard = &lockedGuard{guard: poison.NewGuard(s.HeartbeatInterval)}
 	n.meters = newMeters(n)
 	n.leaders.meters = n.meters
--- a/internal/node/pace.go
+++ b/internal/node/pace.go
@@ -91,7 +91,7 @@
 	if !n.ratesChanged.Swap(false) {
 		return
 	}
-	if v := n.view.Load(); len(v.cold) > 0 || n.signals.hasBounds() {
+	if v := n.view.Load(); len(v.cold) > 0 || n.signals.hasBounds() || n.brittle.known() {
 		n.updatePoolsWith(true)
 	}
 }
--- a/internal/node/pendingplacement.go
+++ b/internal/node/pendingplacement.go
@@ -130,7 +130,7 @@
 	at, ok := c.leaders.modelPools.choose(now, wants)
 	if !ok {
 		wait, available := c.leaders.modelPools.timeToNextSend(now, wants.service)
-		return m, available && wait > 0
+		return m, available && wait > 0 || c.leaders.brittle(wants.service)
 	}
 	c.releaseReservation(done.Task)
 	c.placedCalls[done.Task] = at
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -31,6 +31,7 @@
 	seed         uint64
 	modelPolicy  string // the policy for models
 	pace         paceSource
+	slots        slotSource
 	disabled     mechanism.Disabled
 	byService    map[string]*place.Pool
 	keySelectors map[string]*place.KeySelector
@@ -56,7 +57,7 @@
 
 func newPools(seed uint64, models string, pace paceSource, off mechanism.Disabled) *pools {
 	return &pools{
-		seed: seed, modelPolicy: models, pace: pace, disabled: off, byService: make(map[string]*place.Pool), keySelectors: make(map[string]*place.KeySelector),
+		seed: seed, modelPolicy: models, pace: pace, slots: unsharedSlots, disabled: off, byService: make(map[string]*place.Pool), keySelectors: make(map[string]*place.KeySelector),
 		reserved: make(map[string]int), counts: make(map[string]int), extras: make(map[string][]string), outputPaces: make(map[string]*place.OutputPace),
 	}
 }
@@ -103,7 +104,7 @@
 			p.byService[name] = pool
 		}
 		p.counts[name] = len(byService[name])
-		specOf := v.specSource(service, p.pace, p.disabled)
+		specOf := v.specSource(service, p.pace, p.slots, p.disabled)
 		specs := make([]place.Spec, 0, min(len(byService[name]), maxSubset))
 		for _, e := range byService[name] {
 			if p.holds(v, service, e) || slices.Contains(p.extras[name], e.ID) {
@@ -134,7 +135,7 @@
 			continue
 		}
 		if specsOf[e.Service] == nil {
-			specsOf[e.Service] = v.specSource(service, p.pace, p.disabled)
+			specsOf[e.Service] = v.specSource(service, p.pace, p.slots, p.disabled)
 		}
 		p.byService[e.Service].Apply([]place.Spec{specsOf[e.Service](e)}, nil)
 	}
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -111,13 +111,14 @@
 
 // observeSignals applies the signals in an endpoint's response, which came through another node
 // unless relay is "".
-func (n *Node) observeSignals(endpoint, relay string, s signal.Signals) {
+func (n *Node) observeSignals(endpoint, relay string, status int, s signal.Signals) {
 	if relay == "" {
 		n.recordPath(endpoint, reach.Answered)
 	} else if s.Backoff > 0 {
 		n.reportBackoff(relay, endpoint, s.Backoff)
 	}
 	n.logUnusableSignals(endpoint, s)
+	n.observeBrittle(endpoint, status, s.Brittle)
 	n.applySignals(endpoint, s)
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -206,11 +206,12 @@
 }
 
 // updatePools updates the pools from the present view, once that is complete. Other nodes may
-// submit work earlier.
-func (n *Node) updatePools() { n.updatePoolsWith(false) }
+// submit work earlier. Each endpoint that comes or goes changes which slots of the others are this
+// node's, while they are brittle.
+func (n *Node) updatePools() { n.updatePoolsWith(n.brittle.count() > 0) }
 
-// updatePoolsWith updates the pools; ratesChanged reports whether the paces of endpoints changed
-// although the view did not.
+// updatePoolsWith updates the pools; ratesChanged reports whether the paces or slots of endpoints
+// changed although the view did not.
 func (n *Node) updatePoolsWith(ratesChanged bool) {
 	n.poolsMu.Lock()
 	defer n.poolsMu.Unlock()
@@ -411,7 +412,7 @@
 }
 
 // specSource returns a function that returns the placement specs of a service's endpoints.
-func (v *view) specSource(service catalog.Service, pace paceSource, off mechanism.Disabled) func(*catalog.Endpoint) place.Spec {
+func (v *view) specSource(service catalog.Service, pace paceSource, slots slotSource, off mechanism.Disabled) func(*catalog.Endpoint) place.Spec {
 	cache := service.PromptCache
 	if off.Has(mechanism.Holdings) {
 		cache.Tokens = 0
@@ -421,10 +422,10 @@
 	if off.Has(mechanism.EngineMemory) {
 		memory = 0
 	}
-	paceOf, armOf := pace(v, service), v.armNames(service.Name)
+	paceOf, slotsOf, armOf := pace(v, service), slots(v, service), v.armNames(service.Name)
 	return func(e *catalog.Endpoint) place.Spec {
 		return place.Spec{
-			Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: max(e.Slots, 1),
+			Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: slotsOf(e),
 			CacheTokens: cache.Tokens, MemoryTokens: memory, CanCopy: cache.SupportsCopy, Versions: armOf(*e), Pace: paceOf(e.ID, v.coldPeriod(service, *e)),
 		}
 	}
