node: calls on a lost path don't count against a rollout; log the relay of a request

A leader whose paths to the endpoints of a new version are lost counted its broken stage calls as failures of that version, which may revert a rollout for a fault of the leader's network: the same class of fault as failed requests at nodes without paths. Plain and model requests were already neutral.

TestLostPathIsNoRolloutFailure failed before ('a call on a lost path counts for the rollout'). The line of a request names the node through which its answer came.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -86,6 +86,8 @@
 	headTook   time.Duration
 	// slowdown is what the endpoint of the last attempt stated with its answer, or 0.
 	slowdown float64
+	// relay is the peer address of the node through which the last answer came, or "".
+	relay string
 	// afterStop is the time from the start of the shutdown to the arrival, or 0.
 	afterStop time.Duration
 }
@@ -309,6 +311,9 @@
 	if q.late(time.Now()) {
 		fields = append(fields, zap.Bool("late", true))
 	}
+	if q.relay != "" {
+		fields = append(fields, zap.String("relay", q.relay))
+	}
 	if q.slowdown > 0 {
 		fields = append(fields, zap.Float64("slowdown", q.slowdown))
 	}
@@ -483,7 +488,7 @@
 	}
 	defer a.Body.Close()
 	c.answeredAt = time.Now()
-	q.slowdown = a.Signals.Load.Slowdown
+	q.slowdown, q.relay = a.Signals.Load.Slowdown, a.Relay
 	event := a.Event
 	if !a.Misdirected {
 		q.sent++
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -10,7 +10,11 @@
 	"testing"
 	"time"
 
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/reach"
+	"gradetiller.example/internal/core/rollout"
 	"gradetiller.example/internal/wire"
+	"gradetiller.example/platform"
 	"gradetiller.example/platform/platformtest"
 )
 
@@ -202,3 +206,29 @@
 		t.Errorf("an endpoint in backoff: %v", result)
 	}
 }
+
+// TestLostPathIsNoRolloutFailure guards against a rollout that is reverted because the node that calls
+// the new version's stage endpoints has lost its paths to them.
+func TestLostPathIsNoRolloutFailure(t *testing.T) {
+	n := New(platform.Settings{Node: "n1"})
+	endpoint := catalog.Endpoint{ID: "i-1", Service: "encode", Version: "v2"}
+	orders := rollout.Orders{}.Replace(7, []rollout.Order{{Service: "encode", Version: "v2", Duration: time.Minute, Revision: 7}})
+	n.view.Store(&view{endpoints: catalog.EndpointsOf([]catalog.Endpoint{endpoint}), rollouts: orders})
+	now := time.Now()
+	n.rollouts.sync(now, orders, nil)
+	to := reach.Target{Endpoint: "i-1", Service: "encode"}
+	answers := func() int { return len(n.rollouts.byService["encode"].recorder.Report()) }
+
+	end := n.trackStageCall("encode", "i-1")
+	n.paths.record(now, to, reach.Refused)
+	n.paths.recordRelay(now, to, true)
+	end(false, time.Second)
+	if got := answers(); got != 0 {
+		t.Errorf("a call on a lost path counts for the rollout")
+	}
+	n.paths.record(now, to, reach.Opened)
+	n.trackStageCall("encode", "i-1")(false, time.Second)
+	if got := answers(); got != 1 {
+		t.Errorf("a failure on a path that works does not count for the rollout")
+	}
+}
--- a/internal/node/stagerollouts.go
+++ b/internal/node/stagerollouts.go
@@ -64,7 +64,8 @@
 }
 
 // trackStageCall counts a call to a stage endpoint for the rollout of its service. Calls differ in
-// their number of pieces, so that only their failures are compared.
+// their number of pieces, so that only their failures are compared. A call that failed because this
+// node lost its path to the endpoint says nothing about its version.
 func (n *Node) trackStageCall(service, endpoint string) func(ok bool, took time.Duration) {
 	v := n.view.Load()
 	order, ok := v.rollouts.Get(service)
@@ -77,7 +78,7 @@
 	}
 	end := n.rollouts.begin(service, arm)
 	return func(ok bool, took time.Duration) {
-		end(true, rollout.Key{Route: stageRoute, Arm: arm}, rollout.Result{OK: ok, Latency: took})
+		end(ok || !n.lostHere(endpoint), rollout.Key{Route: stageRoute, Arm: arm}, rollout.Result{OK: ok, Latency: took})
 	}
 }
 
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -278,7 +278,7 @@
 	}
 	defer a.Body.Close()
 	c.answeredAt = time.Now()
-	q.slowdown = a.Signals.Load.Slowdown
+	q.slowdown, q.relay = a.Signals.Load.Slowdown, a.Relay
 	s.recordPlacement(c, wire.PlacementServed)
 	s.recordSlowdown(c, a)
 	if !a.Misdirected {
