--- a/internal/core/reach/table.go
+++ b/internal/core/reach/table.go
@@ -90,6 +90,8 @@
 	// many of them stopped answering since.
 	openedAt time.Time
 	suspects int
+	// relayedAt is when another node last reached any of the endpoints.
+	relayedAt time.Time
 }
 
 // Table holds the paths from one node to the endpoints that it opened connections to. It is not
@@ -169,11 +171,12 @@
 // RecordRelay records whether another node, whose own paths it trusts, reached an endpoint. It
 // reports whether this is the first to reach it since the path was lost.
 func (t *Table) RecordRelay(now time.Time, to Target, reached bool) (first bool) {
-	_, p := t.pathTo(to)
+	s, p := t.pathTo(to)
 	if !reached {
 		p.goneAt = now
 		return false
 	}
+	s.relayedAt = now
 	first = p.lost() && !p.reachedByOthers()
 	if first && p.cause == Silent {
 		t.silentAt = now
@@ -234,15 +237,19 @@
 	return true
 }
 
-// LostHere reports whether the path to an endpoint is lost although another node reaches it. What
-// fails at such an endpoint says nothing about the endpoint.
+// LostHere reports whether the path to an endpoint is lost although another node reaches it, so that
+// what fails there says nothing about the endpoint. If this node has lost most of its paths to the
+// service, it is enough that another node reaches other endpoints and does not miss this one.
 func (t *Table) LostHere(to Target) bool {
 	s, ok := t.services[to.Service]
 	if !ok {
 		return false
 	}
 	p, ok := s.paths[to.Endpoint]
-	return ok && p.lost() && p.reachedByOthers()
+	if !ok || !p.lost() {
+		return false
+	}
+	return p.reachedByOthers() || !t.Trusted(to) && p.goneAt.Before(p.lostAt) && s.relayedAt.After(p.lostAt.Add(-slowPeriod))
 }
 
 // SilentHere reports whether LostHere holds and packets on the path vanish, so that nothing more is to
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -17,10 +17,13 @@
 const (
 	// relayTimeout bounds the time for other nodes to connect to an endpoint, and relayDialTimeout
 	// that for one of them. A connection takes a few round trips.
-	relayTimeout     = 600 * time.Millisecond
+	relayTimeout     = time.Second
 	relayDialTimeout = 400 * time.Millisecond
-	// relayStagger is how long a node may take before the next one is asked as well.
-	relayStagger = 100 * time.Millisecond
+	// relayStagger is how long a node may take before the next one is asked as well, and maxPendingRelays
+	// how many are asked at a time. An endpoint that has lost power is silent to all nodes, each of
+	// which tries to connect as often as it is asked.
+	relayStagger     = 100 * time.Millisecond
+	maxPendingRelays = 2
 	// minNoPaths is how many other nodes must fail to reach an endpoint for it to be gone.
 	minNoPaths = 2
 	// relayBytes is the memory that a relayed connection takes: a buffer for each direction, and
@@ -196,7 +199,9 @@
 			}
 			ask()
 		case <-stagger.C:
-			ask()
+			if len(pending) < maxPendingRelays {
+				ask()
+			}
 		case <-ctx.Done():
 			go closeUnused(answers, len(pending))
 			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
