node: split the dialing of two ways at once

No change of behaviour but one: a direct connection that is the faster one after all no longer counts as slow. DialOnce had three jobs in 65 lines; dialRace now runs the two ways, and DialDirect and DialOnce share beginRoute.

--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -156,6 +156,16 @@
 	return !n.disabled.Has(mechanism.Relays) && n.liveNodes.Load() > 1
 }
 
+// beginRoute returns how to connect to an endpoint, and records a direct attempt if that is a part of
+// it.
+func (n *Node) beginRoute(endpoint string) (reach.Target, reach.Route) {
+	to, ok := n.targetOf(endpoint)
+	if !ok || !n.relays() {
+		return to, reach.Route{Reuse: true, Direct: true}
+	}
+	return to, n.paths.begin(time.Now(), to)
+}
+
 // Reusable implements platform.Dialer.
 func (n *Node) Reusable(endpoint string) bool {
 	to, ok := n.targetOf(endpoint)
@@ -165,11 +175,7 @@
 // DialDirect implements platform.Dialer. It gives a direct attempt as long as other nodes may not be
 // asked.
 func (n *Node) DialDirect(ctx context.Context, endpoint, address string) (net.Conn, error) {
-	to, ok := n.targetOf(endpoint)
-	if !ok || !n.relays() {
-		return n.dialRecorded(ctx, endpoint, address)
-	}
-	r := n.paths.begin(time.Now(), to)
+	_, r := n.beginRoute(endpoint)
 	if !r.Relay {
 		return n.dialRecorded(ctx, endpoint, address)
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,84 +66,96 @@
 // Relay implements platform.RelayedConn.
 func (c *relayedConn) Relay() string { return c.address }
 
-// dialed is the outcome of one way to connect to an endpoint.
-type dialed struct {
-	conn   net.Conn
-	err    error
-	direct bool
-}
-
 // DialOnce implements platform.Dialer. It connects directly or through another node, whichever is
 // faster.
 func (n *Node) DialOnce(ctx context.Context, endpoint, address string) (net.Conn, error) {
-	to, ok := n.targetOf(endpoint)
-	if !ok || !n.relays() {
-		return n.dialRecorded(ctx, endpoint, address)
-	}
-	r := n.paths.begin(time.Now(), to)
+	to, r := n.beginRoute(endpoint)
 	if !r.Relay {
 		return n.dialRecorded(ctx, endpoint, address)
 	}
-	// Both ways are buffered, so that the slower one ends without a reader.
-	results := make(chan dialed, 2)
-	pending := 0
+	race := newDialRace()
 	if r.Direct {
-		pending++
-		go func() {
-			// The attempt goes on after another way was faster, since its outcome shows whether
-			// the path works.
-			conn, err := n.dialRecorded(context.WithoutCancel(ctx), endpoint, address)
-			results <- dialed{conn: conn, err: err, direct: true}
-		}()
+		// The attempt goes on after another way was faster, since its outcome shows whether the path
+		// works.
+		race.start(true, func() (net.Conn, error) { return n.dialRecorded(context.WithoutCancel(ctx), endpoint, address) })
 	}
-	relay := time.NewTimer(r.RelayAfter)
-	defer relay.Stop()
-	asked := false
-	ask := func() {
-		if asked {
-			return
-		}
-		asked = true
-		pending++
-		go func() {
-			conn, err := n.dialThroughRelay(ctx, to)
-			results <- dialed{conn: conn, err: err}
-		}()
+	askRelays := func() {
+		race.start(false, func() (net.Conn, error) { return n.dialThroughRelay(ctx, to) })
+	}
+	conn, err := race.await(ctx, r.RelayAfter, askRelays)
+	if race.slow {
+		n.recordPath(endpoint, reach.Slow)
 	}
+	return conn, err
+}
+
+// dialed is the outcome of one way to connect to an endpoint.
+type dialed struct {
+	conn   net.Conn
+	err    error
+	direct bool
+}
+
+// dialRace connects to an endpoint in two ways and takes the faster one.
+type dialRace struct {
+	// results has room for both ways, so that the slower one ends without a reader.
+	results chan dialed
+	pending int
+	// slow is true if the direct way took so long that the other one was started, and was not the
+	// faster one.
+	slow bool
+}
+
+func newDialRace() *dialRace { return &dialRace{results: make(chan dialed, 2)} }
+
+// start starts one way.
+func (r *dialRace) start(direct bool, dial func() (net.Conn, error)) {
+	r.pending++
+	go func() {
+		conn, err := dial()
+		r.results <- dialed{conn: conn, err: err, direct: direct}
+	}()
+}
+
+// await returns the first connection. It calls startOther to start the other way, once, when the direct
+// one has failed or has taken as long as given. If both fail, the error is that of the direct one.
+func (r *dialRace) await(ctx context.Context, after time.Duration, startOther func()) (net.Conn, error) {
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	startOnce := sync.OnceFunc(startOther)
 	var failure error
 	for {
 		select {
-		case <-relay.C:
-			if r.Direct && r.RelayAfter > 0 {
-				n.recordPath(endpoint, reach.Slow)
-			}
-			ask()
-		case d := <-results:
-			pending--
+		case <-timer.C:
+			r.slow = after > 0
+			startOnce()
+		case d := <-r.results:
+			r.pending--
 			if d.err == nil {
-				go closeSlower(results, pending)
+				r.slow = r.slow && !d.direct
+				go r.closeSlower(r.pending)
 				return d.conn, nil
 			}
+			if d.direct {
+				startOnce()
+			}
 			if d.direct || failure == nil {
 				failure = d.err
 			}
-			if d.direct {
-				ask()
-			}
-			if pending == 0 {
+			if r.pending == 0 {
 				return nil, failure
 			}
 		case <-ctx.Done():
-			go closeSlower(results, pending)
+			go r.closeSlower(r.pending)
 			return nil, ctx.Err()
 		}
 	}
 }
 
 // closeSlower closes the connections of the ways that are still pending.
-func closeSlower(results <-chan dialed, pending int) {
+func (r *dialRace) closeSlower(pending int) {
 	for range pending {
-		if d := <-results; d.err == nil {
+		if d := <-r.results; d.err == nil {
 			_ = d.conn.Close()
 		}
 	}
