node: the brittle endpoints' test loads the machine less

The five cases ran at once with 30 nodes and 1,000 requests a second under the race detector. Work takes 400 ms in place of 120 now and 60 requests a second are sent in place of 200, which is 1.5 times what the endpoints can do as before; the bounds are the same.

Measured: with the race detector, two copies at once, all cases pass: no falls, 194 to 672 of about 670 served.

--- a/internal/node/brittle_test.go
+++ b/internal/node/brittle_test.go
@@ -29,11 +29,12 @@
 		nodeCount, endpoints = 6, 4
 		// slots is what the endpoints' entries state.
 		slots    = 4
-		work     = 120 * time.Millisecond
+		work     = 400 * time.Millisecond
 		reaction = 3 * time.Second
 		measured = 8 * time.Second
-		// offered is how many requests are sent per second, 1.5 times what the endpoints can do.
-		offered = 200
+		// offered is how many requests are sent per second, 1.5 times what the endpoints can do. Both
+		// are low, so that no verdict depends on the machine's speed.
+		offered = 60
 		// minServed is the part of what the endpoints can do that must be served at least, as for any
 		// kind of request.
 		minServed = 0.25
