node: log and count the software versions of continued streams

Callers held streams with events of two software versions of a service, and no log told at which version a stream began, at which it went on, or that a request continued one: the versions had to be joined from the operator's log. No decision changes.

'stream continued' names both versions, how the first one is known and for how long, and the age of the list of endpoints; 'request' has the endpoint's version and what the client's attempt continues; 'endpoint listed' has the version. gradetiller_streams_continued_total counts by whether the versions are the same.

TestContinuedStreamIsLogged passes; it needs the new lines.

--- a/internal/core/place/endpoint.go
+++ b/internal/core/place/endpoint.go
@@ -27,6 +27,8 @@
 	Pace intake.Pace
 	// Versions lists the models or versions it serves; empty means any.
 	Versions []string
+	// SoftwareVersion is the version of the endpoint's software, or "" if it states none.
+	SoftwareVersion string
 }
 
 // Load is the load that an endpoint reports with its answers.
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -27,6 +27,9 @@
 	eventEndpointBackoff = "endpoint backoff"
 	// A stream was interrupted.
 	eventStreamBroken = "stream broke"
+	// A stream goes on at another endpoint, within its response or in another attempt of its client.
+	// The line tells at which software version it began, at which it goes on and how this is known.
+	eventStreamContinued = "stream continued"
 	// A leader did not respond and is not used for a while.
 	eventLeaderLost = "leader lost"
 	// A standby received nothing from a leader for a while and opened a new connection to it.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -75,7 +75,9 @@
 	// memoryShort is true if the body was refused for want of memory.
 	memoryShort bool
 	endpoint    string
-	outcome     string
+	// version is the software version of the endpoint of the last attempt.
+	version string
+	outcome string
 	// leader is the node that ran the stages, and predicted the duration that it predicted
 	// for them when it accepted or refused them.
 	leader    string
@@ -311,6 +313,12 @@
 	if q.late(time.Now()) {
 		fields = append(fields, zap.Bool("late", true))
 	}
+	if q.version != "" {
+		fields = append(fields, zap.String("version", q.version))
+	}
+	if q.continues() {
+		fields = append(fields, zap.String("resumes", q.in.Resumes), zap.String("after", q.in.LastEventID))
+	}
 	if q.relay != "" {
 		fields = append(fields, zap.String("relay", q.relay))
 	}
@@ -479,7 +487,7 @@
 
 // tryPlain sends one attempt and reads the complete response.
 func (n *Node) tryPlain(ctx context.Context, q *request, c *placedCall) (*platform.Response, []byte, attempt.Event) {
-	q.endpoint = c.endpoint.ID
+	q.endpoint, q.version = c.endpoint.ID, c.endpoint.Version
 	limited, cancel := context.WithTimeout(ctx, q.attemptTimeout(time.Now()))
 	defer cancel()
 	a, err := n.workers.Send(limited, n.workerRequest(q, c.endpoint, time.Now()))
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -201,6 +201,12 @@
 // observedBackoff counts a rejection that asks for a backoff.
 func (m *meters) observedBackoff() { m.set.GetOrCreateCounter("gradetiller_backoffs_total").Inc() }
 
+// streamContinued counts an attempt that continues a stream, by how its origin is known and by how the
+// software version at which it goes on compares with the one at which it began.
+func (m *meters) streamContinued(service string, source originSource, versions string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_streams_continued_total{service=%q,source=%q,versions=%q}`, m.label(service), string(source), versions)).Inc()
+}
+
 // poisonRefused counts a request that is refused because it crashes endpoints.
 func (m *meters) poisonRefused(route string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_poison_refused_total{route=%q}`, m.label(route))).Inc()
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -237,7 +237,7 @@
 	queuedTokens := pool.PendingTokens(i)
 	pendingTokens := pool.Start(now, i, req)
 	spec := pool.At(i).Spec()
-	e := catalog.Endpoint{ID: spec.Name, Service: n.service, Address: spec.Address, Domain: spec.Domain, Slots: spec.Slots}
+	e := catalog.Endpoint{ID: spec.Name, Service: n.service, Address: spec.Address, Domain: spec.Domain, Slots: spec.Slots, Version: spec.SoftwareVersion}
 	return &placedCall{pools: p, pool: pool, index: i, endpoint: e, started: now, pendingTokens: pendingTokens, queuedTokens: queuedTokens, cacheSource: cacheSource, reservation: reservation, bounded: spec.Pace.Bounded(now)}
 }
 
--- a/internal/node/secondattempt.go
+++ b/internal/node/secondattempt.go
@@ -63,7 +63,8 @@
 			running--
 			q.sent += end.request.sent - before.sent
 			q.held += end.request.held - before.held
-			q.endpoint, q.slowdown, q.relay = end.call.endpoint.ID, end.request.slowdown, end.request.relay
+			q.endpoint, q.version = end.call.endpoint.ID, end.call.endpoint.Version
+			q.slowdown, q.relay = end.request.slowdown, end.request.relay
 			if running == 0 || end.usable() {
 				if end.call != c && end.usable() {
 					n.meters.secondAttemptWon(q.service)
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -41,6 +41,8 @@
 	// placed is what the leader is told about the endpoint that it chose.
 	placed wire.StagesRelease
 	events int
+	// origin is where the stream began, as far as this node knows.
+	origin origin
 }
 
 // serveStream runs the stages of a request and forwards the events of its response.
@@ -51,7 +53,7 @@
 		return
 	}
 	q.prefix = n.pools.prefix(q)
-	s := &stream{node: n, q: q, w: w, flush: http.NewResponseController(w)}
+	s := &stream{node: n, q: q, w: w, flush: http.NewResponseController(w), origin: origin{source: originUnknown}}
 	defer func() { s.release() }()
 	var tried []string
 	for range maxSends {
@@ -250,7 +252,10 @@
 // tryStream sends one attempt and forwards the events of its response.
 func (n *Node) tryStream(ctx context.Context, s *stream, c *placedCall) (*platform.Response, attempt.Event) {
 	q := s.q
-	q.endpoint = c.endpoint.ID
+	q.endpoint, q.version = c.endpoint.ID, c.endpoint.Version
+	if s.continues() {
+		n.logContinued(s, c)
+	}
 	parent := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -368,6 +373,9 @@
 		return
 	}
 	s.started = true
+	if !s.origin.known() {
+		s.origin = origin{source: originResponse, version: s.q.version, learnedAt: time.Now()}
+	}
 	s.q.headTook = time.Since(s.q.arrived)
 	platform.CopyResponseHeader(s.w, a.Header)
 	s.w.Header().Del("Content-Length")
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -197,7 +197,7 @@
 	for _, e := range set {
 		old, ok := before.Get(e.ID)
 		if !ok || old.Draining != e.Draining || old.ColdRemaining == 0 && e.ColdRemaining > 0 {
-			n.log.Info(eventEndpointListed, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.Bool("draining", e.Draining), zap.Duration("cold", e.ColdRemaining), zap.String("source", source), zap.Int64("list_age_ms", listAge))
+			n.log.Info(eventEndpointListed, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("address", e.Address), zap.String("version", e.Version), zap.Bool("draining", e.Draining), zap.Duration("cold", e.ColdRemaining), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 		}
 	}
 	for _, e := range removed {
@@ -426,7 +426,7 @@
 	return func(e *catalog.Endpoint) place.Spec {
 		return place.Spec{
 			Name: e.ID, Address: e.Address, Domain: e.Domain, Slots: slotsOf(e),
-			CacheTokens: cache.Tokens, MemoryTokens: memory, CanCopy: cache.SupportsCopy, Versions: armOf(*e), Pace: paceOf(e.ID, v.coldPeriod(service, *e)),
+			CacheTokens: cache.Tokens, MemoryTokens: memory, CanCopy: cache.SupportsCopy, Versions: armOf(*e), SoftwareVersion: e.Version, Pace: paceOf(e.ID, v.coldPeriod(service, *e)),
 		}
 	}
 }
