node, core/place: a stream goes on only at its software version within a response

What an attempt requires of its endpoint did not name the version: the node that goes on, its leader and the arm of a rollout, which is drawn from the ID of the attempt, each chose among all endpoints. Now the first event ties the stream to the version of its endpoint, as it was listed when the attempt was sent, and the node, the leader (StagesSubmit.Versions) and the arm follow. If no endpoint of the version is listed, the stream ends at once, so that its client can begin anew; if one is listed but busy or ejected, the node waits as long as a pause between two events may last.

--- a/internal/core/place/policy.go
+++ b/internal/core/place/policy.go
@@ -35,8 +35,13 @@
 	return i != req.Exclude && !slices.Contains(req.Tried, i) && req.allows(&p.endpoints[i]) && p.endpoints[i].available(now, req.Version)
 }
 
-// allows reports whether the request may use an endpoint's failure domain.
-func (r *Request) allows(e *Endpoint) bool { return r.Domains == nil || r.Domains(e.spec.Domain) }
+// allows reports whether the request may use an endpoint's failure domain and software version.
+func (r *Request) allows(e *Endpoint) bool {
+	if len(r.SoftwareVersions) > 0 && !slices.Contains(r.SoftwareVersions, e.spec.SoftwareVersion) {
+		return false
+	}
+	return r.Domains == nil || r.Domains(e.spec.Domain)
+}
 
 // usable reports whether this node may send a call to endpoint i now, rate limits included.
 func (p *Pool) usable(now time.Time, i int, req Request) bool {
--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -32,6 +32,9 @@
 	// Domains reports whether a failure domain may serve the call or provide cached parts of its
 	// prompt; nil means all.
 	Domains func(domain string) bool
+	// SoftwareVersions are the versions of the endpoints' software that may serve the call or provide
+	// cached parts of its prompt; none means any.
+	SoftwareVersions []string
 	// Exclude is an endpoint that must not be chosen, or None.
 	Exclude int
 	// Tried lists further endpoints that must not be chosen.
--- a/internal/node/continuation.go
+++ b/internal/node/continuation.go
@@ -47,6 +47,14 @@
 // continues reports whether a client's request continues a stream of an earlier attempt.
 func (q *request) continues() bool { return q.in.Resumes != "" || q.in.LastEventID != "" }
 
+// noVersionReason is the outcome of streams that can't go on, since no endpoint of the software version
+// that began them accepts work.
+const noVersionReason = "no endpoint of the stream's software version"
+
+// mayGoOn reports whether an endpoint at which a stream may go on is listed. If none is, waiting does not
+// help the client: it may begin the stream anew.
+func (n *Node) mayGoOn(wants need) bool { return len(wants.versions) == 0 || n.pools.lists(wants) }
+
 // logContinued logs and counts an attempt that continues a stream.
 func (n *Node) logContinued(s *stream, c *placedCall) {
 	q, now := s.q, time.Now()
--- a/internal/node/endpointsubset.go
+++ b/internal/node/endpointsubset.go
@@ -17,6 +17,8 @@
 	// its own failure domain, which it holds localFactor times as often.
 	subsetSize  = 96
 	localFactor = 8
+	// versionExtras is how many endpoints are held for a call that is restricted to some versions.
+	versionExtras = 8
 	// maxExtras bounds the endpoints that are held because a leader chose them.
 	maxExtras = 256
 )
@@ -55,9 +57,31 @@
 	if !ok || e.Service != n.service || !p.view.evacuations.AcceptsWork(*e) {
 		return
 	}
-	p.trimExtras(pool, n.service)
-	pool.Apply([]place.Spec{p.view.specSource(p.view.config.Services[n.service], p.pace, p.slots, p.disabled)(e)}, nil)
-	p.extras[n.service] = append(p.extras[n.service], e.ID)
+	p.addExtra(pool, e)
+}
+
+func (p *pools) addExtra(pool *place.Pool, e *catalog.Endpoint) {
+	p.trimExtras(pool, e.Service)
+	pool.Apply([]place.Spec{p.view.specSource(p.view.config.Services[e.Service], p.pace, p.slots, p.disabled)(e)}, nil)
+	p.extras[e.Service] = append(p.extras[e.Service], e.ID)
+}
+
+// admitVersions adds some endpoints of the versions that a call is restricted to, if the pool holds only
+// a part of the service's endpoints. The caller must hold the lock.
+func (p *pools) admitVersions(pool *place.Pool, n need) {
+	if p.subset == nil || len(n.versions) == 0 || p.view == nil || p.counts[n.service] <= maxSubset {
+		return
+	}
+	held := 0
+	for e := range p.listed(n) {
+		if held == versionExtras {
+			return
+		}
+		if pool.Find(e.ID) == place.None {
+			p.addExtra(pool, e)
+		}
+		held++
+	}
 }
 
 // trimExtras drops the older half of the extra endpoints without calls if there are too many.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -65,6 +65,9 @@
 	content poison.ID
 	// regions are the regions that may serve the request.
 	regions catalog.Regions
+	// versions are the software versions at which the request may run, or nil if at any: those that
+	// wrote the events that the client has.
+	versions []string
 	// prefix is the key of the prompt prefix by which the request is placed.
 	prefix uint64
 	source *http.Request
@@ -436,9 +439,14 @@
 const slotPollInterval = 10 * time.Millisecond
 
 // choose picks the endpoint of an attempt. If all endpoints are in backoff it waits for the first
-// one to leave it, up to backoffWaitLimit.
+// one to leave it, up to backoffWaitLimit. If a stream can go on only at some versions, it waits for a
+// free endpoint of these as long as the pause between two events may last.
 func (n *Node) choose(ctx context.Context, q *request, wants need) (*placedCall, bool) {
-	limit := q.backoffWaitLimit(time.Now())
+	begun := time.Now()
+	limit := q.backoffWaitLimit(begun)
+	if pauseEnd := begun.Add(q.route.MaxEventGap); len(wants.versions) > 0 && pauseEnd.After(limit) {
+		limit = pauseEnd
+	}
 	for {
 		now := time.Now()
 		if c, ok := n.pools.choose(now, wants); ok {
@@ -446,7 +454,7 @@
 			return c, true
 		}
 		at := n.pools.nextAfterBackoff(now, wants)
-		if at.IsZero() && n.brittle.active(wants.service) {
+		if at.IsZero() && (n.brittle.active(wants.service) || len(wants.versions) > 0 && n.pools.lists(wants)) {
 			at = now.Add(slotPollInterval)
 		}
 		if at.IsZero() || !at.Before(limit) || ctx.Err() != nil {
--- a/internal/node/pendingplacement.go
+++ b/internal/node/pendingplacement.go
@@ -121,7 +121,7 @@
 		return m, false
 	}
 	wants := a.needAt(now)
-	if wants.arm == rollout.Any {
+	if wants.arm == rollout.Any && len(wants.versions) == 0 {
 		// The request's node did not know of the rollout yet.
 		wants.arm = c.leaders.armOf(now, wants.service, a.requestID)
 	}
@@ -175,7 +175,7 @@
 
 // newPlacementRequest returns the placement request of a submission.
 func newPlacementRequest(now time.Time, m *wire.StagesSubmit, domains func(string) bool) placementRequest {
-	a := placementRequest{need: need{service: m.Model, arm: armNamed(m.Arm), domains: domains, prefix: m.Prefix, prompt: place.Prompt{Tokens: m.Tokens, OutputTokens: m.OutputTokens}}, priority: m.Priority, requestID: m.RequestID}
+	a := placementRequest{need: need{service: m.Model, arm: armNamed(m.Arm), domains: domains, versions: m.Versions, prefix: m.Prefix, prompt: place.Prompt{Tokens: m.Tokens, OutputTokens: m.OutputTokens}}, priority: m.Priority, requestID: m.RequestID}
 	for _, part := range m.Parts {
 		a.prompt.Parts = append(a.prompt.Parts, place.Part(part))
 	}
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -198,6 +199,8 @@
 	arm rollout.Arm
 	// domains reports whether a failure domain may serve the call; nil means all.
 	domains func(domain string) bool
+	// versions are the software versions of the endpoints that may serve the call; none means any.
+	versions []string
 }
 
 // choose picks an endpoint that was not tried yet and records a call to it.
@@ -270,7 +273,8 @@
 		return nil, place.Request{}, place.None, false
 	}
 	p.admitExtra(pool, n)
-	req := place.Request{Prefix: n.prefix, Prompt: n.prompt, Exclude: place.None, Tried: indices(pool, n.tried), Version: n.arm.String(), Domains: n.domains}
+	p.admitVersions(pool, n)
+	req := place.Request{Prefix: n.prefix, Prompt: n.prompt, Exclude: place.None, Tried: indices(pool, n.tried), Version: n.arm.String(), Domains: n.domains, SoftwareVersions: n.versions}
 	req.OutputTime = p.paceOf(n.service).Predict(n.prompt.OutputTokens)
 	req = pool.WithCacheHits(now, req)
 	if i := pool.Find(n.preferred); i != place.None && pool.Accepts(now, i, req) {
@@ -281,6 +285,31 @@
 	return pool, req, i, ok
 }
 
+// lists reports whether an endpoint that accepts work and was not tried is listed for a call.
+func (p *pools) lists(n need) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range p.listed(n) {
+		return true
+	}
+	return false
+}
+
+// listed yields the listed endpoints that accept work and may serve a call. The caller must hold the lock.
+func (p *pools) listed(n need) iter.Seq[*catalog.Endpoint] {
+	return func(yield func(*catalog.Endpoint) bool) {
+		if p.view == nil {
+			return
+		}
+		for e := range p.view.endpoints.All() {
+			fits := e.Service == n.service && !slices.Contains(n.tried, e.ID) && (len(n.versions) == 0 || slices.Contains(n.versions, e.Version))
+			if fits && p.view.evacuations.AcceptsWork(*e) && (n.domains == nil || n.domains(e.Domain)) && !yield(e) {
+				return
+			}
+		}
+	}
+}
+
 // promptParts returns the parts of a request's prompt.
 func (q *request) promptParts() []wire.PromptPart {
 	parts := make([]wire.PromptPart, len(q.in.PromptPrefix))
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -213,9 +213,18 @@
 	n.updatePools()
 }
 
-// armOf returns the arm of a request that is placed now.
+// armOf returns the arm of a request that is placed now. A stream that goes on stays in the arm of the
+// software version that began it, whatever the phase and the ID of this attempt.
 func (n *Node) armOf(q *request) rollout.Arm {
-	return n.rollouts.arm(time.Now(), q.service, q.in.RequestID)
+	arm := n.rollouts.arm(time.Now(), q.service, q.in.RequestID)
+	if arm == rollout.Any || len(q.versions) == 0 {
+		return arm
+	}
+	order, ok := n.view.Load().rollouts.Get(q.service)
+	if !ok {
+		return rollout.Any
+	}
+	return order.ArmOf(catalog.Endpoint{Version: q.versions[0]})
 }
 
 // trackRollout counts a call for the rollout of its service.
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -57,6 +57,10 @@
 	defer func() { s.release() }()
 	var tried []string
 	for range maxSends {
+		if s.started && !n.mayGoOn(s.need(tried)) {
+			n.endStream(ctx, s, attempt.AnswerUnknown, noVersionReason)
+			return
+		}
 		if err := n.prepare(ctx, s); err != nil {
 			n.endStagesFailed(ctx, s, err)
 			return
@@ -123,7 +127,7 @@
 	wants := need{
 		service: q.service, prefix: q.prefix, tried: tried, preferred: s.results.endpoint,
 		prompt: place.Prompt{Tokens: q.in.PromptTokens},
-		arm:    s.node.armOf(q), domains: s.node.domainsOf(q.regions),
+		arm:    s.node.armOf(q), domains: s.node.domainsOf(q.regions), versions: q.versions,
 	}
 	if limit, _ := s.node.signals.bound(s.results.endpoint); !s.results.bounded && limit.At(time.Now()).Bounded() {
 		// The leader doesn't know the rate limit that this node knows, so it has not counted the
@@ -172,7 +176,7 @@
 	}}
 	work.softDeadline = q.arrived.Add(q.route.Objective)
 	work.submit.Avoid = n.avoided(q.service)
-	work.submit.Arm, work.submit.Regions = n.armOf(q).String(), q.regions
+	work.submit.Arm, work.submit.Regions, work.submit.Versions = n.armOf(q).String(), q.regions, q.versions
 	work.submit.NodePlaced = n.mixes.takeUnreported(q.service)
 	work.submit.Route, work.submit.Account, work.submit.RoutePriority = q.route.Name, q.account, q.route.Priority
 	work.submit.Patience = patience.Of(q.in.Timeout).Milliseconds()
@@ -375,6 +379,7 @@
 	s.started = true
 	if !s.origin.known() {
 		s.origin = origin{source: originResponse, version: s.q.version, learnedAt: time.Now()}
+		s.q.versions = []string{s.q.version}
 	}
 	s.q.headTook = time.Since(s.q.arrived)
 	platform.CopyResponseHeader(s.w, a.Header)
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -61,6 +61,9 @@
 	// Replaces is the ID of the sender's earlier submission of the same work that a leader accepted
 	// before it was lost, or 0. Nodes of an earlier version leave it out.
 	Replaces uint64
+	// Versions are the software versions of Model's endpoints at which the request may run; none means
+	// any. Leaders of an earlier version don't know it and may choose an endpoint of another version.
+	Versions []string
 }
 
 // Avoided is an endpoint in backoff. Remaining is the rest of the backoff in milliseconds.
