node, core/origin: a stream goes on only at its software version at other nodes

Callers that left a stream and returned at another node held events of two software versions: 8 to 24 of 24 streams in the scripts, also with a rollout under way or the first node lost.

A client names the attempt that brought the first event in Resumes. No node read it, and no other knew where the stream began. Now the node at which a stream begins sends a record of 16 bytes of hash, the service and the version to three nodes found by rendezvous hashing, before the client has the first event. The node at which a client returns uses its own record or asks these three, and after 30 ms or three negative answers the next three. It ties the request to the service and the version before stages run; without a record it refuses it as not run within 90 ms, since knowing one version only doesn't show that the stream began there. Records last as long as the client's timeout, are renewed by each attempt, copied when nodes come, leave or restart, keyed by the client account too, and bounded by 16,384.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -67,6 +68,11 @@
 	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
 }
 
+// LeadsTo reports whether a service is one of the route's backends.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service })
+}
+
 // Batching describes the workers of a stage service.
 type Batching struct {
 	Slots    int
--- a/internal/core/mechanism/mechanism.go
+++ b/internal/core/mechanism/mechanism.go
@@ -93,11 +93,14 @@
 	// Relays connects to endpoints through other nodes where the direct path is
 	// lost. If disabled, such endpoints fail.
 	Relays Mechanism = "relays"
+	// Origins exchanges records of where streams began. If disabled, a client can
+	// continue a stream only at the node at which it began.
+	Origins Mechanism = "origins"
 )
 
 // All lists the mechanisms.
 var All = []Mechanism{
-	Copies, Lists, Holdings, Placement, Admission, ForeignRoom, RoomRate, Forecast, Homes, Priorities, EarlyFrees, Speeds, Overdue, Sizes, Reading, Join, Slowdown, Schedule, Shares, EngineMemory, Standby, Bookings, Relays,
+	Copies, Lists, Holdings, Placement, Admission, ForeignRoom, RoomRate, Forecast, Homes, Priorities, EarlyFrees, Speeds, Overdue, Sizes, Reading, Join, Slowdown, Schedule, Shares, EngineMemory, Standby, Bookings, Relays, Origins,
 }
 
 // Disabled is a set of disabled mechanisms.
--- a/internal/node/continuation.go
+++ b/internal/node/continuation.go
@@ -1,9 +1,13 @@
 package node
 
 import (
+	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
+
+	"gradetiller.example/internal/core/origin"
 )
 
 // originSource is how a node knows at which software version a stream began.
@@ -15,10 +19,13 @@
 	originUnknown originSource = "unknown"
 	// originResponse means that the stream began in the same response.
 	originResponse originSource = "response"
+	// originOwn means that this node holds a record of it, and originPeer that another node does.
+	originOwn  originSource = "own"
+	originPeer originSource = "peer"
 )
 
-// origin is where a stream began.
-type origin struct {
+// streamOrigin is where a stream began, as far as this node knows.
+type streamOrigin struct {
 	source originSource
 	// version is the software version of the endpoint that sent the first event. It is "" if that
 	// endpoint states none.
@@ -28,10 +35,10 @@
 }
 
 // known reports whether the version is known.
-func (o origin) known() bool { return o.source != originUnknown && o.source != "" }
+func (o streamOrigin) known() bool { return o.source != originUnknown && o.source != "" }
 
 // compare returns "same", "different" or "unknown", for the version at which the stream goes on.
-func (o origin) compare(version string) string {
+func (o streamOrigin) compare(version string) string {
 	switch {
 	case !o.known():
 		return "unknown"
@@ -47,9 +54,52 @@
 // continues reports whether a client's request continues a stream of an earlier attempt.
 func (q *request) continues() bool { return q.in.Resumes != "" || q.in.LastEventID != "" }
 
-// noVersionReason is the outcome of streams that can't go on, since no endpoint of the software version
-// that began them accepts work.
-const noVersionReason = "no endpoint of the stream's software version"
+// Outcomes of streams that can't go on.
+const (
+	// noVersionReason means that no endpoint of the software version that began the stream accepts work.
+	noVersionReason = "no endpoint of the stream's software version"
+	// noOriginReason means that it is not known where the stream began.
+	noOriginReason = "unknown where the stream began"
+	// movedReason means that the route no longer leads to the service that began the stream.
+	movedReason = "the route has left the stream's service"
+)
+
+// Retry delays of streams that can't go on now.
+const (
+	// noVersionRetryAfter is about the time in which an endpoint that crashed is listed again.
+	noVersionRetryAfter = time.Second
+	// noOriginRetryAfter is about the time in which a record is copied to its new owners.
+	noOriginRetryAfter = 2 * originCopyInterval
+)
+
+// admitContinued ties a request that continues a stream to the service and the software version that began
+// it. If these are not known, or can't serve it, the request is refused and admitContinued returns false.
+func (n *Node) admitContinued(ctx context.Context, s *stream) bool {
+	q := s.q
+	found := n.findOrigin(ctx, q)
+	if found.result != origin.Found {
+		n.log.Info(eventOriginUnknown, zap.String("id", q.in.RequestID), zap.String("resumes", q.in.Resumes), zap.Stringer("result", found.result), zap.Int("asked", found.asked), zap.Int("silent", found.silent))
+		n.refuseContinued(s, found.result.String(), noOriginReason, noOriginRetryAfter)
+		return false
+	}
+	s.origin = streamOrigin{source: found.source, version: found.record.Origin.Version, learnedAt: time.Now()}
+	if !q.route.LeadsTo(found.record.Origin.Service) {
+		n.refuseContinued(s, "moved", movedReason, noVersionRetryAfter)
+		return false
+	}
+	q.service, q.versions = found.record.Origin.Service, []string{found.record.Origin.Version}
+	if !n.mayGoOn(s.need(nil)) {
+		n.refuseContinued(s, "no endpoint", noVersionReason, noVersionRetryAfter)
+		return false
+	}
+	return true
+}
+
+// refuseContinued refuses a request that continues a stream and counts it by cause.
+func (n *Node) refuseContinued(s *stream, cause, reason string, retryAfter time.Duration) {
+	n.meters.continuationRefused(s.q.service, cause)
+	n.refuse(s.w, s.q, http.StatusServiceUnavailable, reason, retryAfter)
+}
 
 // mayGoOn reports whether an endpoint at which a stream may go on is listed. If none is, waiting does not
 // help the client: it may begin the stream anew.
--- a/internal/node/continuation_test.go
+++ b/internal/node/continuation_test.go
@@ -1,12 +1,18 @@
 package node
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/origin"
+	"gradetiller.example/platform"
 	"gradetiller.example/platform/platformtest"
 )
 
@@ -26,6 +32,9 @@
 	do(n.Front, platformtest.Request{ID: "first", Path: "/plain/", Streaming: true, Prefix: "aa:1"})
 	do(n.Front, platformtest.Request{ID: "second", Path: "/plain/", Streaming: true, Prefix: "aa:1", Resumes: "first", LastEventID: "4"})
 	eventually(t, "both requests are logged", func() bool { return lines.FilterMessage(eventRequest).Len() == 2 })
+	if n := lines.FilterMessage(eventRequest).FilterField(zap.String("resumes", "first")).Len(); n != 1 {
+		t.Errorf("%d lines of requests name the attempt that began the stream, want 1", n)
+	}
 	continued := lines.FilterMessage(eventStreamContinued)
 	first := continued.FilterField(zap.String("id", "first")).All()
 	if len(first) != 1 {
@@ -45,3 +54,78 @@
 		t.Errorf("the age of the list is %v", age)
 	}
 }
+
+// TestUnknownStreamIsRefused guards against a stream that goes on although it is not known where it began:
+// at once, as not run, and without a record that the client could fill the table with.
+func TestUnknownStreamIsRefused(t *testing.T) {
+	site, c := newSite(t)
+	c.Version, c.Keys = 2, map[string]string{key: "barbers", "key-2": "clinics"}
+	site.Publish(c)
+	models := site.AddWorkers("model", 2)
+	n := startNode(t, site)
+	other := startNode(t, site, n.Peer)
+	for _, node := range []*testNode{n, other} {
+		node.awaitReady(t)
+		eventually(t, "the configuration is in force", func() bool { return node.node.view.Load().version() == 2 })
+	}
+	stream := platformtest.Request{ID: "first", Path: "/plain/", Streaming: true, Prefix: "aa:1"}
+	if a := do(n.Front, stream); a.Status != 200 {
+		t.Fatalf("the stream does not begin: %+v", a)
+	}
+	for name, q := range map[string]platformtest.Request{
+		"unknown ID":             {Resumes: "never-sent", LastEventID: "2"},
+		"no ID":                  {LastEventID: "2"},
+		"another account's":      {Resumes: "first", LastEventID: "2", Key: "key-2"},
+		"long ID":                {Resumes: strings.Repeat("x", 3000), LastEventID: "2"},
+		"not a text":             {Resumes: "\xff\xfe", LastEventID: "2"},
+		"unknown ID, no event":   {Resumes: "never-sent"},
+		"its own ID":             {Resumes: "its own ID", LastEventID: "2"},
+		"an ID of a refused one": {Resumes: "unknown ID", LastEventID: "2"},
+	} {
+		q.ID, q.Path, q.Streaming, q.Prefix = name, "/plain/", true, "aa:1"
+		for _, node := range []*testNode{n, other} {
+			a := do(node.Front, q)
+			if a.Status != 503 || a.RetryAfter == "" {
+				t.Errorf("%s: status %d, Retry-After %q; want 503 with a delay", name, a.Status, a.RetryAfter)
+			}
+		}
+		if runs := models[0].Runs(name) + models[1].Runs(name); runs > 0 {
+			t.Errorf("%s ran %d times", name, runs)
+		}
+	}
+	for _, node := range []*testNode{n, other} {
+		if records, _ := node.node.origins.size(); records != 1 {
+			t.Errorf("%d records, want 1", records)
+		}
+	}
+	stream.ID, stream.Resumes, stream.LastEventID = "second", "first", "2"
+	if a := do(other.Front, stream); a.Status != 200 {
+		t.Errorf("the account's own stream does not go on: %+v", a)
+	}
+}
+
+// TestStreamStaysAtItsService guards against a stream that goes on at another service, since the ID of the
+// client's attempt draws another one of the route's backends, or since the route has left it.
+func TestStreamStaysAtItsService(t *testing.T) {
+	n := New(platform.Settings{Node: "n"})
+	began := origin.Origin{Service: "a", Version: "v1"}
+	source := httptest.NewRequest(http.MethodPost, "/", nil)
+	attempt := func(route *catalog.Route, service, id, resumes string) (*request, *httptest.ResponseRecorder, bool) {
+		q := &request{view: n.view.Load(), route: route, service: service, arrived: time.Now(), source: source}
+		q.in.RequestID, q.in.Resumes = id, resumes
+		w := httptest.NewRecorder()
+		ok := n.admitContinued(t.Context(), &stream{node: n, q: q, w: w})
+		return q, w, ok
+	}
+	split := &catalog.Route{Name: "r", Resumable: true, Backends: []catalog.Backend{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	n.recordOrigin(&request{in: platform.ClientRequest{RequestID: "first"}}, began)
+	q, w, ok := attempt(split, "b", "second", "first")
+	if ok || w.Code != http.StatusServiceUnavailable || q.service != "a" || q.outcome != noVersionReason {
+		t.Errorf("admitted %v at %s with status %d and outcome %q; want it refused for want of endpoints of a", ok, q.service, w.Code, q.outcome)
+	}
+	moved := &catalog.Route{Name: "r", Resumable: true, Backends: []catalog.Backend{{Service: "b", Weight: 1}}}
+	q, w, ok = attempt(moved, "b", "third", "first")
+	if ok || w.Code != http.StatusServiceUnavailable || q.outcome != movedReason {
+		t.Errorf("admitted %v with status %d and outcome %q after the route had left the service", ok, w.Code, q.outcome)
+	}
+}
--- a/internal/node/continuations_test.go
+++ b/internal/node/continuations_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/scripted"
 	"gradetiller.example/platform/platformtest"
 )
@@ -153,8 +154,8 @@
 	return r
 }
 
-// asPreviousRelease makes a node behave like one of the release before streams were tied to versions.
-func asPreviousRelease(*Node) {}
+// asPreviousRelease makes a node exchange no records of where streams began, as in the release before.
+func asPreviousRelease(n *Node) { n.disabled = mechanism.Disabled{mechanism.Origins: true} }
 
 // connected returns the nodes that are not cut off.
 func (r *continuationRun) connected() []*testNode {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -30,6 +30,8 @@
 	// A stream goes on at another endpoint, within its response or in another attempt of its client.
 	// The line tells at which software version it began, at which it goes on and how this is known.
 	eventStreamContinued = "stream continued"
+	// A client's attempt to continue a stream is refused, since no node that was asked knows where it began.
+	eventOriginUnknown = "stream origin unknown"
 	// A leader did not respond and is not used for a while.
 	eventLeaderLost = "leader lost"
 	// A standby received nothing from a leader for a while and opened a new connection to it.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -192,11 +192,7 @@
 // contentID returns an ID that is the same for all retries of a request by its client, and
 // differs between requests.
 func (q *request) contentID() poison.ID {
-	caller := q.account
-	if caller == "" {
-		caller = q.in.APIKey
-	}
-	return poison.Identify(poison.Content{Caller: caller, Method: q.source.Method, Host: q.in.Host, Target: q.in.Target, Body: q.body})
+	return poison.Identify(poison.Content{Caller: q.caller(), Method: q.source.Method, Host: q.in.Host, Target: q.in.Target, Body: q.body})
 }
 
 // readBody reads the request body and returns the status with which to refuse the request,
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -61,6 +61,8 @@
 	m.set.NewGauge("gradetiller_services_brittle", func() float64 { return float64(n.brittle.count()) })
 	m.set.NewGauge("gradetiller_relays_open", func() float64 { return float64(n.relaysOpen.Load()) })
 	m.set.NewGauge("gradetiller_endpoint_paths_lost", func() float64 { return float64(n.paths.lost()) })
+	m.set.NewGauge("gradetiller_stream_origins", func() float64 { records, _ := n.origins.size(); return float64(records) })
+	m.set.NewGauge("gradetiller_stream_origins_dropped_total", func() float64 { _, dropped := n.origins.size(); return float64(dropped) })
 	m.bookings(n.leaders.bookings)
 	if n.droppedLines != nil {
 		m.droppedLines("ordinary", func() uint64 { return n.droppedLines(logging.Ordinary) })
@@ -207,6 +209,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_streams_continued_total{service=%q,source=%q,versions=%q}`, m.label(service), string(source), versions)).Inc()
 }
 
+// continuationRefused counts a request that continues a stream and is refused.
+func (m *meters) continuationRefused(service, cause string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_continuations_refused_total{service=%q,cause=%q}`, m.label(service), cause)).Inc()
+}
+
 // poisonRefused counts a request that is refused because it crashes endpoints.
 func (m *meters) poisonRefused(route string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_poison_refused_total{route=%q}`, m.label(route))).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,7 @@
 	// remain in use.
 	keptEndpoints atomic.Int64
 	poisonGuard   *lockedGuard
+	origins       *origins
 	signals       *signals
 	brittle       *brittleServices
 	paths         *paths
@@ -187,7 +188,7 @@
 func New(s platform.Settings, options ...Option) *Node {
 	n := &Node{
 		settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(),
-		submissions: newSubmissions(), standbys: newStandbys(), durations: newDurations(), memory: membudget.New(int64(heldShare * float64(s.MemoryBytes))), mixes: &lockedMixes{mixes: intake.NewMixes()}, rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
+		submissions: newSubmissions(), origins: newOrigins(), standbys: newStandbys(), durations: newDurations(), memory: membudget.New(int64(heldShare * float64(s.MemoryBytes))), mixes: &lockedMixes{mixes: intake.NewMixes()}, rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
 		verdictTimeouts: verdictTimeouts{first: verdictTimeout, afterReconnect: reconnectVerdictTimeout},
 		peerAddress:     s.PeerAddress, dialDirect: platform.DialWorker,
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -71,6 +71,7 @@
 	n.requestView(now, ahead)
 	n.updateCells()
 	n.tickRollouts(now)
+	n.copyOrigins(now)
 	n.logPaths(now)
 }
 
@@ -294,6 +295,12 @@
 		n.handleLeaderChanged(from, m)
 	case *wire.RelayBackoff:
 		n.handleRelayBackoff(m)
+	case *wire.StreamOrigins:
+		n.handleStreamOrigins(from, m)
+	case *wire.StreamOriginRequest:
+		n.handleOriginRequest(from, m, answer)
+	case *wire.StreamOriginResponse:
+		n.handleOriginResponse(from, m)
 	case *wire.StagesAdmission:
 		n.submissions.deliverVerdict(m)
 	case *wire.StagesDone:
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -14,6 +14,7 @@
 
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/mechanism"
+	"gradetiller.example/internal/core/origin"
 	"gradetiller.example/internal/core/patience"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/wire"
@@ -42,18 +43,21 @@
 	placed wire.StagesRelease
 	events int
 	// origin is where the stream began, as far as this node knows.
-	origin origin
+	origin streamOrigin
 }
 
 // serveStream runs the stages of a request and forwards the events of its response.
 func (n *Node) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
+	s := &stream{node: n, q: q, w: w, flush: http.NewResponseController(w), origin: streamOrigin{source: originUnknown}}
+	if q.continues() && !n.admitContinued(ctx, s) {
+		return
+	}
 	n.budget.AddRequests(q.arrived, q.service, 1)
 	n.recordOwnMix(q)
 	if n.refuseIfBackedOff(w, q, q.backoffEndLimit()) {
 		return
 	}
 	q.prefix = n.pools.prefix(q)
-	s := &stream{node: n, q: q, w: w, flush: http.NewResponseController(w), origin: origin{source: originUnknown}}
 	defer func() { s.release() }()
 	var tried []string
 	for range maxSends {
@@ -378,9 +382,13 @@
 	}
 	s.started = true
 	if !s.origin.known() {
-		s.origin = origin{source: originResponse, version: s.q.version, learnedAt: time.Now()}
+		s.origin = streamOrigin{source: originResponse, version: s.q.version, learnedAt: time.Now()}
 		s.q.versions = []string{s.q.version}
 	}
+	if s.q.route.Resumable {
+		// Before the client has the first event, and with it a reason to return.
+		s.node.recordOrigin(s.q, origin.Origin{Service: s.q.service, Version: s.origin.version})
+	}
 	s.q.headTook = time.Since(s.q.arrived)
 	platform.CopyResponseHeader(s.w, a.Header)
 	s.w.Header().Del("Content-Length")
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -182,6 +182,7 @@
 // readers from it.
 func (n *Node) setEntries(entries []wire.Entry) {
 	n.entries.Store(&entries)
+	n.origins.setMembers(entries)
 	n.updateShare(time.Now(), entries)
 	readers := n.rankReaders(entries)
 	n.ranking.Store(&readers)
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -31,6 +31,9 @@
 	RelayOpen{Endpoint: "e"},
 	RelayOpened{Result: RelayUnavailable},
 	RelayBackoff{Endpoint: "e", Remaining: 300},
+	StreamOrigins{Origins: []StreamOrigin{{Key: []byte("k"), Service: "s", Version: "v", Remaining: 9, Ambiguous: true}}},
+	StreamOriginRequest{ID: 1, Key: []byte("k")},
+	StreamOriginResponse{ID: 1, Found: true, Origin: StreamOrigin{Key: []byte("k"), Version: "v"}},
 }
 
 // TestOtherVersions checks that heartbeats of nodes of other versions are accepted: those of an
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -34,6 +34,9 @@
 	kindRelayOpen
 	kindRelayOpened
 	kindRelayBackoff
+	kindStreamOrigins
+	kindStreamOriginRequest
+	kindStreamOriginResponse
 	kindEnd
 )
 
@@ -316,6 +319,12 @@
 		return new(RelayOpened)
 	case kindRelayBackoff:
 		return new(RelayBackoff)
+	case kindStreamOrigins:
+		return new(StreamOrigins)
+	case kindStreamOriginRequest:
+		return new(StreamOriginRequest)
+	case kindStreamOriginResponse:
+		return new(StreamOriginResponse)
 	}
 	return nil
 }
