core/run: a run that broke off goes on at the version that began it

It is now restricted to endpoints that serve the same models as the one that broke off. If that is the only one of them, the call goes there again; if none is left, the run ends at once.

--- a/internal/core/place/pool.go
+++ b/internal/core/place/pool.go
@@ -235,6 +235,17 @@
 // removed endpoints.
 func (p *Pool) Len() int { return len(p.endpoints) }
 
+// Lists reports whether the pool has an endpoint for a request, be it available now or not.
+func (p *Pool) Lists(req Request) bool {
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		if !e.removed && !e.health.leaving && i != req.Exclude && !slices.Contains(req.Tried, i) && req.allows(e) {
+			return true
+		}
+	}
+	return false
+}
+
 // At returns endpoint i.
 func (p *Pool) At(i int) *Endpoint { return &p.endpoints[i] }
 
--- a/internal/core/run/engine.go
+++ b/internal/core/run/engine.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"strings"
 	"time"
 
 	"gradetiller.example/config"
@@ -188,6 +189,9 @@
 			Slots:    e.slotShare(ep.Slots()),
 			Cost:     ep.Cost(),
 			Versions: ep.Versions(),
+			// Endpoints state no version of their software. Those that serve the same models count as
+			// one version.
+			SoftwareVersion: strings.Join(ep.Versions(), ","),
 		})
 	}
 	return specs
--- a/internal/core/run/outcome.go
+++ b/internal/core/run/outcome.go
@@ -108,14 +108,22 @@
 		e.failStage(now, r, state, end.Reason)
 		return
 	}
-	if r.attempts >= maxAttempts || !c.pool.retries.TryAcquire() {
-		e.failStage(now, r, state, end.Reason)
-		return
+	if r.tokens > 0 && r.writers == nil {
+		// The rest must fit the tokens that the client has.
+		r.writers = []string{c.pool.place.At(c.endpoint).Spec().SoftwareVersion}
 	}
 	r.exclude = c.endpoint
-	if c.pool.place.Len() == 1 {
+	if c.pool.place.Len() == 1 || r.writers != nil && !c.pool.place.Lists(e.placeRequest(r)) {
 		r.exclude = place.None
 	}
+	if r.writers != nil && !c.pool.place.Lists(e.placeRequest(r)) {
+		e.failStage(now, r, state, "no endpoint of the version that began the stage is left")
+		return
+	}
+	if r.attempts >= maxAttempts || !c.pool.retries.TryAcquire() {
+		e.failStage(now, r, state, end.Reason)
+		return
+	}
 	name := DecideRetry
 	e.counters.Retries++
 	if r.tokens > 0 {
--- a/internal/core/run/run.go
+++ b/internal/core/run/run.go
@@ -33,11 +33,13 @@
 	input      []byte
 	tokens     int
 	calls      []*call
-	attempts   int
-	exclude    int
-	queued     *workqueue.Handle[*activeRun]
-	queuedIn   *pool
-	item       workqueue.Item
+	// writers are the software versions that may write the rest of a stage's output, or nil if any may.
+	writers  []string
+	attempts int
+	exclude  int
+	queued   *workqueue.Handle[*activeRun]
+	queuedIn *pool
+	item     workqueue.Item
 
 	recorded   bool
 	mayHaveRun bool
--- a/internal/core/run/stage.go
+++ b/internal/core/run/stage.go
@@ -25,6 +25,7 @@
 	r.stageStart = now
 	r.attempts = 0
 	r.tokens = 0
+	r.writers = nil
 	r.exclude = place.None
 	r.stages = append(r.stages, StageSummary{Name: r.current().Name()})
 	e.splitBudget(now, r)
@@ -165,6 +166,9 @@
 		Version: r.current().Version(r.hash),
 		Exclude: r.exclude,
 	}
+	if req.Version == "" {
+		req.SoftwareVersions = r.writers
+	}
 	if r.current().Streams() {
 		req.Prefix = r.req.Prefix
 	}
