core/place: engines copy cached prompts within one software version

An endpoint could read what an endpoint of another software version had stored of a prompt (Kv-Fetch): the same class as streams that cross versions, found when looking for other places in which what one version wrote is used by another. No caller has reported it. The source of a copy is now chosen among endpoints of the same version. With one version nothing changes.

TestNoCopiesBetweenSoftwareVersions failed before: endpoints of v2 copied from one of v1.

--- a/internal/core/place/leastwork.go
+++ b/internal/core/place/leastwork.go
@@ -75,9 +75,10 @@
 	dense     []int
 	sparse    map[int]int
 	maxCached int
-	// bestSource is the endpoint in each failure domain that has the most tokens
-	// cached and can serve copies; the entry of anyDomain is the best of all.
-	bestSource   map[string]int
+	// bestSource is the endpoint of each software version in each failure domain that
+	// has the most tokens cached and can serve copies; the entry of anyDomain is the
+	// best of all.
+	bestSource   map[sourceKey]int
 	sharedTokens int
 }
 
@@ -98,6 +99,10 @@
 	h.sparse[i] = tokens
 }
 
+// sourceKey groups the endpoints from which parts are copied. Versions of an endpoint's software may
+// store parts differently, so that parts are copied within one version only.
+type sourceKey struct{ domain, softwareVersion string }
+
 // anyDomain stands for all failure domains together.
 const anyDomain = ""
 
@@ -114,7 +119,7 @@
 		return *req.hits
 	}
 	parts := req.Prompt.shared()
-	h := cacheHits{bestSource: make(map[string]int), sharedTokens: totalTokens(parts)}
+	h := cacheHits{bestSource: make(map[sourceKey]int), sharedTokens: totalTokens(parts)}
 	if len(p.endpoints) <= fullScanSize {
 		h.dense = make([]int, len(p.endpoints))
 	} else {
@@ -137,8 +142,9 @@
 			continue
 		}
 		for _, domain := range []string{e.spec.Domain, anyDomain} {
-			if best, ok := h.bestSource[domain]; !ok || h.at(i) > h.at(best) || h.at(i) == h.at(best) && i < best {
-				h.bestSource[domain] = i
+			key := sourceKey{domain, e.spec.SoftwareVersion}
+			if best, ok := h.bestSource[key]; !ok || h.at(i) > h.at(best) || h.at(i) == h.at(best) && i < best {
+				h.bestSource[key] = i
 			}
 		}
 	}
@@ -182,7 +188,7 @@
 	}
 	lowest := recomputeWeight * float64(h.maxCached-h.at(i))
 	for _, domain := range []string{e.spec.Domain, anyDomain} {
-		source, ok := h.bestSource[domain]
+		source, ok := h.bestSource[sourceKey{domain, e.spec.SoftwareVersion}]
 		if !ok || h.at(source)-h.at(i) < minCopyTokens {
 			continue
 		}
--- a/internal/core/place/promptcache_test.go
+++ b/internal/core/place/promptcache_test.go
@@ -116,3 +116,20 @@
 		}
 	}
 }
+
+// TestNoCopiesBetweenSoftwareVersions guards against an endpoint that reads parts of a prompt which the
+// software of another version has stored.
+func TestNoCopiesBetweenSoftwareVersions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPool(t, LeastWork, 0)
+	for i, version := range []string{"v1", "v2", "v2", "v1"} {
+		p.Apply([]Spec{{Name: fmt.Sprint("e", i), Slots: 8, Domain: "d", CacheTokens: 100_000, CanCopy: true, SoftwareVersion: version}}, nil)
+	}
+	req := Request{Exclude: None, Prefix: 7, Prompt: promptOf(6000, 7, 5000)}
+	p.RecordCached("e0", []Part{{ID: 7, Tokens: 5000}})
+	for i, want := range []int{None, None, None, 0} {
+		if source := p.CopySource(now, i, req); source != want {
+			t.Errorf("endpoint %d copies from %d, want %d", i, source, want)
+		}
+	}
+}
