node: a rollout awaits clients that may return for the rest of a stream

A rollout is completed once no request runs at endpoints of the old version, and its operator then stops them. A stream that broke off there was not counted, although it can go on only at that version when its client returns. It counts as unfinished for 2 s now; the deadline of the order bounds the wait as before. Found when looking for the same cause elsewhere, no caller has reported it.

TestRolloutAwaitsReturningClients failed before (0 streams counted, want 1).

--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/rollout"
+	"gradetiller.example/platform"
 	"gradetiller.example/platform/platformtest"
 )
 
@@ -176,3 +178,33 @@
 		}
 	}
 }
+
+// TestRolloutAwaitsReturningClients guards against a rollout that stops the endpoints of the old version
+// while clients whose streams broke there are about to return for the rest.
+func TestRolloutAwaitsReturningClients(t *testing.T) {
+	n := New(platform.Settings{Node: "n"})
+	n.rollouts.byService["model"] = &nodeRollout{order: rollout.Order{Service: "model", Version: "v2"}}
+	unfinished := func() int {
+		n.rollouts.mu.Lock()
+		defer n.rollouts.mu.Unlock()
+		return n.rollouts.byService["model"].unfinished
+	}
+	q := &request{service: "model", route: &catalog.Route{Kind: catalog.Streaming, Resumable: true}}
+	for _, c := range []struct {
+		name     string
+		answered bool
+		ok       bool
+		want     int
+	}{{"complete", true, true, 0}, {"not answered", false, false, 0}, {"broken", true, false, 1}} {
+		call := &placedCall{started: time.Now()}
+		n.trackRollout(call, q, rollout.Old)
+		if c.answered {
+			call.answeredAt = time.Now()
+		}
+		call.record(place.Result{OK: c.ok})
+		if got := unfinished(); got != c.want {
+			t.Errorf("%s: %d streams count as unfinished, want %d", c.name, got, c.want)
+		}
+	}
+	eventually(t, "the client may have returned", func() bool { return unfinished() == 0 })
+}
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -234,6 +234,7 @@
 	}
 	end := n.rollouts.begin(q.service, arm)
 	route, cold := q.route.Name, c.bounded
+	returns := q.route.Kind == catalog.Streaming && q.route.Resumable
 	c.record = func(r place.Result) {
 		result := rollout.Result{OK: r.OK}
 		if !c.answeredAt.IsZero() && !cold {
@@ -243,9 +244,22 @@
 			result.Latency = r.Latency
 		}
 		end(!r.Neutral && !r.Unreachable, rollout.Key{Route: route, Arm: arm}, result)
+		if broke := !r.OK && !c.answeredAt.IsZero(); broke && returns {
+			n.rollouts.awaitReturn(q.service, arm)
+		}
 	}
 }
 
+// returnTime is how long the client of a stream that broke may take to return for the rest.
+const returnTime = 2 * time.Second
+
+// awaitReturn counts a stream that broke as unfinished until its client may have returned. A rollout that is
+// completed stops the endpoints of the other versions, at which alone the stream can go on.
+func (r *rollouts) awaitReturn(service string, arm rollout.Arm) {
+	end := r.begin(service, arm)
+	time.AfterFunc(returnTime, func() { end(false, rollout.Key{}, rollout.Result{}) })
+}
+
 // begin counts a call that starts, and returns a function to be called at its end.
 func (r *rollouts) begin(service string, arm rollout.Arm) func(counts bool, k rollout.Key, result rollout.Result) {
 	r.mu.Lock()
