node, core/origin: clients that don't name their first attempt go on by content

A stream has a second key now, a hash of account and content (method, host, path, body), which the attempts of a client share. A client that names no attempt goes on if all streams of this content began at one version. Each key has two owners, so that there are still at least four copies; searches of named attempts ask the owners of both.

--- a/internal/core/origin/members.go
+++ b/internal/core/origin/members.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// ownerCount is the number of nodes, beside the one at which a stream begins, that hold its record.
-	// With it, three of these four may be lost at once.
-	ownerCount = 3
-	// searchRounds is the number of times that a search asks ownerCount nodes. The second round reaches
-	// owners that the other nodes' knowledge of the members ranks differently.
+	// ownerCount is the number of nodes, beside the one at which a stream begins, that hold its record for
+	// the sake of one of its keys. A stream has two keys, so that four of its five nodes may be lost.
+	ownerCount = 2
+	// searchRounds is the number of times that a search asks ownerCount nodes for each key. The second
+	// round reaches owners that the other nodes' knowledge of the members ranks differently.
 	searchRounds = 2
 )
 
@@ -39,9 +39,15 @@
 
 func (m Members) sameAs(other Members) bool { return slices.Equal(m.nodes, other.nodes) }
 
-// Owners returns the names of the nodes, other than self, that hold the record of a stream. Nodes that
-// know the same members return the same ones, except for themselves.
-func (m Members) Owners(key Key, self string) []string { return namesOf(m.owners(key, self)) }
+// Owners returns the names of the nodes, other than self, that hold the records of a stream with the given
+// keys. Nodes that know the same members return the same ones, except for themselves.
+func (m Members) Owners(self string, keys ...Key) []string {
+	var list []Node
+	for _, key := range keys {
+		list = appendNew(list, m.owners(key, self)...)
+	}
+	return namesOf(list)
+}
 
 func (m Members) owners(key Key, self string) []Node { return m.ranked(key, self, ownerCount) }
 
@@ -71,7 +77,15 @@
 	return list
 }
 
-func contains(list []Node, n Node) bool { return slices.Contains(list, n) }
+// appendNew appends the nodes that the list does not contain.
+func appendNew(list []Node, nodes ...Node) []Node {
+	for _, n := range nodes {
+		if !slices.Contains(list, n) {
+			list = append(list, n)
+		}
+	}
+	return list
+}
 
 func namesOf(nodes []Node) []string {
 	names := make([]string, len(nodes))
--- a/internal/core/origin/search.go
+++ b/internal/core/origin/search.go
@@ -20,22 +20,35 @@
 
 // Search asks the owners of a stream for its record, in rounds. It is not safe for concurrent use.
 type Search struct {
-	ranked []Node
-	asked  int
-	// open is the number of nodes that were asked and have not answered.
-	open   int
-	record Record
-	result Result
+	// rounds holds the nodes to ask in each round.
+	rounds [][]Node
+	// asked is the number of nodes that were asked, and open that of those that have not answered.
+	asked, open int
+	record      Record
+	result      Result
 }
 
-// NewSearch returns the search of a node for the record of a stream.
-func NewSearch(m Members, key Key, self string) *Search {
-	return &Search{ranked: m.ranked(key, self, searchRounds*ownerCount)}
+// NewSearch returns the search of a node for the record of a stream, at the owners of the given keys.
+func NewSearch(m Members, self string, keys ...Key) *Search {
+	s := &Search{}
+	var seen []Node
+	for round := range searchRounds {
+		before := len(seen)
+		for _, key := range keys {
+			ranked := m.ranked(key, self, (round+1)*ownerCount)
+			seen = appendNew(seen, ranked[min(round*ownerCount, len(ranked)):]...)
+		}
+		s.rounds = append(s.rounds, seen[before:])
+	}
+	return s
 }
 
 // Next returns the nodes to ask in the next round, or none.
 func (s *Search) Next() []string {
-	round := s.ranked[s.asked:min(s.asked+ownerCount, len(s.ranked))]
+	var round []Node
+	for len(s.rounds) > 0 && len(round) == 0 {
+		round, s.rounds = s.rounds[0], s.rounds[1:]
+	}
 	s.asked += len(round)
 	s.open += len(round)
 	if s.open == 0 && s.result == Pending {
@@ -45,7 +58,7 @@
 }
 
 // Answer records the answer of a node that was asked; ok is false if it has no record. It reports
-// whether the nodes of the next round are to be asked at once, since all others have answered.
+// whether Next is to be called at once, since all others have answered.
 func (s *Search) Answer(r Record, ok bool) (next bool) {
 	s.open--
 	switch {
@@ -54,22 +67,12 @@
 	case ok:
 		s.result, s.record = Found, r
 	}
-	if s.result != Pending || s.open > 0 {
-		return false
-	}
-	if s.asked == len(s.ranked) {
-		s.result = Unknown
-		return false
-	}
-	return true
+	return s.result == Pending && s.open == 0
 }
 
 // Result returns the record, if it was found, and the state of the search.
 func (s *Search) Result() (Record, Result) { return s.record, s.result }
 
-// MaxAsked returns the number of nodes that the search asks at most.
-func (s *Search) MaxAsked() int { return len(s.ranked) }
-
 // Asked returns the number of nodes that were asked so far.
 func (s *Search) Asked() int { return s.asked }
 
--- a/internal/core/origin/table.go
+++ b/internal/core/origin/table.go
@@ -4,16 +4,25 @@
 	"container/list"
 	"crypto/sha256"
 	"errors"
+	"slices"
 	"time"
 )
 
-// Key identifies a stream. It is a hash of the client account and of the ID of the attempt that brought
-// the first event, so that no client finds the streams of another account.
+// Key identifies a stream, or streams of the same content. It is a hash that includes the client account,
+// so that no client finds the streams of another account.
 type Key [16]byte
 
-// KeyOf returns the key of a stream.
-func KeyOf(account, requestID string) Key {
-	sum := sha256.Sum256([]byte(account + "\x00" + requestID))
+// KeyOf returns the key of the stream whose first event a client's attempt brought.
+func KeyOf(account, requestID string) Key { return keyOf("request", account, requestID) }
+
+// ContentKeyOf returns the key of the streams of a request's content. A client that returns without naming
+// its first attempt is known by it.
+func ContentKeyOf(account string, content []byte) Key {
+	return keyOf("content", account, string(content))
+}
+
+func keyOf(kind, account, value string) Key {
+	sum := sha256.Sum256([]byte(kind + "\x00" + account + "\x00" + value))
 	return Key(sum[:len(Key{})])
 }
 
@@ -155,7 +164,7 @@
 		}
 		had := before.owners(r.Key, self)
 		for _, owner := range after.owners(r.Key, self) {
-			if !contains(had, owner) {
+			if !slices.Contains(had, owner) {
 				copies[owner.Name] = append(copies[owner.Name], r)
 			}
 		}
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxOrigins bounds the records of where streams began. Each takes some 300 bytes.
-	maxOrigins = 16 << 10
+	// maxOrigins bounds the records of where streams began, of which each stream has two.
+	maxOrigins = 32 << 10
 	// originMargin is added to the time that the client waits, for its last attempt to arrive.
 	originMargin = time.Second
 	// originRoundDelay is how long owners may take to answer before further nodes are asked as well, and
@@ -24,6 +24,8 @@
 	originTimeout    = 90 * time.Millisecond
 	// originCopyInterval is the minimum time between copies of records to new owners.
 	originCopyInterval = 200 * time.Millisecond
+	// maxOriginAnswers bounds the answers that wait for a search.
+	maxOriginAnswers = 16
 	// maxOriginsPerMessage bounds the records in a message, to some 5 kB.
 	maxOriginsPerMessage = 64
 )
@@ -126,6 +128,16 @@
 	return q.account
 }
 
+// originKeys returns the keys of the stream that a request begins or continues: by the ID of its first
+// attempt and by its content.
+func (q *request) originKeys() (attempt, content origin.Key) {
+	id := q.in.Resumes
+	if id == "" {
+		id = q.in.RequestID
+	}
+	return origin.KeyOf(q.caller(), id), origin.ContentKeyOf(q.caller(), q.content[:])
+}
+
 // recordOrigin records where the stream of a request began, here and at the owners. The stream of an
 // attempt that continues another one is recorded under the IDs of both.
 func (n *Node) recordOrigin(q *request, began origin.Origin) {
@@ -133,15 +145,17 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	ids := []string{q.in.RequestID}
+	attempt, content := q.originKeys()
+	keys := []origin.Key{attempt, content}
 	if q.in.Resumes != "" && q.in.Resumes != q.in.RequestID {
-		ids = append(ids, q.in.Resumes)
+		keys = append(keys, origin.KeyOf(q.caller(), q.in.RequestID))
 	}
-	for _, id := range ids {
-		r := origin.Record{Key: origin.KeyOf(q.caller(), id), Origin: began, TTL: timeout + originMargin}
-		members := n.origins.put(time.Now(), r)
-		n.sendOrigins(members.Owners(r.Key, n.settings.Node), r)
+	records := make([]origin.Record, len(keys))
+	for i, key := range keys {
+		records[i] = origin.Record{Key: key, Origin: began, TTL: timeout + originMargin}
 	}
+	members := n.origins.put(time.Now(), records...)
+	n.sendOrigins(members.Owners(n.settings.Node, keys...), records...)
 }
 
 // sendOrigins sends records to nodes.
@@ -187,12 +201,14 @@
 	asked, silent int
 }
 
-// findOrigin returns where the stream began that a request continues.
+// findOrigin returns where the stream began that a request continues. If the client doesn't name the attempt
+// that began it, all streams of the same content must have begun there.
 func (n *Node) findOrigin(ctx context.Context, q *request) originSearch {
+	attempt, content := q.originKeys()
+	key, owners := attempt, []origin.Key{attempt, content}
 	if q.in.Resumes == "" {
-		return originSearch{result: origin.Unknown}
+		key, owners = content, owners[1:]
 	}
-	key := origin.KeyOf(q.caller(), q.in.Resumes)
 	if r, ok := n.origins.get(time.Now(), key); ok {
 		if r.Ambiguous {
 			return originSearch{result: origin.Ambiguous}
@@ -202,17 +218,17 @@
 	if !n.exchangesOrigins() {
 		return originSearch{result: origin.Unknown}
 	}
-	found := n.searchOrigin(ctx, key)
+	found := n.searchOrigin(ctx, key, owners)
 	if found.result == origin.Found {
 		n.origins.put(time.Now(), found.record)
 	}
 	return found
 }
 
-// searchOrigin asks the owners of a stream for its record.
-func (n *Node) searchOrigin(ctx context.Context, key origin.Key) originSearch {
-	s := origin.NewSearch(n.origins.put(time.Now()), key, n.settings.Node)
-	answers := make(chan originAnswer, s.MaxAsked())
+// searchOrigin asks the owners of the given keys for the record of one of them.
+func (n *Node) searchOrigin(ctx context.Context, key origin.Key, owners []origin.Key) originSearch {
+	s := origin.NewSearch(n.origins.put(time.Now()), n.settings.Node, owners...)
+	answers := make(chan originAnswer, maxOriginAnswers)
 	id := n.origins.begin(answers)
 	defer n.origins.end(id)
 	ask := func() {
