node, core/origin: unnamed streams go on at the only version after records were lost

Such a stream goes on at the service's only version, if the list is fresh and no endpoint of another version was listed for as long as the client waits. Clients that name an attempt are still refused: they come from deployments in which versions differ. TestUnnamedStreamGoesOnAtTheOnlyVersion failed before with 503; TestSoleVersion covers versions that have just left.

--- a/internal/node/continuation.go
+++ b/internal/node/continuation.go
@@ -22,6 +22,8 @@
 	// originOwn means that this node holds a record of it, and originPeer that another node does.
 	originOwn  originSource = "own"
 	originPeer originSource = "peer"
+	// originAssumed means that no record was found, and that only one version has served lately.
+	originAssumed originSource = "assumed"
 )
 
 // streamOrigin is where a stream began, as far as this node knows.
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/catalog"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/origin"
 	"gradetiller.example/internal/peer"
@@ -32,8 +33,9 @@
 
 // origins holds what this node knows of where streams began. It is safe for concurrent use.
 type origins struct {
-	mu    sync.Mutex
-	table *origin.Table
+	mu      sync.Mutex
+	table   *origin.Table
+	history *origin.History
 	// members are the nodes among which owners are chosen. copied are those as of copiedAt, when records
 	// were last copied to new owners.
 	members  origin.Members
@@ -51,7 +53,7 @@
 }
 
 func newOrigins() *origins {
-	return &origins{table: origin.NewTable(maxOrigins), searches: make(map[uint64]chan<- originAnswer)}
+	return &origins{table: origin.NewTable(maxOrigins), history: origin.NewHistory(), searches: make(map[uint64]chan<- originAnswer)}
 }
 
 // setMembers adopts a new list of live nodes. Nodes that are stopping own nothing.
@@ -110,6 +112,22 @@
 	}
 }
 
+// endpointsLeft records that endpoints are listed no more.
+func (o *origins) endpointsLeft(list []*catalog.Endpoint) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range list {
+		o.history.Left(time.Now(), origin.Origin{Service: e.Service, Version: e.Version})
+	}
+}
+
+// sole returns the only version of a service's endpoints since the given time, if there is only one.
+func (o *origins) sole(since time.Time, service string, listed []string) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.history.Sole(since, service, listed)
+}
+
 // size returns the number of records, and of those that were dropped for want of room.
 func (o *origins) size() (records int, dropped uint64) {
 	o.mu.Lock()
@@ -141,10 +159,6 @@
 // recordOrigin records where the stream of a request began, here and at the owners. The stream of an
 // attempt that continues another one is recorded under the IDs of both.
 func (n *Node) recordOrigin(q *request, began origin.Origin) {
-	timeout := q.in.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
 	attempt, content := q.originKeys()
 	keys := []origin.Key{attempt, content}
 	if q.in.Resumes != "" && q.in.Resumes != q.in.RequestID {
@@ -152,7 +166,7 @@
 	}
 	records := make([]origin.Record, len(keys))
 	for i, key := range keys {
-		records[i] = origin.Record{Key: key, Origin: began, TTL: timeout + originMargin}
+		records[i] = origin.Record{Key: key, Origin: began, TTL: q.waits() + originMargin}
 	}
 	members := n.origins.put(time.Now(), records...)
 	n.sendOrigins(members.Owners(n.settings.Node, keys...), records...)
@@ -222,9 +236,44 @@
 	if found.result == origin.Found {
 		n.origins.put(time.Now(), found.record)
 	}
+	if found.result == origin.Unknown && q.in.Resumes == "" {
+		return n.assumeOrigin(q, found)
+	}
 	return found
 }
 
+// assumeOrigin completes a search in vain for a client that doesn't name its first attempt, as where versions
+// don't differ. If the endpoints of the service, by a fresh list, have been of one version as long as the
+// client waits, the stream goes on there. It may have begun before this node or the holders of its
+// record were restarted.
+func (n *Node) assumeOrigin(q *request, found originSearch) originSearch {
+	now, v := time.Now(), n.view.Load()
+	if v.freshness.Stale(now) {
+		return found
+	}
+	var listed []string
+	for e := range v.endpoints.All() {
+		if e.Service == q.service {
+			listed = append(listed, e.Version)
+		}
+	}
+	version, ok := n.origins.sole(now.Add(-q.waits()), q.service, listed)
+	if !ok {
+		return found
+	}
+	found.result, found.source = origin.Found, originAssumed
+	found.record.Origin = origin.Origin{Service: q.service, Version: version}
+	return found
+}
+
+// waits returns how long the client of a request waits.
+func (q *request) waits() time.Duration {
+	if q.in.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return q.in.Timeout
+}
+
 // searchOrigin asks the owners of the given keys for the record of one of them.
 func (n *Node) searchOrigin(ctx context.Context, key origin.Key, owners []origin.Key) originSearch {
 	s := origin.NewSearch(n.origins.put(time.Now()), n.settings.Node, owners...)
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -190,6 +190,7 @@
 // before the update is in milliseconds.
 func (n *Node) logEndpoints(source string, listAge int64, before, after catalog.Endpoints) {
 	set, removed := cowmap.Diff(before, after)
+	n.origins.endpointsLeft(removed)
 	if len(set)+len(removed) > maxLoggedEndpoints {
 		n.log.Info(eventEndpointsReplaced, zap.Int("endpoints", after.Len()), zap.Int("set", len(set)), zap.Int("removed", len(removed)), zap.String("source", source), zap.Int64("list_age_ms", listAge))
 		return
