soak: model workers of several software versions, and clients that return

Versions come and go beside all other faults, clients leave their streams and return at other nodes, and in the last phase the node is killed at which streams began.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -34,6 +34,7 @@
 	r.checkLimits()
 	r.checkCold()
 	r.checkSignals()
+	r.returners.check()
 	if served < len(r.record.list)/4 {
 		r.fail("%d of %d requests were served", served, len(r.record.list))
 	}
@@ -91,7 +92,7 @@
 	a := s.response
 	complete := a.Err == nil && a.Status == http.StatusOK
 	switch {
-	case complete && a.Body != s.expectedBody():
+	case complete && withoutMarks(a.Body) != s.expectedBody():
 		r.fail("%s%s at %s: 200 with unexpected body %q", s.kind.path, s.id, s.node, a.Body)
 	case complete && !strings.HasSuffix(a.Stamp, "."+s.id):
 		r.fail("%s%s at %s: 200 with unexpected stamp %q", s.kind.path, s.id, s.node, a.Stamp)
--- a/internal/soak/evacuation_test.go
+++ b/internal/soak/evacuation_test.go
@@ -45,6 +45,11 @@
 	if r.faults >= evacuationFaults {
 		list = append(list, r.site.AddWorkersIn(evacuatedZone, service, 2)...)
 	}
+	if service == "model" && r.faults >= versionFaults {
+		for _, version := range softwareVersions[1:] {
+			list = append(list, r.site.AddWorkersOfVersion(version, service, 2)...)
+		}
+	}
 	return list
 }
 
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -67,6 +67,9 @@
 	if r.faults >= signalFaults {
 		r.maybeRejectRequests()
 	}
+	if r.faults >= versionFaults {
+		r.maybeChangeVersions()
+	}
 	if r.faults < restartFaults || r.laterRand.IntN(laterOdds) > 0 {
 		return
 	}
@@ -225,7 +228,7 @@
 		r.startUnplanned(length, w.Crash, w.Restart)
 		return
 	}
-	r.workers[w.Service] = append(r.workers[w.Service], r.site.AddWorkers(w.Service, 1)...)
+	r.workers[w.Service] = append(r.workers[w.Service], r.addWorkers(w.Service, 1)...)
 	r.startUnplanned(length, w.Crash, w.RemoveEntry)
 }
 
@@ -247,7 +250,7 @@
 
 // retire makes a worker leave and adds a replacement.
 func (r *run) retire(w *platformtest.Worker, leave func()) {
-	r.workers[w.Service] = append(r.workers[w.Service], r.site.AddWorkers(w.Service, 1)...)
+	r.workers[w.Service] = append(r.workers[w.Service], r.addWorkers(w.Service, 1)...)
 	leave()
 	r.retired = append(r.retired, retired{worker: w, at: time.Now()})
 }
--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -130,7 +130,7 @@
 // at least 1 per second received some.
 func (r *run) checkLimits() {
 	nodes := make(map[string]string)
-	for _, s := range r.record.list {
+	for _, s := range r.allRequests() {
 		nodes[s.id] = s.node
 	}
 	excused := func(a platformtest.Arrival) bool {
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -152,7 +152,7 @@
 			return e.front == node && e.from.Before(to) && e.to.After(from)
 		})
 	}}
-	for _, sent := range r.record.list {
+	for _, sent := range r.allRequests() {
 		log.RecordRequest(sent.id, sent.node, sent.at)
 		parts := strings.Split(sent.response.Stamp, ".")
 		if len(parts) < 2 || sent.at.Before(r.signalPhase.announced) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -56,6 +56,10 @@
 	// signalFaults adds workers that reject requests with a backoff, drawn from another random
 	// source, and a final phase in which workers also announce draining.
 	signalFaults
+	// versionFaults has model workers of several software versions side by side that come and go,
+	// drawn from another random source, clients that leave their streams and return at other nodes,
+	// and a final phase in which the node is killed at which streams began.
+	versionFaults
 )
 
 // regressions are seeds that failed once, with the cause. They run each time. Those of
@@ -130,6 +134,8 @@
 	limitRand   *rand.Rand
 	coldRand    *rand.Rand
 	signalRand  *rand.Rand
+	versionRand *rand.Rand
+	returners   *returners
 	signalPhase signalPhase
 	rateLimited []rateLimitedWorker
 	coldWorkers []coldWorker
@@ -199,7 +205,7 @@
 		list = slices.Concat(regressions, longRegressions)
 	}
 	for i := range *seeds {
-		list = append(list, regression{seed: *firstSeed + uint64(i), faults: signalFaults})
+		list = append(list, regression{seed: *firstSeed + uint64(i), faults: versionFaults})
 	}
 	for _, c := range list {
 		t.Run(fmt.Sprintf("seed-%d", c.seed), func(t *testing.T) { runSeed(t, program, c) })
@@ -214,6 +220,11 @@
 		c := newClient(r, c.seed, i)
 		sending.Go(func() { c.loop(clients) })
 	}
+	if r.faults >= versionFaults {
+		for i := range returnersCount {
+			sending.Go(func() { r.returners.loop(clients, c.seed, i) })
+		}
+	}
 	duration := time.Duration(*secondsEach * float64(time.Second))
 	r.poisons = newPoisons(r.site, r.frontAddresses(), c.seed, c.faults.poisonRequests())
 	sending.Go(func() { r.poisons.send(clients, duration/2) })
@@ -241,6 +252,10 @@
 		r.runSignalPhase()
 		r.awaitConfig()
 	}
+	if r.faults >= versionFaults {
+		r.runVersionPhase()
+		r.awaitConfig()
+	}
 	r.rollingRestart()
 	stop()
 	sending.Wait()
@@ -260,10 +275,12 @@
 }
 
 func newRun(t *testing.T, program string, c regression) *run {
-	r := &run{t: t, faults: c.faults, rand: rand.New(rand.NewPCG(c.seed, 0)), laterRand: rand.New(rand.NewPCG(c.seed, laterSeed)), restoreRand: rand.New(rand.NewPCG(c.seed, restoresSeed)), limitRand: rand.New(rand.NewPCG(c.seed, limitsSeed)), coldRand: rand.New(rand.NewPCG(c.seed, coldSeed)), signalRand: rand.New(rand.NewPCG(c.seed, signalsSeed)), workers: make(map[string][]*platformtest.Worker)}
+	r := &run{t: t, faults: c.faults, rand: rand.New(rand.NewPCG(c.seed, 0)), laterRand: rand.New(rand.NewPCG(c.seed, laterSeed)), restoreRand: rand.New(rand.NewPCG(c.seed, restoresSeed)), limitRand: rand.New(rand.NewPCG(c.seed, limitsSeed)), coldRand: rand.New(rand.NewPCG(c.seed, coldSeed)), signalRand: rand.New(rand.NewPCG(c.seed, signalsSeed)), versionRand: rand.New(rand.NewPCG(c.seed, versionsSeed)), workers: make(map[string][]*platformtest.Worker)}
 	r.proxies = &proxies{t: t, list: make(map[string]*proxy)}
+	r.returners = &returners{run: r}
 	r.site = platformtest.NewSite(t)
 	r.site.ProxyAddress = r.proxies.addressOf
+	r.site.MarkEvents = r.faults >= versionFaults
 	r.site.GracePeriod, r.site.TokensPerEvent, r.site.EventInterval = gracePeriod, tokensPerEvent, eventInterval
 	r.config = platformtest.Config{
 		Version: 1, Keys: map[string]string{apiKey: account}, Models: []string{"model"}, Stages: []string{"encode", "rank"},
