node: tests of continued streams don't depend on the machine's speed

A search for where a stream began ends after 90 ms; one stream of 24 was refused in one run of TestStreamStaysAtItsSoftwareVersion beside a soak and other tests.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,8 @@
 	keptEndpoints atomic.Int64
 	poisonGuard   *lockedGuard
 	origins       *origins
+	// originTimeout bounds a search for where a stream began.
+	originTimeout time.Duration
 	signals       *signals
 	brittle       *brittleServices
 	paths         *paths
@@ -188,7 +190,7 @@
 func New(s platform.Settings, options ...Option) *Node {
 	n := &Node{
 		settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(),
-		submissions: newSubmissions(), origins: newOrigins(), standbys: newStandbys(), durations: newDurations(), memory: membudget.New(int64(heldShare * float64(s.MemoryBytes))), mixes: &lockedMixes{mixes: intake.NewMixes()}, rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
+		submissions: newSubmissions(), origins: newOrigins(), originTimeout: originTimeout, standbys: newStandbys(), durations: newDurations(), memory: membudget.New(int64(heldShare * float64(s.MemoryBytes))), mixes: &lockedMixes{mixes: intake.NewMixes()}, rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
 		verdictTimeouts: verdictTimeouts{first: verdictTimeout, afterReconnect: reconnectVerdictTimeout},
 		peerAddress:     s.PeerAddress, dialDirect: platform.DialWorker,
 	}
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -285,7 +285,7 @@
 			n.links.Send(e.PeerAddress, wire.StreamOriginRequest{ID: id, Key: key[:]})
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.originTimeout)
 	defer cancel()
 	later := time.NewTimer(originRoundDelay)
 	defer later.Stop()
