--- a/internal/node/continuations_test.go
+++ b/internal/node/continuations_test.go
@@ -141,17 +141,7 @@
 		r.links, r.stores = append(r.links, link), append(r.stores, store)
 		seeds = []string{r.links[0].address}
 	}
-	t.Cleanup(func() {
-		for _, n := range r.nodes {
-			n.stop()
-		}
-	})
-	for _, n := range r.nodes {
-		n.awaitReady(t)
-	}
-	eventually(t, "all nodes know each other", func() bool {
-		return !slices.ContainsFunc(r.nodes, func(n *testNode) bool { return n.node.liveNodes.Load() < int64(s.nodes) })
-	})
+	awaitSystem(t, r.nodes)
 	return r
 }
 
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -145,18 +145,7 @@
 		r.nodes = append(r.nodes, startNodeWith(t, text, addresses, withDial(p)))
 		seeds = []string{r.nodes[0].Peer}
 	}
-	t.Cleanup(func() {
-		// All nodes stop at once.
-		for _, n := range r.nodes {
-			n.stop()
-		}
-	})
-	for _, n := range r.nodes {
-		n.awaitReady(t)
-	}
-	eventually(t, "all nodes know each other", func() bool {
-		return !slices.ContainsFunc(r.nodes, func(n *testNode) bool { return n.node.liveNodes.Load() < int64(s.nodes) })
-	})
+	awaitSystem(t, r.nodes)
 	return r
 }
 
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -60,6 +61,23 @@
 	eventually(t, "the node is ready", func() bool { return platformtest.Ready(r.Ready) == 200 })
 }
 
+// awaitSystem waits until all nodes are ready and know each other, and stops them at once at the end of the
+// test.
+func awaitSystem(t *testing.T, nodes []*testNode) {
+	t.Helper()
+	t.Cleanup(func() {
+		for _, n := range nodes {
+			n.stop()
+		}
+	})
+	for _, n := range nodes {
+		n.awaitReady(t)
+	}
+	eventually(t, "all nodes know each other", func() bool {
+		return !slices.ContainsFunc(nodes, func(n *testNode) bool { return n.node.liveNodes.Load() < int64(len(nodes)) })
+	})
+}
+
 // eventually waits until a condition holds. Its bound is generous, so that no verdict depends on
 // the machine's speed.
 func eventually(t *testing.T, what string, ok func() bool) {
