--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,7 +32,8 @@
 
 // scenarios maps the names of the scenarios to their functions, which return an exit status.
 var scenarios = map[string]func(options, *record) int{
-	"surplus": runSurplus,
+	"surplus":  runSurplus,
+	"unframed": runUnframed,
 }
 
 func main() {
@@ -49,8 +50,13 @@
 	flags.IntVar(&framed, "framed", 0, "1 makes workers send chunks in place of answers without a length")
 	flags.IntVar(&o.nodes, "nodes", 3, "number of nodes")
 	flags.IntVar(&o.workers, "workers", 0, "number of model workers that are processes of their own")
+	name := flags.String("name", "", "name of a worker process")
 	_ = flags.Parse(os.Args[2:])
 	o.trouble, o.framed = trouble != 0, framed != 0
+	if os.Args[1] == "worker" {
+		runWorkerProcess(o, *name)
+		return
+	}
 	scenario, ok := scenarios[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown scenario", os.Args[1])
