Review, case 2: one spoiled answer without the end of a line ends the node's process

Cause: the bound of an event is compared only after a whole line has been read into memory. Ruled out: the memory budget doesn't count these bytes. With the same load and no spoiled answer no process comes near its limit.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 
 // scenarios maps the names of the scenarios to their functions, which return an exit status.
 var scenarios = map[string]func(options, *record) int{
+	"endless":  runEndless,
 	"surplus":  runSurplus,
 	"unframed": runUnframed,
 }
--- a/review/standin/model.go
+++ b/review/standin/model.go
@@ -32,6 +32,10 @@
 	admit func(x *exchange) int
 	// unframed makes it send its answers with neither a length nor chunks.
 	unframed bool
+	// spoils reports whether an answer is spoiled: after its head come bytes that are no events. nil means never.
+	// spoiled is called at the end of such an answer.
+	spoils  func(id string) bool
+	spoiled func()
 	// began and ended are called with the ID of a request and its number of events, began also with the last
 	// event that the client has.
 	began func(id string, after, events int)
@@ -130,6 +134,13 @@
 	}
 	w.readPrompt(x.req.Header.Get("X-Prompt-Prefix"))
 	time.Sleep(firstStep)
+	if w.spoils != nil && w.spoils(id) {
+		defer w.spoiled()
+		if x.write(head.Bytes()) {
+			x.writeGarbage()
+		}
+		return false
+	}
 	next := time.Now()
 	for i := after + 1; i <= count; i++ {
 		event := fmt.Sprintf("id: %d\ndata: part %d of %d of %s\n\n", i, i, count, id)
