--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -161,11 +161,9 @@
 
 // versionCheck checks the versions that wrote the events of streams.
 type versionCheck struct {
-	r                    *record
-	mu                   sync.Mutex
-	whole, resumed, cut  int
-	crossed, outOfOrder  int
-	refused, continuedOK int
+	r                   *record
+	mu                  sync.Mutex
+	whole, cut, crossed int
 }
 
 // follow sends a request and returns for the rest of its stream as long as it is cut off.
--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -19,8 +19,6 @@
 	in   *bufio.Reader
 	req  *http.Request
 	body []byte
-	// number is the number of requests that the connection carried before.
-	number int
 }
 
 // gone reports whether the caller has closed the connection.
@@ -47,7 +45,7 @@
 		go func() {
 			defer conn.Close()
 			in := bufio.NewReader(conn)
-			for number := 0; ; number++ {
+			for {
 				req, err := http.ReadRequest(in)
 				if err != nil {
 					return
@@ -56,7 +54,7 @@
 				if err != nil {
 					return
 				}
-				if !handle(&exchange{conn: conn, in: in, req: req, body: body, number: number}) {
+				if !handle(&exchange{conn: conn, in: in, req: req, body: body}) {
 					return
 				}
 			}
