node: count held bytes by kind, log large responses

A node that was killed for its memory left no trace of what had filled it. Reservations now name the kind of their bytes, gradetiller_bytes_held{kind} exports them, and a response is logged when 1 MiB of it has been read, and at each doubling: request, endpoint, status, framing, bytes read and held. Partial events of streams are counted by kind only; they are not yet part of the budget. No decision changes.

internal/core/membudget and the memory, second attempt, relay and end-to-end tests of internal/node pass.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -11,6 +11,8 @@
 	eventSecondAttempt = "second attempt"
 	// A response was truncated.
 	eventAnswerBroken = "answer broke"
+	// A part of a response that the node holds has reached another power of two, from 1 MiB on.
+	eventLargeResponse = "large response"
 	// An endpoint declined a request without executing it.
 	eventEndpointDeclined = "endpoint declined"
 	// The rate limit that an endpoint advertises changed.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -18,6 +18,7 @@
 	"gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/mechanism"
+	"gradetiller.example/internal/core/membudget"
 	"gradetiller.example/internal/core/pending"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/poison"
@@ -75,10 +76,11 @@
 	// prefix is the key of the prompt prefix by which the request is placed.
 	prefix uint64
 	source *http.Request
-	// held is the number of bytes that are reserved for the request.
-	held       int64
-	sent       int
-	mayHaveRun bool
+	// held is reserved for the request's body, and heldResponse for what is held of its response.
+	held         *membudget.Reservation
+	heldResponse *membudget.Reservation
+	sent         int
+	mayHaveRun   bool
 	// memoryShort is true if the body was refused for want of memory.
 	memoryShort bool
 	endpoint    string
@@ -106,7 +108,11 @@
 	q := &request{in: platform.ParseClientRequest(r), view: n.view.Load(), arrived: time.Now(), source: r}
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	defer func() { n.memory.Release(q.held) }()
+	q.held, q.heldResponse = n.memory.Reservation(membudget.Requests), n.memory.Reservation(membudget.Responses)
+	defer func() {
+		q.held.Release()
+		q.heldResponse.Release()
+	}()
 	if s := n.shutdown.Load(); s != nil {
 		q.afterStop = q.arrived.Sub(s.requestedAt)
 	}
@@ -246,20 +252,18 @@
 func (n *Node) readHeld(q *request, from io.Reader) ([]byte, error) {
 	var body bytes.Buffer
 	if size := q.source.ContentLength; size > 0 {
-		if !n.memory.Admits(size) || !n.memory.TryReserve(size) {
+		if !n.memory.Admits(size) || !q.held.TryGrow(size) {
 			return nil, errMemoryShort
 		}
-		q.held += size
 		body.Grow(int(min(size, bodyStep)))
 		_, err := body.ReadFrom(from)
 		return body.Bytes(), err
 	}
 	for {
 		// A body of unknown size is large once it exceeds one step.
-		if !n.memory.Admits(int64(body.Len())+1) || !n.memory.TryReserve(bodyStep) {
+		if !n.memory.Admits(int64(body.Len())+1) || !q.held.TryGrow(bodyStep) {
 			return nil, errMemoryShort
 		}
-		q.held += bodyStep
 		switch _, err := io.CopyN(&body, from, bodyStep); {
 		case errors.Is(err, io.EOF):
 			return body.Bytes(), nil
@@ -269,22 +273,6 @@
 	}
 }
 
-// countedBody counts what is read of a response in the memory budget, so that responses that arrive
-// slowly are counted too.
-type countedBody struct {
-	io.Reader
-	n *Node
-	q *request
-}
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	k, err := b.Reader.Read(p)
-	b.n.memory.Reserve(int64(k))
-	b.q.held += int64(k)
-	return k, err
-}
-
 // limitWrite bounds the time that the client may take to accept the next part of its response, or
 // removes the bound.
 func limitWrite(w http.ResponseWriter, bounded bool) {
@@ -536,9 +524,9 @@
 	if event == attempt.Rejected {
 		n.log.Info(eventEndpointDeclined, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("status", a.Status))
 	}
-	body, err := io.ReadAll(&countedBody{Reader: a.Body, n: n, q: q})
+	body, err := io.ReadAll(n.watchResponse(a, q, c, q.heldResponse, q.heldResponse.Grow))
 	if err != nil {
-		n.log.Info(eventAnswerBroken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Bool("framed", a.Framed), zap.Error(err))
+		n.log.Info(eventAnswerBroken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int64("held", q.heldResponse.Size()), zap.Bool("framed", a.Framed), zap.Error(err))
 		if event != attempt.Rejected {
 			event = attempt.NoResponse
 			n.recordBrokenRuns(limited, c.endpoint, time.Since(c.started), q.identity)
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/booking"
+	"gradetiller.example/internal/core/membudget"
 	"gradetiller.example/internal/core/reach"
 	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/logging"
@@ -36,6 +37,9 @@
 	m := &meters{set: metrics.NewSet(), series: make(map[string]bool)}
 	m.set.NewGauge("gradetiller_in_flight", func() float64 { return float64(n.inFlight.Load()) })
 	m.set.NewGauge("gradetiller_body_bytes_held", func() float64 { return float64(n.memory.Held()) })
+	for _, kind := range membudget.Kinds() {
+		m.set.NewGauge(fmt.Sprintf(`gradetiller_bytes_held{kind=%q}`, kind), func() float64 { return float64(n.memory.HeldOf(kind)) })
+	}
 	m.set.NewGauge("gradetiller_engine_tokens_reserved", func() float64 { return n.leaders.modelPools.reservedShare(time.Now()) })
 	m.set.NewGauge("gradetiller_config_version", func() float64 { return float64(n.view.Load().version()) })
 	m.set.NewGauge("gradetiller_endpoints", func() float64 { return float64(n.view.Load().endpoints.Len()) })
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/membudget"
 	"gradetiller.example/internal/core/reach"
 	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/peer"
@@ -308,11 +309,12 @@
 	defer n.inFlight.Add(-1)
 	open := n.relaysOpen.Add(1)
 	defer n.relaysOpen.Add(-1)
-	if !n.memory.TryReserve(relayBytes) {
+	buffers := n.memory.Reservation(membudget.Relays)
+	if !buffers.TryGrow(relayBytes) {
 		n.answerRelay(c, m, wire.RelayUnavailable)
 		return
 	}
-	defer n.memory.Release(relayBytes)
+	defer buffers.Release()
 	if most := n.maxRelays(); most > 0 && open > most {
 		n.answerRelay(c, m, wire.RelayUnavailable)
 		return
--- a/internal/node/secondattempt.go
+++ b/internal/node/secondattempt.go
@@ -9,6 +9,7 @@
 
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/mechanism"
+	"gradetiller.example/internal/core/membudget"
 	"gradetiller.example/platform"
 )
 
@@ -51,7 +52,7 @@
 			q.sent++
 			go func() {
 				end := <-ends
-				n.memory.Release(end.request.held - before.held)
+				end.request.heldResponse.Release()
 			}()
 		}
 	}()
@@ -62,7 +63,8 @@
 		case end := <-ends:
 			running--
 			q.sent += end.request.sent - before.sent
-			q.held += end.request.held - before.held
+			q.heldResponse.Release()
+			q.heldResponse = end.request.heldResponse
 			q.endpoint, q.version = end.call.endpoint.ID, end.call.endpoint.Version
 			q.slowdown, q.relay = end.request.slowdown, end.request.relay
 			if running == 0 || end.usable() {
@@ -87,11 +89,11 @@
 // ctx until the returned function is called, and by the request's deadline in any case.
 func (n *Node) startAttempt(ctx context.Context, q request, c *placedCall, ends chan<- plainAttempt) (detach func() bool) {
 	own, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
-	body := int64(len(q.body))
-	n.memory.Reserve(body)
+	q.held, q.heldResponse = n.memory.Reservation(membudget.Requests), n.memory.Reservation(membudget.Responses)
+	q.held.Grow(int64(len(q.body)))
 	go func() {
 		defer cancel()
-		defer n.memory.Release(body)
+		defer q.held.Release()
 		end := plainAttempt{call: c}
 		end.response, end.body, end.event = n.tryPlain(own, &q, c)
 		end.request = q
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -14,6 +14,7 @@
 
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/mechanism"
+	"gradetiller.example/internal/core/membudget"
 	"gradetiller.example/internal/core/origin"
 	"gradetiller.example/internal/core/patience"
 	"gradetiller.example/internal/core/place"
@@ -323,7 +324,7 @@
 		return a, n.handleNoStream(ctx, s, c, a)
 	}
 	resumed := s.started
-	err = s.forward(a)
+	err = s.forward(c, a)
 	now := time.Now()
 	if err == nil && !resumed {
 		n.leaders.modelPools.observeOutput(q.service, q.in.MaxTokens, now.Sub(c.answeredAt))
@@ -372,8 +373,10 @@
 
 // forward forwards complete events until the stream ends. A stream that ends with its connection, since it
 // has neither a length nor chunks, must have an event.
-func (s *stream) forward(a *platform.Response) error {
-	in := bufio.NewReader(a.Body)
+func (s *stream) forward(c *placedCall, a *platform.Response) error {
+	held := s.node.memory.Reservation(membudget.Events)
+	defer held.Release()
+	in := bufio.NewReader(s.node.watchResponse(a, s.q, c, held, held.Observe))
 	before := s.events
 	var event []byte
 	for {
@@ -396,6 +399,7 @@
 			return err
 		}
 		event = event[:0]
+		held.Release()
 	}
 }
 
