--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -59,6 +59,8 @@
 # cases run beside each other.
 serial='TestBrittleEndpoints|TestNodesWithoutPathsServe|TestStreamStaysAtItsSoftwareVersion'
 parallel='TestAnnouncedRateLimitIsKept|TestBackoffIsHonored|TestWithdrawnRateLimit|TestDrainingEndpointGetsNoRequests|TestColdEndpoints|TestPromptPartThatCrashesEndpoints|TestPoisonIsRefused|TestRollout'
+# These measure the heap of their process.
+heap='TestFloodsAreBounded'
 
 go test -race -run '^$' ./... >/dev/null
 output=$(mktemp -d)
@@ -76,7 +78,8 @@
 part node-serial go test -race -timeout 20m -run "^($serial)\$" $(skip "") $node &
 part race go test -race -timeout 20m -p 2 $(skip "") $race &
 part node-parallel go test -race -timeout 20m -run "^($parallel)\$" $(skip "") $node &
-part node go test -race -timeout 20m $(skip "^($serial|$parallel)\$") $node &
+part node go test -race -timeout 20m $(skip "^($serial|$parallel|$heap)\$") $node &
+part node-heap go test -race -timeout 20m -run "^($heap)\$" $(skip "") $node &
 wait
-cat "$output"/node-serial "$output"/node-parallel "$output"/node "$output"/race "$output"/simulations
+cat "$output"/node-heap "$output"/node-serial "$output"/node-parallel "$output"/node "$output"/race "$output"/simulations
 [ ! -e "$output/failed" ]
