node: bound the event of a stream while it is read

Cause: stream.forward read whole lines with bufio.Reader.ReadBytes, and compared an event with its bound of 1 MiB only when a line had ended. What it held was not counted.

Evidence: in the heap profile of such an answer 97.8 % of 109 MB are live in bufio.ReadBytes below stream.forward, as many as were sent.

Change: eventReader reads an event in parts of at most 4 KiB into a bounded.Buffer, which has a limit and reserves each chunk before it reads it. Reading stops at 1 MiB, or above 32 KiB when the memory for all that is held is used up (membudget.Reservation.Extend): what is small is never given up for what is large, and nothing waits, so that holders of parts can't block each other. The stream is then broken off: the connection to the endpoint is closed, a resumable request goes on elsewhere, and the client gets 502 or, if it has a part, an aborted connection. "response cut" and gradetiller_responses_cut_total say what was cut and why. Such a response counts as a failure of its endpoint, but not as its end, so that no request is suspected of crashing endpoints.

--- a/internal/core/membudget/membudget.go
+++ b/internal/core/membudget/membudget.go
@@ -1,10 +1,12 @@
 // Package membudget bounds the bytes that a process holds on behalf of its clients, so that slow ones
 // can't exhaust the memory of its instance.
 //
-// What is not accepted yet is refused once the budget is used up (TryReserve). What has to be held in
-// any case, such as the answer of a request that ran, is only counted (Reserve). When most of the
-// budget is used, only small new work is admitted (Admits): a few large bodies would otherwise take
-// what is left, and the answers that are still to come would exceed the budget.
+// What is not accepted yet is refused once the budget is used up (TryReserve). When most of the budget
+// is used, only small new work is admitted (Admits): a few large bodies would otherwise take what is
+// left. What another process sends is reserved before it is read (Reservation.Extend): small amounts
+// always, large ones while the budget admits them. The caller must be able to go on without holding
+// more, since nothing waits for room: holders that each wait for another's would never end.
+// All that is held is therefore at most the budget and, for each holder, what counts as small.
 //
 // A Reservation holds the bytes of one holder, such as a request, and tells the budget of which kind they are, so
 // that a process that runs short of memory can say what takes it (HeldOf).
@@ -31,17 +33,21 @@
 	Responses
 	// Events are the events of endpoints' streams that have not been forwarded, complete or not.
 	Events
+	// Headers are the headers of endpoints' responses.
+	Headers
+	// Calls are the bodies of responses to the system's own calls to endpoints.
+	Calls
 	// Relays are the buffers of connections that are relayed for other nodes.
 	Relays
 	numKinds
 )
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Requests, Responses, Events, Relays} }
+func Kinds() []Kind { return []Kind{Requests, Responses, Events, Headers, Calls, Relays} }
 
 // String returns the name of the kind as used in metrics and logs.
 func (k Kind) String() string {
-	return [...]string{"request", "response", "event", "relay"}[k]
+	return [...]string{"request", "response", "event", "header", "call", "relay"}[k]
 }
 
 // Budget is a number of bytes. A nil Budget has no bound. It is safe for concurrent use.
@@ -115,8 +121,6 @@
 	budget *Budget
 	kind   Kind
 	size   int64
-	// observed is the part of size that is not reserved in the budget.
-	observed int64
 }
 
 // Reservation returns an empty reservation. Its bytes stay reserved until Release or Shrink.
@@ -137,19 +141,26 @@
 	r.count(n)
 }
 
-// Observe counts n further bytes by their kind without reserving them in the budget.
-func (r *Reservation) Observe(n int64) {
-	r.observed += n
-	r.count(n)
+// Extend reserves n further bytes of something that is being received, and reports whether they may be held. A
+// reservation that stays small always may, so that nothing small is given up for what is large; others may while
+// the budget admits work of their size.
+func (r *Reservation) Extend(n int64) bool {
+	if r.size+n <= smallBytes {
+		r.Grow(n)
+		return true
+	}
+	return r.budget.Admits(r.size+n) && r.TryGrow(n)
 }
 
-// Release returns all bytes of the reservation, which can then be used again.
-func (r *Reservation) Release() {
-	r.budget.Release(r.size - r.observed)
-	r.observed = 0
-	r.count(-r.size)
+// Shrink returns n bytes of the reservation.
+func (r *Reservation) Shrink(n int64) {
+	r.budget.Release(n)
+	r.count(-n)
 }
 
+// Release returns all bytes of the reservation, which can then be used again.
+func (r *Reservation) Release() { r.Shrink(r.size) }
+
 // Size returns the number of bytes that are reserved.
 func (r *Reservation) Size() int64 { return r.size }
 
--- a/internal/core/membudget/membudget_test.go
+++ b/internal/core/membudget/membudget_test.go
@@ -30,3 +30,42 @@
 		t.Error("a budget without a bound refuses")
 	}
 }
+
+// TestExtendKeepsRoomForSmall guards against received bytes that exceed the budget by more than what counts as small
+// for each holder, and against small holders that are refused because large ones have used it up.
+func TestExtendKeepsRoomForSmall(t *testing.T) {
+	const limit, step, holders = 1 << 20, 8 << 10, 100
+	b := New(limit)
+	var large []*Reservation
+	for range holders {
+		r := b.Reservation(Events)
+		for r.Extend(step) {
+		}
+		large = append(large, r)
+	}
+	if most := int64(limit + holders*smallBytes); b.Held() > most {
+		t.Errorf("%d bytes are held, at most %d may be", b.Held(), most)
+	}
+	small := b.Reservation(Events)
+	for small.Size() < smallBytes {
+		if !small.Extend(step) {
+			t.Fatalf("a holder of %d bytes got none further", small.Size())
+		}
+	}
+	if small.Extend(step) {
+		t.Error("a holder that is no longer small got further bytes of a full budget")
+	}
+	if b.HeldOf(Events) != b.Held() || b.HeldOf(Responses) != 0 {
+		t.Errorf("%d bytes of events and %d of responses are held, %d in all", b.HeldOf(Events), b.HeldOf(Responses), b.Held())
+	}
+	for _, r := range append(large, small) {
+		r.Release()
+	}
+	if b.Held() != 0 || b.HeldOf(Events) != 0 {
+		t.Errorf("%d bytes are held after all were released", b.Held())
+	}
+	none := New(0).Reservation(Events)
+	if !none.Extend(1<<40) || none.Size() != 1<<40 {
+		t.Error("a budget without a bound refuses")
+	}
+}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -13,6 +13,8 @@
 	eventAnswerBroken = "answer broke"
 	// A part of a response that the node holds has reached another power of two, from 1 MiB on.
 	eventLargeResponse = "large response"
+	// The node did not read a response to its end.
+	eventResponseCut = "response cut"
 	// An endpoint declined a request without executing it.
 	eventEndpointDeclined = "endpoint declined"
 	// The rate limit that an endpoint advertises changed.
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -114,6 +114,11 @@
 	return value
 }
 
+// responseCut counts a response that was not read to its end.
+func (m *meters) responseCut(kind membudget.Kind, reason cutReason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_responses_cut_total{kind=%q,reason=%q}`, kind, reason)).Inc()
+}
+
 // request counts a request that has ended.
 func (m *meters) request(q *request, status int) {
 	route, account := "none", "none"
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -12,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/bounded"
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/membudget"
@@ -22,14 +22,8 @@
 	"gradetiller.example/platform"
 )
 
-// maxEventBytes bounds a single event of a stream.
-const maxEventBytes = 1 << 20
-
-var (
-	errEventTooLarge = errors.New("stream event exceeds 1 MiB")
-	// errClientGone reports that an event could not be written to the client.
-	errClientGone = errors.New("cannot write to the client")
-)
+// errClientGone reports that a part of a response could not be written to the client.
+var errClientGone = errors.New("cannot write to the client")
 
 // stream forwards the events of an endpoint's response to a client.
 type stream struct {
@@ -324,15 +318,15 @@
 		return a, n.handleNoStream(ctx, s, c, a)
 	}
 	resumed := s.started
-	err = s.forward(c, a)
+	err = s.forward(a)
 	now := time.Now()
 	if err == nil && !resumed {
 		n.leaders.modelPools.observeOutput(q.service, q.in.MaxTokens, now.Sub(c.answeredAt))
 	}
-	c.finish(now, n.withLoad(a, now, place.Result{OK: err == nil, Neutral: parent.Err() != nil || n.lostHere(c.endpoint.ID)}))
+	c.finish(now, n.withLoad(a, now, place.Result{OK: err == nil, Neutral: parent.Err() != nil || n.lostHere(c.endpoint.ID) || errors.Is(err, bounded.ErrNoRoom)}))
 	if err != nil {
 		n.log.Info(eventStreamBroken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("events", s.events), zap.Bool("framed", a.Framed), zap.Stringers("parts", q.identity.Parts), zap.Error(err))
-		if !errors.Is(err, errClientGone) && !n.lostHere(c.endpoint.ID) {
+		if !errors.Is(err, errClientGone) && !isCut(err) && !n.lostHere(c.endpoint.ID) {
 			n.recordBrokenRuns(ctx, c.endpoint, time.Since(c.started), q.identity)
 		}
 		return a, attempt.NoResponse
@@ -373,33 +367,26 @@
 
 // forward forwards complete events until the stream ends. A stream that ends with its connection, since it
 // has neither a length nor chunks, must have an event.
-func (s *stream) forward(c *placedCall, a *platform.Response) error {
-	held := s.node.memory.Reservation(membudget.Events)
-	defer held.Release()
-	in := bufio.NewReader(s.node.watchResponse(a, s.q, c, held, held.Observe))
-	before := s.events
-	var event []byte
+func (s *stream) forward(a *platform.Response) error {
+	reserved := s.node.memory.Reservation(membudget.Events)
+	defer reserved.Release()
+	in, before := newEventReader(a.Body, reserved), s.events
 	for {
-		line, err := in.ReadBytes('\n')
-		event = append(event, line...)
-		switch {
-		case err == io.EOF && len(bytes.TrimSpace(event)) == 0 && (a.Framed || s.events > before):
+		switch err := in.next(); {
+		case errors.Is(err, io.EOF) && in.isBlank() && (a.Framed || s.events > before):
 			s.sendHead(a)
 			return nil
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
+		case isCut(err):
+			s.node.recordCut(s.q, membudget.Events, cutReasonOf(err), in.event.Len(), maxEventBytes, err)
+			return fmt.Errorf("event: %w", err)
 		case err != nil:
 			return err
-		case len(event) > maxEventBytes:
-			return errEventTooLarge
-		case len(bytes.TrimRight(line, "\r\n")) > 0:
-			continue
 		}
-		if err := s.forwardEvent(a, event); err != nil {
+		if err := s.forwardEvent(a, in); err != nil {
 			return err
 		}
-		event = event[:0]
-		held.Release()
 	}
 }
 
@@ -426,33 +413,19 @@
 }
 
 // forwardEvent forwards one complete event.
-func (s *stream) forwardEvent(a *platform.Response, event []byte) error {
+func (s *stream) forwardEvent(a *platform.Response, in *eventReader) error {
 	s.sendHead(a)
-	if id := eventID(event); id != "" {
-		s.lastEventID = id
+	if in.id != "" {
+		s.lastEventID = in.id
 	}
 	s.events++
-	s.node.memory.Reserve(int64(len(event)))
-	defer s.node.memory.Release(int64(len(event)))
 	limitWrite(s.w, true)
 	defer limitWrite(s.w, false)
-	if _, err := s.w.Write(event); err != nil {
-		return fmt.Errorf("%w: %w", errClientGone, err)
+	if _, err := in.event.WriteTo(s.w); err != nil {
+		return clientGone(err)
 	}
 	if err := s.flush.Flush(); err != nil {
-		return fmt.Errorf("%w: %w", errClientGone, err)
+		return clientGone(err)
 	}
 	return nil
 }
-
-var idField = []byte("id:")
-
-// eventID returns the id of an event, or "".
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if after, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(after))
-		}
-	}
-	return ""
-}
