platform: bound the headers of responses, each and all together

Callers saw: nothing yet; 8 responses at once whose header does not end took 71 to 175 MB for a tenth of a second, and a node has hundreds of calls in flight.

Cause: http.Transport accepts headers of 10 MB unless it is told otherwise, and nothing counted them.

Change: a header may take 64 KiB, as those of clients. Its bytes are reserved while they arrive, at the connection, and until the response is closed; above 32 KiB of one, only while the memory for all that is held has room. The call then ends with an error that wraps bounded.ErrNoRoom, which says nothing about the endpoint.

TestHeadersAreBoundedTogether: 64 headers of 60 kB that stay open hold no more than the budget and 32 KiB each, and a sound response beside them is served.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -589,7 +589,7 @@
 	blocked := isBlocked(err) || errors.Is(err, errPoison)
 	n.recordBlocked(err)
 	lost := n.lostHere(c.endpoint.ID)
-	c.finish(time.Now(), place.Result{Neutral: left || blocked || lost, Unreachable: !sent && !blocked, Refused: isRefused(err)})
+	c.finish(time.Now(), place.Result{Neutral: left || blocked || lost || isCut(err), Unreachable: !sent && !blocked, Refused: isRefused(err)})
 	if errors.Is(err, platform.ErrBodyNotTaken) {
 		n.log.Warn(eventBodyNotTaken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("bytes", len(q.body)))
 	}
@@ -598,6 +598,10 @@
 		return attempt.NotSent
 	}
 	q.sent++
+	if isCut(err) {
+		n.recordCut(q, membudget.Headers, cutReasonOf(err), 0, platform.MaxResponseHeader, err)
+		return attempt.NoResponse
+	}
 	if errors.Is(err, platform.ErrPathLost) {
 		return attempt.NoResponse
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -200,7 +200,7 @@
 	}
 	n.requestContext, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress, platform.WithEraErrorHandler(func(err error) { n.log.Warn(eventStoreEra, zap.Error(err)) }))
-	n.workers = platform.NewWorkerClient(platform.WithSignalObserver(n.observeSignals), platform.WithSendCheck(n.checkSignals), platform.WithDialer(n))
+	n.workers = platform.NewWorkerClient(platform.WithSignalObserver(n.observeSignals), platform.WithSendCheck(n.checkSignals), platform.WithDialer(n), platform.WithMemory(n.memory))
 	n.paths = newPaths(s.Node)
 	n.brittle = newBrittleServices()
 	n.signals = newSignals(hash.Of(s.Node))
