internal/node: don't hold the body of a failure on a route of streams

Callers saw: the same as with an event without an end, if the response had an error status; 8 such took 4.2 GB, and the clients waited for their deadline (504).

Cause: handleNoStream read the whole body, without a bound or a count, to tell a failure that broke off from one that is complete. Nothing used the bytes.

--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -356,12 +355,10 @@
 	if s.started {
 		return attempt.NoResponse
 	}
-	body, err := io.ReadAll(a.Body)
-	if err != nil {
+	if err := a.Discard(); err != nil {
 		n.recordBrokenRuns(ctx, c.endpoint, time.Since(c.started), s.q.identity)
 		return attempt.NoResponse
 	}
-	a.Body = io.NopCloser(bytes.NewReader(body))
 	return attempt.Fail
 }
 
