internal/node: hold plain responses up to 1 MiB and pass the rest on

Callers saw: a plain response without an end, of any status, takes 200 MB for each request in 2 s until the node is killed, and a rejection with such a body holds up the retry that it calls for. 24 sound responses of 20 MB take 1.06 GB at once.

Cause: tryPlain read every body whole, so that a broken one can be tried again. The bytes were counted as they came, but membudget.Budget.Reserve refuses nothing: only new request bodies respected the budget.

Change: plainAttempt holds a response up to 1 MiB, above 32 KiB only while the memory for all that is held has room. What is larger is committed: the node writes what it holds, with the endpoint's header and so its framing, and passes on the rest through one chunk as it arrives, as fast as the client takes it. If the rest breaks off, does not end by the request's deadline, or the client does not take a part within 5 s, both connections are closed; the client never sees an end that looks whole. A failure that may be retried is, by its status, whatever its body holds. The body of a rejection is not waited for (64 kB, 50 ms). The loser of two attempts is closed when it has been read up to the bound. An endpoint whose response never ends is charged with a failure at the deadline unless the client took more than half of the time, and is ejected after three in a row as for other failures.

Passing on costs callers that a response over 1 MiB that breaks off is not tried again by the node; responses of the sites have 4.8 kB at most. Holding more, or waiting for memory, would make small requests wait for large ones.

TestSlowReadersAreBounded, TestSlowEndpointsAreBounded and TestSecondAttempt pass.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -11,8 +11,8 @@
 	eventSecondAttempt = "second attempt"
 	// A response was truncated.
 	eventAnswerBroken = "answer broke"
-	// A part of a response that the node holds has reached another power of two, from 1 MiB on.
-	eventLargeResponse = "large response"
+	// A response is larger than what is held of one, or than the memory has room for, and is passed on as it arrives.
+	eventResponsePassedOn = "response passed on"
 	// The node did not read a response to its end.
 	eventResponseCut = "response cut"
 	// An endpoint declined a request without executing it.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -76,11 +76,10 @@
 	// prefix is the key of the prompt prefix by which the request is placed.
 	prefix uint64
 	source *http.Request
-	// held is reserved for the request's body, and heldResponse for what is held of its response.
-	held         *membudget.Reservation
-	heldResponse *membudget.Reservation
-	sent         int
-	mayHaveRun   bool
+	// held is reserved for the request's body.
+	held       *membudget.Reservation
+	sent       int
+	mayHaveRun bool
 	// memoryShort is true if the body was refused for want of memory.
 	memoryShort bool
 	endpoint    string
@@ -108,11 +107,8 @@
 	q := &request{in: platform.ParseClientRequest(r), view: n.view.Load(), arrived: time.Now(), source: r}
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	q.held, q.heldResponse = n.memory.Reservation(membudget.Requests), n.memory.Reservation(membudget.Responses)
-	defer func() {
-		q.held.Release()
-		q.heldResponse.Release()
-	}()
+	q.held = n.memory.Reservation(membudget.Requests)
+	defer q.held.Release()
 	if s := n.shutdown.Load(); s != nil {
 		q.afterStop = q.arrived.Sub(s.requestedAt)
 	}
@@ -398,13 +394,16 @@
 			return
 		}
 		tried = append(tried, c.endpoint.ID)
-		a, body, event := n.tryWithSecond(ctx, q, c, &tried)
-		next := n.nextAction(q, event, a)
+		a := n.tryWithSecond(ctx, q, c, &tried)
+		next := n.nextAction(q, a.event, a.response)
+		if next == attempt.Deliver {
+			n.deliver(ctx, w, q, a)
+			return
+		}
+		a.drop()
 		switch next {
 		case attempt.Retry:
 			continue
-		case attempt.Deliver:
-			n.deliver(w, q, a, body)
 		case attempt.AnswerNotRun:
 			n.answerNotRun(w, q, "endpoints declined")
 		default:
@@ -504,45 +503,6 @@
 	return time.Until(q.deadline) > 0 && n.budget.TryAcquire(time.Now(), q.service, 1)
 }
 
-// tryPlain sends one attempt and reads the complete response.
-func (n *Node) tryPlain(ctx context.Context, q *request, c *placedCall) (*platform.Response, []byte, attempt.Event) {
-	q.endpoint, q.version = c.endpoint.ID, c.endpoint.Version
-	limited, cancel := context.WithTimeout(ctx, q.attemptTimeout(time.Now()))
-	defer cancel()
-	a, err := n.workers.Send(limited, n.workerRequest(q, c.endpoint, time.Now()))
-	if err != nil {
-		return nil, nil, n.recordSendError(ctx, limited, q, c, err)
-	}
-	defer a.Body.Close()
-	c.answeredAt = time.Now()
-	n.recordAnswer(c.endpoint.ID, c.started)
-	q.slowdown, q.relay = a.Signals.Load.Slowdown, a.Relay
-	event := a.Event
-	if !a.Misdirected {
-		q.sent++
-	}
-	if event == attempt.Rejected {
-		n.log.Info(eventEndpointDeclined, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int("status", a.Status))
-	}
-	body, err := io.ReadAll(n.watchResponse(a, q, c, q.heldResponse, q.heldResponse.Grow))
-	if err != nil {
-		n.log.Info(eventAnswerBroken, zap.String("id", q.in.RequestID), zap.String("endpoint", c.endpoint.ID), zap.Int64("held", q.heldResponse.Size()), zap.Bool("framed", a.Framed), zap.Error(err))
-		if event != attempt.Rejected {
-			event = attempt.NoResponse
-			n.recordBrokenRuns(limited, c.endpoint, time.Since(c.started), q.identity)
-		}
-	}
-	if event == attempt.FirstByte {
-		event = attempt.Complete
-		if !a.Framed {
-			n.recordUnframedEnd(q, c.endpoint)
-		}
-	}
-	now := time.Now()
-	c.finish(now, n.withLoad(a, now, place.Result{OK: event == attempt.Complete, Neutral: event == attempt.Fail && a.Status < 500 || a.Signals.Backoff > 0}))
-	return a, body, event
-}
-
 // withLoad adds to the result of a call the slowdown that the endpoint's answer stated, or else the load.
 // An endpoint that states a slowdown changes faster than its load is heard of: with the load as well, 4
 // endpoints of 96 nodes at four times their usual rate served 0.907 of the requests in time, with the
@@ -569,6 +529,16 @@
 	return min(max(usual, minAttemptTimeout), left/2)
 }
 
+// cancelHung calls cancel once an attempt begun now has waited too long for a response, and returns a function that
+// stops that. At the request's deadline its context ends by itself, with an error that tells why.
+func (q *request) cancelHung(now time.Time, cancel func()) (stop func() bool) {
+	timeout := q.attemptTimeout(now)
+	if !now.Add(timeout).Before(q.deadline) {
+		return func() bool { return true }
+	}
+	return time.AfterFunc(timeout, cancel).Stop
+}
+
 // isBlocked reports whether an attempt was not sent because of a signal from its endpoint.
 func isBlocked(err error) bool {
 	var blocked *signal.BlockedError
@@ -612,24 +582,6 @@
 	return attempt.NoResponse
 }
 
-// deliver forwards a complete response to the client.
-func (n *Node) deliver(w http.ResponseWriter, q *request, a *platform.Response, body []byte) {
-	q.outcome = delivered
-	platform.CopyResponseHeader(w, a.Header)
-	n.announceClose(w)
-	w.WriteHeader(a.Status)
-	limitWrite(w, true)
-	_, err := w.Write(body)
-	if err == nil {
-		err = http.NewResponseController(w).Flush()
-	}
-	limitWrite(w, false)
-	if err == nil && a.Status < http.StatusBadRequest {
-		n.recordServed(q, a.Framed)
-	}
-	n.logRequest(q, a.Status)
-}
-
 // answerNotRun refuses a request as not executed, with a retry delay. If the request may have
 // been executed, it answers 502 without one.
 func (n *Node) answerNotRun(w http.ResponseWriter, q *request, reason string) {
--- a/internal/node/log_test.go
+++ b/internal/node/log_test.go
@@ -13,8 +13,10 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"gradetiller.example/internal/bounded"
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/membudget"
 	"gradetiller.example/internal/logging"
 	"gradetiller.example/platform"
 )
@@ -25,7 +27,11 @@
 func TestRequestLogLevel(t *testing.T) {
 	expired, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
 	defer cancel()
-	worker := func(status int) *platform.Response { return &platform.Response{Status: status, Header: http.Header{}} }
+	deliver := func(status int) func(*Node, http.ResponseWriter, *request) {
+		return func(n *Node, w http.ResponseWriter, q *request) {
+			n.deliver(t.Context(), w, q, emptyResponse(n, status))
+		}
+	}
 	cases := map[string]struct {
 		end  func(n *Node, w http.ResponseWriter, q *request)
 		want zapcore.Level
@@ -39,9 +45,9 @@
 		"broken off":       {abortStream, zap.WarnLevel},
 		"not run":          {func(n *Node, w http.ResponseWriter, q *request) { n.answerNotRun(w, q, "no endpoint") }, zap.InfoLevel},
 		"not allowed":      {func(n *Node, w http.ResponseWriter, q *request) { n.refuse(w, q, 401, "not allowed", 0) }, zap.InfoLevel},
-		"worker's 200":     {func(n *Node, w http.ResponseWriter, q *request) { n.deliver(w, q, worker(200), nil) }, zap.InfoLevel},
-		"worker's 404":     {func(n *Node, w http.ResponseWriter, q *request) { n.deliver(w, q, worker(404), nil) }, zap.InfoLevel},
-		"worker's own 502": {func(n *Node, w http.ResponseWriter, q *request) { n.deliver(w, q, worker(502), nil) }, zap.InfoLevel},
+		"worker's 200":     {deliver(200), zap.InfoLevel},
+		"worker's 404":     {deliver(404), zap.InfoLevel},
+		"worker's own 502": {deliver(502), zap.InfoLevel},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -57,6 +63,12 @@
 	}
 }
 
+// emptyResponse returns an attempt whose response has no body.
+func emptyResponse(n *Node, status int) *plainAttempt {
+	body := bounded.NewBuffer(n.memory.Reservation(membudget.Responses), maxHeldResponse)
+	return &plainAttempt{node: n, response: &platform.Response{Status: status, Header: http.Header{}}, body: body}
+}
+
 // abortStream ends a stream after its header was sent.
 func abortStream(n *Node, w http.ResponseWriter, q *request) {
 	defer func() {
@@ -97,7 +109,7 @@
 		}
 	}
 	for _, took := range []time.Duration{0, 2 * time.Second} {
-		n.deliver(httptest.NewRecorder(), q(took), &platform.Response{Status: http.StatusOK, Header: http.Header{}}, nil)
+		n.deliver(t.Context(), httptest.NewRecorder(), q(took), emptyResponse(n, http.StatusOK))
 	}
 	n.refuse(httptest.NewRecorder(), q(2*time.Second), http.StatusServiceUnavailable, "stages would be late", time.Second)
 	for i, late := range []any{nil, true, nil} {
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -119,6 +119,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_responses_cut_total{kind=%q,reason=%q}`, kind, reason)).Inc()
 }
 
+// responsePassedOn counts a response that is too large to be held whole.
+func (m *meters) responsePassedOn(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_responses_passed_on_total{service=%q}`, m.label(service))).Inc()
+}
+
 // request counts a request that has ended.
 func (m *meters) request(q *request, status int) {
 	route, account := "none", "none"
--- a/internal/node/secondattempt.go
+++ b/internal/node/secondattempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,28 +9,12 @@
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/membudget"
-	"gradetiller.example/platform"
 )
 
-// plainAttempt is the end of an attempt that ran beside another one of the same request.
-type plainAttempt struct {
-	call *placedCall
-	// request is the attempt's copy of the request.
-	request  request
-	response *platform.Response
-	body     []byte
-	event    attempt.Event
-}
-
-// usable reports whether the attempt has an answer to deliver.
-func (a *plainAttempt) usable() bool {
-	return a.event == attempt.Complete || a.event == attempt.Fail && a.response.Status < http.StatusInternalServerError
-}
-
 // tryWithSecond sends an attempt and, if it is not answered for far too long, a second one to another
 // endpoint, which it adds to tried. The first usable answer counts. The other attempt is not canceled,
 // so that its latency or failure is recorded as if it were the only one.
-func (n *Node) tryWithSecond(ctx context.Context, q *request, c *placedCall, tried *[]string) (*platform.Response, []byte, attempt.Event) {
+func (n *Node) tryWithSecond(ctx context.Context, q *request, c *placedCall, tried *[]string) *plainAttempt {
 	waiting := attempt.Waiting{
 		Repeatable: q.route.Repeatable(), Attempts: q.sent + 1, MaxAttempts: q.route.MaxAttempts,
 		Usual: c.usualLatency(c.started), Objective: q.route.Objective,
@@ -41,7 +24,7 @@
 		return n.tryPlain(ctx, q, c)
 	}
 	before := *q
-	ends := make(chan plainAttempt, 2)
+	ends := make(chan *plainAttempt, 2)
 	detach := []func() bool{n.startAttempt(ctx, before, c, ends)}
 	running := 1
 	defer func() {
@@ -50,10 +33,7 @@
 		}
 		if running > 0 {
 			q.sent++
-			go func() {
-				end := <-ends
-				end.request.heldResponse.Release()
-			}()
+			go func() { (<-ends).drop() }()
 		}
 	}()
 	overdue := time.NewTimer(after)
@@ -63,16 +43,15 @@
 		case end := <-ends:
 			running--
 			q.sent += end.request.sent - before.sent
-			q.heldResponse.Release()
-			q.heldResponse = end.request.heldResponse
 			q.endpoint, q.version = end.call.endpoint.ID, end.call.endpoint.Version
 			q.slowdown, q.relay = end.request.slowdown, end.request.relay
 			if running == 0 || end.usable() {
 				if end.call != c && end.usable() {
 					n.meters.secondAttemptWon(q.service)
 				}
-				return end.response, end.body, end.event
+				return end
 			}
+			end.drop()
 			q.mayHaveRun = q.mayHaveRun || end.event != attempt.NotSent && end.event != attempt.Rejected
 		case <-overdue.C:
 			c.markOverdue(time.Now())
@@ -87,16 +66,14 @@
 
 // startAttempt sends an attempt with a copy of the request and delivers its end. The attempt ends with
 // ctx until the returned function is called, and by the request's deadline in any case.
-func (n *Node) startAttempt(ctx context.Context, q request, c *placedCall, ends chan<- plainAttempt) (detach func() bool) {
+func (n *Node) startAttempt(ctx context.Context, q request, c *placedCall, ends chan<- *plainAttempt) (detach func() bool) {
 	own, cancel := context.WithDeadline(context.WithoutCancel(ctx), q.deadline)
-	q.held, q.heldResponse = n.memory.Reservation(membudget.Requests), n.memory.Reservation(membudget.Responses)
+	q.held = n.memory.Reservation(membudget.Requests)
 	q.held.Grow(int64(len(q.body)))
 	go func() {
-		defer cancel()
 		defer q.held.Release()
-		end := plainAttempt{call: c}
-		end.response, end.body, end.event = n.tryPlain(own, &q, c)
-		end.request = q
+		end := n.tryPlain(own, &q, c)
+		end.onClose(cancel)
 		ends <- end
 	}()
 	return context.AfterFunc(ctx, cancel)
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -282,7 +282,7 @@
 	parent := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	hung := time.AfterFunc(q.attemptTimeout(time.Now()), cancel)
+	stopTimer := q.cancelHung(time.Now(), cancel)
 	out := n.workerRequest(q, c.endpoint, time.Now())
 	out.Inputs = s.results.handles
 	out.LastEventID = s.lastEventID
@@ -290,7 +290,7 @@
 		out.CacheSource = s.results.copyFrom
 	}
 	a, err := n.workers.Send(ctx, out)
-	hung.Stop()
+	stopTimer()
 	if err != nil {
 		event := n.recordSendError(parent, ctx, q, c, err)
 		switch {
