--- a/internal/wire/workers.go
+++ b/internal/wire/workers.go
@@ -10,8 +10,8 @@
 )
 
 // maxUnpackedWorkers bounds the size of a decompressed list of endpoints in bytes, so that a small
-// message cannot exhaust memory.
-const maxUnpackedWorkers = 64 << 20
+// message cannot exhaust memory. The largest list, of maxElements, has 256 for each.
+const maxUnpackedWorkers = 16 << 20
 
 // PackWorkers compresses a whole list of endpoints, which a node sends to every other that starts.
 func PackWorkers(list []Worker) ([]byte, error) {
--- a/internal/wire/workers_test.go
+++ b/internal/wire/workers_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -48,3 +49,24 @@
 		}
 	}
 }
+
+// TestUnpackedWorkersAreBounded guards against a small message that unpacks to more than an instance's memory.
+func TestUnpackedWorkersAreBounded(t *testing.T) {
+	data, err := PackWorkers([]Worker{{ID: "i-1"}, {ID: "i-2", Version: strings.Repeat("x", maxUnpackedWorkers)}})
+	if err != nil || len(data) > 1<<20 {
+		t.Fatalf("%d bytes packed, %v", len(data), err)
+	}
+	if list, err := unpack(data); !errors.Is(err, ErrFrame) {
+		t.Errorf("%d endpoints unpacked, %v; want an error", len(list), err)
+	}
+	var large []Worker
+	for i := range maxElements {
+		large = append(large, Worker{ID: fmt.Sprintf("i-%08x@%d", i*2654435761, i), Service: "model", Address: fmt.Sprintf("10.0.%d.%d:80", i>>8, i&255), Domain: "hall-a", Slots: 16, Version: "v1"})
+	}
+	if data, err = PackWorkers(large); err != nil {
+		t.Fatal(err)
+	}
+	if list, err := unpack(data); err != nil || len(list) != maxElements {
+		t.Errorf("%d of %d endpoints unpacked, %v", len(list), maxElements, err)
+	}
+}
