client, cmd, internal: no response is cut without a word

Callers saw: a response over its bound was cut there and read as if it were whole. The platform's HTTP adapter returned the first 16 MiB of a larger object as the object; the client and the endpoint adapter called such an answer "not JSON", and held streams of sound parts without a bound; gradetiller compare and the commands for a control process read without one.

Change: all of them read with bounded.ReadAll, whose error names the limit, and accept headers of 64 KiB. The text of a stream, which these programs hold until its end, may take 32 MiB. explain-logs reads line by line and skips lines over 256 KiB, which no node writes.

Open: what a gradetiller-entry holds of all streams together is not counted. That program does not run on the users' platform.

--- a/client/client.go
+++ b/client/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -15,6 +14,7 @@
 	"time"
 
 	"gradetiller.example/failure"
+	"gradetiller.example/internal/bounded"
 )
 
 const (
@@ -22,6 +22,10 @@
 	locateTimeout  = 2 * time.Second
 	maxIdlePerHost = 64
 	maxAnswerBytes = 8 << 20
+	maxErrorBytes  = 64 << 10
+	maxHeaderBytes = 64 << 10
+	// maxStreamBytes bounds the output of a stream, which the answer holds as a whole.
+	maxStreamBytes = 32 << 20
 	minRetryDelay  = 5 * time.Millisecond
 	defaultRetries = 8
 )
@@ -63,10 +67,11 @@
 	c := &Client{
 		key: key, seeds: addresses, retries: defaultRetries,
 		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout:     30 * time.Second,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    maxIdlePerHost,
+			IdleConnTimeout:        30 * time.Second,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}
 	for _, opt := range opts {
@@ -189,7 +194,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -270,3 +271,34 @@
 		}
 	}
 }
+
+// TestLargeAnswersAreErrors guards against an answer that is cut at its bound and taken for the whole or for one that
+// is no JSON, and against a stream without an end that is held until the memory is used up.
+func TestLargeAnswersAreErrors(t *testing.T) {
+	s := newSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.Header.Get("X-Request-Id"), "stream") {
+			text := strings.Repeat("x", 1<<20)
+			for {
+				if _, err := fmt.Fprintf(w, `{"text":%q}`+"\n", text); err != nil {
+					return
+				}
+			}
+		}
+		answerComplete(w, r)
+		for spaces := strings.Repeat(" ", 64<<10); ; {
+			if _, err := io.WriteString(w, spaces); err != nil {
+				return
+			}
+		}
+	})
+	c := s.client()
+	_, err := c.Run(t.Context(), Request{Pipeline: "p", ID: "answer", Once: true, Deadline: 20 * time.Second})
+	if failure.KindOf(err) != failure.StageUnknown || !strings.Contains(err.Error(), "too large") {
+		t.Errorf("an answer without an end: %v, want an error that says it is too large", err)
+	}
+	size := 0
+	_, err = c.Stream(t.Context(), Request{Pipeline: "p", ID: "stream", Once: true, Deadline: 20 * time.Second}, func(text string) { size += len(text) })
+	if failure.KindOf(err) != failure.StageUnknown || !strings.Contains(err.Error(), "too large") || size > maxStreamBytes {
+		t.Errorf("a stream without an end: %v after %d bytes, want an error that says it is too large", err, size)
+	}
+}
--- a/client/try.go
+++ b/client/try.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +17,7 @@
 	"time"
 
 	"gradetiller.example/failure"
+	"gradetiller.example/internal/bounded"
 )
 
 type runBody struct {
@@ -94,7 +96,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+		data, _ := bounded.ReadAll(resp.Body, maxErrorBytes)
 		err := decodeError(data, resp.StatusCode)
 		if failure.KindOf(err) == failure.Draining {
 			c.dropAddress(address)
@@ -155,7 +157,10 @@
 }
 
 func readAnswer(r io.Reader, req Request) (*Answer, bool, error) {
-	data, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes))
+	data, err := bounded.ReadAll(r, maxAnswerBytes)
+	if errors.Is(err, bounded.ErrLimit) {
+		return unknownOutcome(req, "the answer is too large", err)
+	}
 	if err != nil {
 		return unknownOutcome(req, "the answer broke off", err)
 	}
@@ -200,6 +205,9 @@
 			}
 			return &Answer{requestID: req.ID, output: output.String(), onTime: e.OnTime}, false, nil
 		}
+		if output.Len()+len(e.Text) > maxStreamBytes {
+			return nil, false, failure.New(failure.StageUnknown, "the stream is too large", failure.WithCause(&bounded.LimitError{Limit: maxStreamBytes}))
+		}
 		output.WriteString(e.Text)
 		digest.Write([]byte(e.Text))
 		text(e.Text)
--- a/cmd/gradetiller/cmd/compare.go
+++ b/cmd/gradetiller/cmd/compare.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 
 	"gradetiller.example/compare"
+	"gradetiller.example/internal/bounded"
 	"gradetiller.example/internal/settings"
 )
 
@@ -43,6 +43,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return "", fmt.Errorf("metrics request returned status %d", resp.StatusCode)
 	}
-	data, err := io.ReadAll(resp.Body)
+	data, err := bounded.ReadAll(resp.Body, maxResponseBytes)
 	return string(data), err
 }
--- a/cmd/gradetiller/cmd/compare_test.go
+++ b/cmd/gradetiller/cmd/compare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -22,3 +23,21 @@
 		t.Errorf("exit status %d, standard error: %s", status, stderr.String())
 	}
 }
+
+// TestCompareBoundsMetrics guards against metrics without an end that are held until the memory is used up, or counted
+// in part.
+func TestCompareBoundsMetrics(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for lines := strings.Repeat("metric 1\n", 8<<10); ; {
+			if _, err := io.WriteString(w, lines); err != nil {
+				return
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	var stdout, stderr bytes.Buffer
+	status := Run([]string{"compare", "--entries", server.Listener.Addr().String(), "x"}, strings.NewReader(""), &stdout, &stderr)
+	if status != ExitFailed || !strings.Contains(stderr.String(), "more than") {
+		t.Errorf("exit status %d, standard error: %s", status, stderr.String())
+	}
+}
--- a/cmd/gradetiller/cmd/remote.go
+++ b/cmd/gradetiller/cmd/remote.go
@@ -10,12 +10,16 @@
 	"net/http/httptrace"
 	"time"
 
+	"gradetiller.example/internal/bounded"
 	"gradetiller.example/internal/control"
 )
 
 // requestTimeout bounds each request, including an apply. Tests shorten it.
 var requestTimeout = 30 * time.Second
 
+// maxResponseBytes bounds a response. The largest is a configuration of 8 MiB in JSON, which may double it.
+const maxResponseBytes = 32 << 20
+
 // outcomeUnknownError means that a request may have reached a control process and
 // that its outcome is unknown. Every other error of remote.call means that the
 // request changed nothing.
@@ -40,9 +44,9 @@
 		return err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
+	data, err := bounded.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
-		return outcomeUnknownf("response of control process %s was cut off: %w", r.Control, err)
+		return outcomeUnknownf("response of control process %s cannot be read: %w", r.Control, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return r.responseError(resp.StatusCode, data)
--- a/internal/endpoints/http.go
+++ b/internal/endpoints/http.go
@@ -15,15 +15,19 @@
 	"sync/atomic"
 	"time"
 
+	"gradetiller.example/internal/bounded"
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/run"
 )
 
 const (
-	dialTimeout     = time.Second
-	maxAnswerBytes  = 8 << 20
-	maxLineBytes    = 64 << 10
+	dialTimeout    = time.Second
+	maxAnswerBytes = 8 << 20
+	maxLineBytes   = 64 << 10
+	maxHeaderBytes = 64 << 10
+	// maxStreamBytes bounds the text of a stream, which is held until the stream ends.
+	maxStreamBytes  = 32 << 20
 	maxIdlePerHost  = 64
 	idleTimeout     = 30 * time.Second
 	headerNotRun    = "X-Not-Run"
@@ -47,12 +51,13 @@
 
 func newTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		Proxy:               nil,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives:   disableKeepAlives,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
+		Proxy:                  nil,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:      disableKeepAlives,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -172,7 +177,10 @@
 }
 
 func readBody(r io.Reader, call run.Call) run.CallResult {
-	data, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes))
+	data, err := bounded.ReadAll(r, maxAnswerBytes)
+	if errors.Is(err, bounded.ErrLimit) {
+		return newResult(attempt.NoResponse, "answer is too large: "+err.Error())
+	}
 	if err != nil {
 		return newResult(attempt.NoResponse, "answer broke off: "+err.Error())
 	}
@@ -197,6 +205,7 @@
 	}
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, 4<<10), maxLineBytes)
+	size := 0
 	for lines.Scan() {
 		if idle != nil {
 			idle.Reset(call.IdleTimeout)
@@ -208,6 +217,9 @@
 		if line.Done {
 			return checkStreamEnd(line, call, sink)
 		}
+		if size += len(line.Text); size > maxStreamBytes {
+			return brokenStream(sink, fmt.Sprintf("stream is too large: more than %d bytes", maxStreamBytes))
+		}
 		if !sink.Token(line.Index, line.Text) {
 			return brokenStream(sink, "tokens are not wanted any more, or out of order")
 		}
--- a/internal/endpoints/http_test.go
+++ b/internal/endpoints/http_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -81,3 +82,47 @@
 		t.Fatalf("event %d (%s), want %d", got.Event, got.Reason, attempt.NotSent)
 	}
 }
+
+// TestAnswersAreBounded guards against answers that are cut at their bound and taken for the whole, or held beyond it:
+// one that is not a stream, a stream of sound tokens without an end, a line without one, a header and a state.
+func TestAnswersAreBounded(t *testing.T) {
+	endless := func(w http.ResponseWriter, begin, block string) {
+		for _, err := io.WriteString(w, begin); err == nil; _, err = io.WriteString(w, block) {
+		}
+	}
+	spaces := strings.Repeat(" ", 64<<10)
+	for _, c := range []struct {
+		name    string
+		streams bool
+		answer  func(w http.ResponseWriter)
+		want    string
+	}{
+		{"answer", false, func(w http.ResponseWriter) { endless(w, `{"request_id":"r","output":"x"}`, spaces) }, "too large"},
+		{"stream", true, func(w http.ResponseWriter) {
+			text := strings.Repeat("x", 32<<10)
+			for i := 0; ; i++ {
+				if _, err := fmt.Fprintf(w, `{"i":%d,"t":%q}`+"\n", i, text); err != nil {
+					return
+				}
+			}
+		}, "too large"},
+		{"line", true, func(w http.ResponseWriter) { endless(w, `{"i":0,"t":"`, spaces) }, "too long"},
+		{"header", false, func(w http.ResponseWriter) {
+			for i := range 200 {
+				w.Header().Set(fmt.Sprintf("X-Filler-%d", i), strings.Repeat("x", 1000))
+			}
+		}, "header"},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { c.answer(w) }))
+		h := NewHTTP()
+		end := h.Call(context.Background(), run.Call{Address: server.Listener.Addr().String(), RequestID: "r", Streams: c.streams, Repeatable: true, Deadline: time.Now().Add(20 * time.Second)}, &sink{})
+		if end.Event != attempt.NoResponse || !strings.Contains(end.Reason, c.want) {
+			t.Errorf("%s: %v, %q; want no response since it is %q", c.name, end.Event, end.Reason, c.want)
+		}
+		if _, err := h.State(context.Background(), server.Listener.Addr().String()); err == nil {
+			t.Errorf("%s: taken for a state", c.name)
+		}
+		h.Close()
+		server.Close()
+	}
+}
--- a/internal/endpoints/state.go
+++ b/internal/endpoints/state.go
@@ -4,8 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
+
+	"gradetiller.example/internal/bounded"
 )
 
 // State is the state that an endpoint reports.
@@ -38,7 +39,7 @@
 		return State{}, fmt.Errorf("state of %s: %w", address, err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	data, err := bounded.ReadAll(resp.Body, maxStateBytes)
 	if err != nil {
 		return State{}, fmt.Errorf("state of %s: %w", address, err)
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -14,8 +14,10 @@
 package explain
 
 import (
+	"bufio"
 	"bytes"
 	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -64,27 +66,44 @@
 	return fmt.Sprintf("%s %s %s %s", mark, l.at.UTC().Format("15:04:05.000"), l.source, l.text)
 }
 
+// maxLineBytes bounds a line of a log. A node's lines are far shorter.
+const maxLineBytes = 256 << 10
+
 // Read reads a node's log. The lines have the given source until a "started" event contains the name
-// of the node, which then replaces it. Lines without a time are skipped, since the log may contain
-// output of other programs.
+// of the node, which then replaces it. Lines without a time and those over 256 KiB are skipped, since the
+// log may contain output of other programs.
 func Read(r io.Reader, source string) ([]Line, error) {
-	data, err := io.ReadAll(r)
-	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", source, err)
-	}
+	in := bufio.NewReaderSize(r, maxLineBytes)
 	var lines []Line
-	for raw := range bytes.Lines(data) {
-		l, ok := parse(raw)
-		if !ok {
-			continue
+	for {
+		raw, err := readLine(in)
+		if l, ok := parse(raw); ok {
+			if l.fields[fieldEvent] == "started" && l.fields[fieldNode] != "" {
+				source = l.fields[fieldNode]
+			}
+			l.source = source
+			lines = append(lines, l)
 		}
-		if l.fields[fieldEvent] == "started" && l.fields[fieldNode] != "" {
-			source = l.fields[fieldNode]
+		if errors.Is(err, io.EOF) {
+			return lines, nil
 		}
-		l.source = source
-		lines = append(lines, l)
+		if err != nil {
+			return nil, fmt.Errorf("read %s: %w", source, err)
+		}
+	}
+}
+
+// readLine returns the next line, or nil if it does not fit the reader's buffer. The line is valid until the next
+// read.
+func readLine(in *bufio.Reader) ([]byte, error) {
+	line, err := in.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	for errors.Is(err, bufio.ErrBufferFull) {
+		_, err = in.ReadSlice('\n')
 	}
-	return lines, nil
+	return nil, err
 }
 
 // parse reads one line of key=value pairs.
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,12 +12,15 @@
 	"net/netip"
 	"net/url"
 	"time"
+
+	"gradetiller.example/internal/bounded"
 )
 
 const (
-	dialTimeout  = 2 * time.Second
-	maxBodyBytes = 16 << 20
-	maxIdleConns = 16
+	dialTimeout    = 2 * time.Second
+	maxBodyBytes   = 16 << 20
+	maxHeaderBytes = 64 << 10
+	maxIdleConns   = 16
 )
 
 // HTTP is an adapter for all three services at one address.
@@ -36,9 +39,10 @@
 		return nil, fmt.Errorf("platform address %q: expected http://IP:PORT, host names are not looked up", base)
 	}
 	return &HTTP{base: u.Scheme + "://" + u.Host, transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}, nil
 }
 
@@ -165,6 +169,6 @@
 		return nil, 0, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	body, err := bounded.ReadAll(resp.Body, maxBodyBytes)
 	return body, resp.StatusCode, err
 }
