internal/socket: fixed buffers for what endpoints send and clients read

Callers saw: nothing. A client that reads slowly while its endpoint sends fast left up to 1.2 MB unread in the node's receive buffer and 3.8 MB in its send buffer, for each response; through a relay, whose connections have buffers as well, an endpoint got rid of 32 MB in 5 s. What has arrived and is not read counts as memory of the process, so that few such clients take that of an instance with 136 MB, whatever the node itself holds.

Cause: Linux enlarges socket buffers up to 33 MB for receiving and 4 MB for sending while data flow.

Change: connections that a node opens have a receive buffer, those that it accepts a send buffer, of 128 KiB (Linux reserves as much again). Accepted connections inherit it from their listener, so that it costs one system call for each connection that is opened, and none for one that is accepted. Weighed: such a buffer carries 128 MB/s at 1 ms and 2 MB/s over 60 ms, more than links of 10 Mbit/s take; 64 KiB would slow down large responses between regions.

bounded.Buffer.Pass used the last chunk of a buffer, of 4 kB, and not the largest.

--- a/internal/bounded/bounded_test.go
+++ b/internal/bounded/bounded_test.go
@@ -66,8 +66,8 @@
 					t.Fatalf("%d bytes %s: %d bytes differ from the body", size, name, out.Len())
 				}
 				checkCounted(t, b, budget)
-				if budget.Held() > maxChunk {
-					t.Errorf("%d bytes %s: %d bytes are held to pass on the rest, want at most one chunk", size, name, budget.Held())
+				if budget.Held() > maxChunk || size > 2*maxChunk && budget.Held() < maxChunk {
+					t.Errorf("%d bytes %s: %d bytes are held to pass on the rest, want one chunk of full size", size, name, budget.Held())
 				}
 				if b.Release(); budget.Held() != 0 {
 					t.Errorf("%d bytes %s: %d bytes are held after Release", size, name, budget.Held())
--- a/internal/bounded/buffer.go
+++ b/internal/bounded/buffer.go
@@ -126,7 +126,7 @@
 // Pass copies the rest of r to w through one chunk of the buffer, in place of what it held, and returns the number of
 // bytes that were written.
 func (b *Buffer) Pass(w io.Writer, r io.Reader) (int64, error) {
-	b.keepLast()
+	b.keepLargest()
 	free, err := b.free()
 	if err != nil {
 		return 0, err
@@ -150,10 +150,12 @@
 	}
 }
 
-// keepLast empties the buffer except for the capacity of the last chunk, the largest one.
-func (b *Buffer) keepLast() {
-	if last := len(b.chunks) - 1; last > 0 {
-		b.chunks[0], b.chunks[last] = b.chunks[last], b.chunks[0]
+// keepLargest empties the buffer except for the capacity of its largest chunk.
+func (b *Buffer) keepLargest() {
+	for i := range b.chunks {
+		if cap(b.chunks[i]) > cap(b.chunks[0]) {
+			b.chunks[0], b.chunks[i] = b.chunks[i], b.chunks[0]
+		}
 	}
 	b.Reset()
 }
--- a/internal/node/floods_test.go
+++ b/internal/node/floods_test.go
@@ -53,6 +53,8 @@
 //	clients N               how many clients send requests at once
 //	requests N              how many each sends, one after the other
 //	relayed 0|1             whether the node reaches the endpoints through another node only
+//	reading full|stalled    whether clients read more than the header of their responses
+//	most BYTES              how many bytes an endpoint may get rid of, 0 for any number
 //	seen WORD...            what clients may see: served, whole, cut, or a status; 503 once all endpoints are ejected
 //	deadline DURATION       the deadline of the requests
 //	cut-after DURATION      how long a response may go on at the endpoint
@@ -60,7 +62,7 @@
 
 var floodDefaults = floodScript{
 	"path": "/once/x", "service": "model", "call": "", "part": "body", "framing": "chunked", "status": "200", "not-executed": "0", "prefix": "", "line": "0",
-	"event": "0", "bytes": "0", "deadline": "2s", "pace": "full", "endpoints": "2", "flooding": "2", "every": "1", "clients": "8", "requests": "1", "relayed": "0", "seen": "502 503", "cut-after": "1s",
+	"event": "0", "bytes": "0", "deadline": "2s", "pace": "full", "endpoints": "2", "flooding": "2", "every": "1", "clients": "8", "requests": "1", "relayed": "0", "reading": "full", "most": "0", "seen": "502 503", "cut-after": "1s",
 }
 
 func (s floodScript) parseLine(words []string) error {
@@ -141,7 +143,8 @@
 			return slices.ContainsFunc(all, func(w *platformtest.Worker) bool { return w.Address() == address })
 		})
 		eventually(t, "the node serves through the other one", func() bool {
-			return r.request("first").outcome == "served"
+			first := r.newRequest("first")
+			return do(r.node.Front, first).Status == http.StatusOK
 		})
 	} else {
 		r.node = startNodeWith(t, text, addresses)
@@ -163,22 +166,33 @@
 	err     error
 }
 
+// newRequest returns a request on the script's route.
+func (r *floodRun) newRequest(id string) platformtest.Request {
+	path := r.script.text("path")
+	q := platformtest.Request{ID: id, Path: path, Key: key, Deadline: r.script.duration("deadline"), Streaming: r.script.text("service") != "desk"}
+	if strings.HasPrefix(path, "/staged/") {
+		q.Pieces = []int{2, 2}
+	}
+	return q
+}
+
 // request sends a request and reads its response without holding it.
 func (r *floodRun) request(id string) floodAnswer {
-	path, deadline := r.script.text("path"), r.script.duration("deadline")
+	deadline := r.script.duration("deadline")
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+floodSlack)
 	defer cancel()
 	begun := time.Now()
-	q := platformtest.Request{ID: id, Path: path, Key: key, Deadline: deadline, Streaming: !strings.HasPrefix(path, "/read/") && !strings.HasPrefix(path, "/book/")}
-	if strings.HasPrefix(path, "/staged/") {
-		q.Pieces = []int{2, 2}
-	}
-	resp, err := platformtest.Begin(ctx, r.node.Front, q)
+	resp, err := platformtest.Begin(ctx, r.node.Front, r.newRequest(id))
 	if err != nil {
 		return floodAnswer{outcome: "no answer", err: err, took: time.Since(begun)}
 	}
 	defer resp.Body.Close()
 	a := floodAnswer{outcome: strconv.Itoa(resp.StatusCode)}
+	if r.script.text("reading") == "stalled" {
+		time.Sleep(deadline - time.Since(begun))
+		a.outcome = "stalled"
+		return a
+	}
 	flooded, buf := true, make([]byte, 32<<10)
 	for err == nil {
 		var k int
@@ -286,6 +300,9 @@
 	if count == 0 {
 		r.t.Error("no endpoint sent a large response: the test shows nothing")
 	}
+	if bound := int64(r.script.number("most")); bound > 0 && most > bound {
+		r.t.Errorf("an endpoint got rid of %d kB, want at most %d kB", most>>10, bound>>10)
+	}
 	if longest > limit+floodSlack {
 		r.t.Errorf("a response went on for %v, want the connection closed within %v", longest, limit)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"gradetiller.example/internal/logging"
 	"gradetiller.example/internal/peer"
 	"gradetiller.example/internal/settings"
+	"gradetiller.example/internal/socket"
 	"gradetiller.example/internal/wire"
 	"gradetiller.example/platform"
 )
@@ -295,7 +296,7 @@
 }
 
 func (n *Node) listenForPeers() error {
-	peers, err := net.Listen("tcp", n.settings.PeerAddress)
+	peers, err := socket.Listen(n.settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -308,7 +309,7 @@
 
 // serve starts an HTTP server at an address. It runs until the process ends.
 func (n *Node) serve(address string, handler http.Handler) (*front, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := socket.Listen(address)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -41,3 +41,46 @@
 		t.Errorf("%d probes fall within the user timeout of %v (first after %v, then every %v), want 3", probes, timeout, idle, interval)
 	}
 }
+
+// TestBuffersDoNotGrow guards against socket buffers that the kernel enlarges while the other end of a forwarded
+// response reads slowly: what has arrived and is not read counts as memory of its process.
+func TestBuffersDoNotGrow(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			t.Error(err)
+		}
+		accepted <- c
+	}()
+	dialed, err := Dialer(time.Second).DialContext(t.Context(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	server := <-accepted
+	defer server.Close()
+	for _, c := range []struct {
+		name   string
+		conn   net.Conn
+		option int
+	}{{"receive buffer of a connection that was opened", dialed, syscall.SO_RCVBUF}, {"send buffer of one that was accepted", server, syscall.SO_SNDBUF}} {
+		raw, err := c.conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var size int
+		if err := raw.Control(func(fd uintptr) { size, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, c.option) }); err != nil {
+			t.Fatal(err)
+		}
+		// Linux doubles what is set.
+		if size != 2*BufferBytes {
+			t.Errorf("%s: %d bytes, want %d", c.name, size, 2*BufferBytes)
+		}
+	}
+}
