--- a/internal/node/plainattempt.go
+++ b/internal/node/plainattempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -53,15 +54,21 @@
 
 // close ends the attempt. If the rest of the response was not read, its connection is closed.
 func (a *plainAttempt) close() {
-	for _, f := range a.closers {
-		f()
-	}
-	a.closers, a.rest = nil, nil
+	a.runClosers()
+	a.rest = nil
 	if a.body != nil {
 		a.body.Release()
 	}
 }
 
+// runClosers calls what ends the attempt's response, last added first.
+func (a *plainAttempt) runClosers() {
+	for _, f := range slices.Backward(a.closers) {
+		f()
+	}
+	a.closers = nil
+}
+
 // drop gives up the response.
 func (a *plainAttempt) drop() {
 	if a.rest != nil {
@@ -129,17 +136,19 @@
 	}
 	if a.event == attempt.FirstByte {
 		a.event = attempt.Complete
-		if !resp.Framed && a.rest == nil {
-			n.recordUnframedEnd(q, c.endpoint)
-		}
 	}
 	if a.rest == nil {
-		a.finish(place.Result{OK: a.event == attempt.Complete, Neutral: a.event == attempt.Fail && resp.Status < http.StatusInternalServerError})
-		for _, f := range a.closers {
-			f()
-		}
-		a.closers = nil
+		a.finishComplete(q)
+		a.runClosers()
+	}
+}
+
+// finishComplete records the result of a call whose response was read to its end.
+func (a *plainAttempt) finishComplete(q *request) {
+	if a.event == attempt.Complete && !a.response.Framed {
+		a.node.recordUnframedEnd(q, a.call.endpoint)
 	}
+	a.finish(place.Result{OK: a.event == attempt.Complete, Neutral: a.event == attempt.Fail && a.response.Status < http.StatusInternalServerError})
 }
 
 // deliver forwards a response to the client.
@@ -148,7 +157,6 @@
 	platform.CopyResponseHeader(w, a.response.Header)
 	n.announceClose(w)
 	w.WriteHeader(a.response.Status)
-	out := &clientWriter{w: w}
 	limitWrite(w, true)
 	_, err := a.body.WriteTo(w)
 	if err == nil {
@@ -156,7 +164,7 @@
 	}
 	limitWrite(w, false)
 	if a.rest != nil {
-		n.passOn(ctx, q, a, out, err)
+		n.passOn(ctx, w, q, a, err)
 	}
 	q.outcome = delivered
 	if err == nil && a.response.Status < http.StatusBadRequest {
@@ -165,10 +173,11 @@
 	n.logRequest(q, a.response.Status)
 }
 
-// passOn forwards the rest of a response as it arrives. It aborts the client's connection if the response breaks off,
-// so that what the client has never looks complete.
-func (n *Node) passOn(ctx context.Context, q *request, a *plainAttempt, out *clientWriter, err error) {
-	begun, before := time.Now(), a.body.Len()
+// passOn forwards the rest of a response as it arrives, unless the part that was held could not be written, with the
+// given error. It aborts the client's connection if the response breaks off, so that what the client has never looks
+// complete.
+func (n *Node) passOn(ctx context.Context, w http.ResponseWriter, q *request, a *plainAttempt, err error) {
+	begun, before, out := time.Now(), a.body.Len(), &clientWriter{w: w}
 	n.log.Info(eventResponsePassedOn, zap.String("id", q.in.RequestID), zap.String("endpoint", q.endpoint), zap.String("route", q.route.Name), zap.Int64("held", before), zap.Int64("bound", maxHeldResponse), zap.Int64("length", a.response.Length))
 	n.meters.responsePassedOn(q.service)
 	stop := context.AfterFunc(ctx, a.cancel)
@@ -180,10 +189,7 @@
 		passed, err = a.body.Pass(out, a.rest)
 	}
 	if err == nil {
-		a.finish(place.Result{OK: a.event == attempt.Complete, Neutral: a.event == attempt.Fail && a.response.Status < http.StatusInternalServerError})
-		if !a.response.Framed && a.event == attempt.Complete {
-			n.recordUnframedEnd(q, a.call.endpoint)
-		}
+		a.finishComplete(q)
 		return
 	}
 	// A response that is late because the client reads slowly says nothing about the endpoint.
