internal/soak, internal/node: responses without an end in the soak; one in 33, and without memory

The soak sends requests that model and plain workers answer without an end (body, header, header line, informational responses, trailer, chunk extension; each framing; five statuses; fast or a byte at a time), changed every 0.5 s, while all its other troubles go on. It fails if a node takes more memory than its settings allow, ends by itself, or delivers such a response so that it looks complete.

New cases of TestFloodsAreBounded: one response in 33 without an end leaves all endpoints in use (193 of 200 requests served, the other 7 are the ones without an end); an endpoint that answers nothing else is left out; with all of the memory held by others, large responses are passed on, small events forwarded, and a large event is cut without charging its endpoint.

"response cut" tells whether the client had a part.

--- a/internal/node/cut.go
+++ b/internal/node/cut.go
@@ -26,7 +26,7 @@
 	cutBroken cutReason = "endpoint"
 )
 
-// cutReasonOf returns the reason of an error of package held, or cutBroken.
+// cutReasonOf returns the reason of an error of package bounded, or cutBroken.
 func cutReasonOf(err error) cutReason {
 	switch {
 	case errors.Is(err, bounded.ErrLimit):
@@ -44,9 +44,21 @@
 // clientGone wraps the error of a write to a client.
 func clientGone(err error) error { return fmt.Errorf("%w: %w", errClientGone, err) }
 
+// cut describes a response that was not read to its end.
+type cut struct {
+	kind   membudget.Kind
+	reason cutReason
+	// bytes is the number of bytes that were read, and bound the number that may be held of one, where these are
+	// known.
+	bytes, bound int64
+	// begun is true if the client has a part of the response.
+	begun bool
+	err   error
+}
+
 // recordCut logs and counts a response that was not read to its end.
-func (n *Node) recordCut(q *request, kind membudget.Kind, reason cutReason, bytes, bound int64, err error) {
-	n.meters.responseCut(kind, reason)
+func (n *Node) recordCut(q *request, c cut) {
+	n.meters.responseCut(c.kind, c.reason)
 	n.log.Info(eventResponseCut, zap.String("id", q.in.RequestID), zap.String("endpoint", q.endpoint), zap.String("service", q.service), zap.String("route", q.route.Name),
-		zap.Stringer("kind", kind), zap.String("reason", string(reason)), zap.Int64("bytes", bytes), zap.Int64("bound", bound), zap.Int64("held_by_all", n.memory.Held()), zap.Error(err))
+		zap.Stringer("kind", c.kind), zap.String("reason", string(c.reason)), zap.Int64("bytes", c.bytes), zap.Int64("bound", c.bound), zap.Bool("begun", c.begun), zap.Int64("held_by_all", n.memory.Held()), zap.Error(c.err))
 }
--- a/internal/node/floods_test.go
+++ b/internal/node/floods_test.go
@@ -53,6 +53,8 @@
 //	clients N               how many clients send requests at once
 //	requests N              how many each sends, one after the other
 //	relayed 0|1             whether the node reaches the endpoints through another node only
+//	held none|all           how much of the memory for responses other requests hold
+//	served SHARE            the least share of requests that are served
 //	reading full|stalled    whether clients read more than the header of their responses
 //	most BYTES              how many bytes an endpoint may get rid of, 0 for any number
 //	seen WORD...            what clients may see: served, whole, cut, or a status; 503 once all endpoints are ejected
@@ -62,7 +64,7 @@
 
 var floodDefaults = floodScript{
 	"path": "/once/x", "service": "model", "call": "", "part": "body", "framing": "chunked", "status": "200", "not-executed": "0", "prefix": "", "line": "0",
-	"event": "0", "bytes": "0", "deadline": "2s", "pace": "full", "endpoints": "2", "flooding": "2", "every": "1", "clients": "8", "requests": "1", "relayed": "0", "reading": "full", "most": "0", "seen": "502 503", "cut-after": "1s",
+	"event": "0", "bytes": "0", "deadline": "2s", "pace": "full", "endpoints": "2", "flooding": "2", "every": "1", "clients": "8", "requests": "1", "relayed": "0", "held": "none", "served": "0", "reading": "full", "most": "0", "seen": "502 503", "cut-after": "1s",
 }
 
 func (s floodScript) parseLine(words []string) error {
@@ -232,6 +234,12 @@
 }
 
 func (r *floodRun) run() {
+	if r.script.text("held") == "all" {
+		all := int64(heldShare * floodMemoryMB * 1e6)
+		r.node.node.memory.Reserve(all)
+		r.t.Cleanup(func() { r.node.node.memory.Release(all) })
+	}
+	free := r.node.node.memory.Held()
 	before, most, held := liveHeap(), int64(0), int64(0)
 	var clients, watching sync.WaitGroup
 	var sent, served int
@@ -264,6 +272,7 @@
 		r.t.Errorf("%d of %d requests to another service were served", served, sent)
 	}
 	r.checkClients()
+	eventually(r.t, "nothing is held", func() bool { return r.node.node.memory.Held() == free })
 	r.checkEndpoints()
 }
 
@@ -275,13 +284,16 @@
 			r.t.Errorf("%d clients saw %q, want one of %v", r.seen[outcome], outcome, allowed)
 		}
 	}
+	all := r.script.number("clients") * r.script.number("requests")
+	if share, _ := strconv.ParseFloat(r.script.text("served"), 64); float64(r.seen["served"]) < share*float64(all) {
+		r.t.Errorf("%d of %d requests were served, want %.2f of them", r.seen["served"], all, share)
+	}
 	if deadline := r.script.duration("deadline"); r.longest > deadline+floodSlack {
 		r.t.Errorf("a client waited for %v, its deadline is %v", r.longest, deadline)
 	}
 	if _, known := r.node.node.poisonGuard.sizes(); known > 0 {
 		r.t.Errorf("%d requests or parts are refused for crashing endpoints, none crashed any", known)
 	}
-	eventually(r.t, "nothing is held", func() bool { return r.node.node.memory.Held() == 0 })
 }
 
 // checkEndpoints checks that no response goes on much longer than it may.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -569,7 +569,7 @@
 	}
 	q.sent++
 	if isCut(err) {
-		n.recordCut(q, membudget.Headers, cutReasonOf(err), 0, platform.MaxResponseHeader, err)
+		n.recordCut(q, cut{kind: membudget.Headers, reason: cutReasonOf(err), bound: platform.MaxResponseHeader, err: err})
 		return attempt.NoResponse
 	}
 	if errors.Is(err, platform.ErrPathLost) {
--- a/internal/node/plainattempt.go
+++ b/internal/node/plainattempt.go
@@ -177,35 +177,40 @@
 // given error. It aborts the client's connection if the response breaks off, so that what the client has never looks
 // complete.
 func (n *Node) passOn(ctx context.Context, w http.ResponseWriter, q *request, a *plainAttempt, err error) {
-	begun, before, out := time.Now(), a.body.Len(), &clientWriter{w: w}
-	n.log.Info(eventResponsePassedOn, zap.String("id", q.in.RequestID), zap.String("endpoint", q.endpoint), zap.String("route", q.route.Name), zap.Int64("held", before), zap.Int64("bound", maxHeldResponse), zap.Int64("length", a.response.Length))
+	begun, size, out := time.Now(), a.body.Len(), &clientWriter{w: w}
+	n.log.Info(eventResponsePassedOn, zap.String("id", q.in.RequestID), zap.String("endpoint", q.endpoint), zap.String("route", q.route.Name), zap.Int64("held", size), zap.Int64("bound", maxHeldResponse), zap.Int64("length", a.response.Length))
 	n.meters.responsePassedOn(q.service)
 	stop := context.AfterFunc(ctx, a.cancel)
 	defer stop()
-	passed := int64(0)
 	if err != nil {
 		err = clientGone(err)
 	} else {
+		var passed int64
 		passed, err = a.body.Pass(out, a.rest)
+		size += passed
 	}
 	if err == nil {
 		a.finishComplete(q)
 		return
 	}
-	// A response that is late because the client reads slowly says nothing about the endpoint.
-	client := errors.Is(err, errClientGone) || errors.Is(ctx.Err(), context.Canceled) || 2*out.waited > time.Since(begun)
-	a.finish(place.Result{Neutral: client})
-	if !client && ctx.Err() == nil && !n.lostHere(q.endpoint) {
-		n.recordBrokenRuns(ctx, a.call.endpoint, time.Since(a.call.started), q.identity)
-	}
 	reason := cutBroken
 	switch {
-	case client:
+	case errors.Is(err, errClientGone), errors.Is(ctx.Err(), context.Canceled), 2*out.waited > time.Since(begun):
+		// A response that is late because the client reads slowly says nothing about the endpoint.
 		reason = cutByClient
 	case ctx.Err() != nil:
 		reason = cutByDeadline
 	}
-	n.recordCut(q, membudget.Responses, reason, before+passed, maxHeldResponse, err)
+	n.abortPassedOn(ctx, q, a, reason, size, err)
+}
+
+// abortPassedOn ends a response of which the client has a part. It does not return.
+func (n *Node) abortPassedOn(ctx context.Context, q *request, a *plainAttempt, reason cutReason, size int64, err error) {
+	a.finish(place.Result{Neutral: reason == cutByClient})
+	if reason == cutBroken && !n.lostHere(q.endpoint) {
+		n.recordBrokenRuns(ctx, a.call.endpoint, time.Since(a.call.started), q.identity)
+	}
+	n.recordCut(q, cut{kind: membudget.Responses, reason: reason, bytes: size, bound: maxHeldResponse, begun: true, err: err})
 	q.outcome = "broken: " + n.failureReason(q, err.Error())
 	n.logRequest(q, a.response.Status)
 	panic(http.ErrAbortHandler)
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -376,7 +376,7 @@
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
 		case isCut(err):
-			s.node.recordCut(s.q, membudget.Events, cutReasonOf(err), in.event.Len(), maxEventBytes, err)
+			s.node.recordCut(s.q, cut{kind: membudget.Events, reason: cutReasonOf(err), bytes: in.event.Len(), bound: maxEventBytes, begun: s.started, err: err})
 			return fmt.Errorf("event: %w", err)
 		case err != nil:
 			return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,6 +63,8 @@
 	// partFaults adds a prompt part that crashes model workers, in requests that share another part and
 	// the client account with others and of which no two are alike.
 	partFaults
+	// floodFaults adds responses without an end, to requests of their own, drawn from another random source.
+	floodFaults
 )
 
 // regressions are seeds that failed once, with the cause. They run each time. Those of
@@ -211,7 +213,7 @@
 		list = slices.Concat(regressions, longRegressions)
 	}
 	for i := range *seeds {
-		list = append(list, regression{seed: *firstSeed + uint64(i), faults: partFaults})
+		list = append(list, regression{seed: *firstSeed + uint64(i), faults: floodFaults})
 	}
 	for _, c := range list {
 		t.Run(fmt.Sprintf("seed-%d", c.seed), func(t *testing.T) { runSeed(t, program, c) })
@@ -237,6 +239,10 @@
 		r.poisons.addPart(c.seed)
 	}
 	sending.Go(func() { r.poisons.send(clients, duration/2) })
+	if r.faults >= floodFaults {
+		floods := newFloods(r, c.seed)
+		sending.Go(func() { floods.run(clients) })
+	}
 	if r.faults >= evacuationFaults {
 		time.AfterFunc(duration/4, r.evacuate)
 	}
