internal/node: test that responses below the bound of one are bounded together

What finds no room is cut (502) or passed on. All requests to another service beside them are served.

--- a/internal/node/floods_test.go
+++ b/internal/node/floods_test.go
@@ -46,6 +46,7 @@
 //	line BYTES              the length of the body's lines, or 0 if no line ends
 //	event BYTES             the length of the body's events, or 0 if it has none
 //	bytes N                 the length of the body, or 0 if it does not end
+//	silent-after BYTES      how many bytes come before the endpoint falls silent, 0 for never
 //	pace full|trickle       100 MB a second, or 20 bytes a second
 //	endpoints N             endpoints of each service
 //	flooding N              how many of them send such responses
@@ -64,7 +65,7 @@
 
 var floodDefaults = floodScript{
 	"path": "/once/x", "service": "model", "call": "", "part": "body", "framing": "chunked", "status": "200", "not-executed": "0", "prefix": "", "line": "0",
-	"event": "0", "bytes": "0", "deadline": "2s", "pace": "full", "endpoints": "2", "flooding": "2", "every": "1", "clients": "8", "requests": "1", "relayed": "0", "held": "none", "served": "0", "reading": "full", "most": "0", "seen": "502 503", "cut-after": "1s",
+	"event": "0", "bytes": "0", "silent-after": "0", "deadline": "2s", "pace": "full", "endpoints": "2", "flooding": "2", "every": "1", "clients": "8", "requests": "1", "relayed": "0", "held": "none", "served": "0", "reading": "full", "most": "0", "seen": "502 503", "cut-after": "1s",
 }
 
 func (s floodScript) parseLine(words []string) error {
@@ -101,7 +102,7 @@
 		}[s.text("part")],
 		Framing: map[string]platformtest.Framing{"chunked": platformtest.Chunked, "length": platformtest.Length, "connection": platformtest.ByConnection}[s.text("framing")],
 		Status:  s.number("status"), NotExecuted: s.number("not-executed") > 0, Prefix: strings.ReplaceAll(s.text("prefix"), `\n`, "\n"),
-		Line: s.number("line"), Event: s.number("event"), Bytes: int64(s.number("bytes")), Trickle: s.text("pace") == "trickle",
+		Line: s.number("line"), Event: s.number("event"), Bytes: int64(s.number("bytes")), SilentAfter: int64(s.number("silent-after")), Trickle: s.text("pace") == "trickle",
 	}
 }
 
@@ -195,7 +196,7 @@
 		a.outcome = "stalled"
 		return a
 	}
-	flooded, buf := true, make([]byte, 32<<10)
+	flooded, buf := true, make([]byte, 8<<10)
 	for err == nil {
 		var k int
 		k, err = resp.Body.Read(buf)
