--- a/review/standin-2/harness_test.go
+++ b/review/standin-2/harness_test.go
@@ -320,6 +320,25 @@
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	ended    bool
+	// restarts is true if the platform starts the process again after it has ended by itself, endings tells
+	// when it did.
+	restarts bool
+	endings  []time.Time
+}
+
+// endedItself reports whether the process ended by itself within the last moments.
+func (p *process) endedItself() bool {
+	time.Sleep(100 * time.Millisecond)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.endings)
+	return n > 0 && time.Since(p.endings[n-1]) < 300*time.Millisecond
+}
+
+func (p *process) ownExits() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.endings)
 }
 
 // startNodes starts n nodes with the command of the deploy file.
@@ -404,9 +423,21 @@
 		err := cmd.Wait()
 		p.mu.Lock()
 		expected := p.ended
+		if !expected {
+			p.endings = append(p.endings, time.Now())
+		}
 		p.mu.Unlock()
 		p.w.note("%s exited (expected %t): %v", p.name, expected, err)
 		close(exited)
+		if p.restarts && !expected {
+			time.Sleep(time.Second)
+			p.mu.Lock()
+			expected = p.ended
+			p.mu.Unlock()
+			if !expected {
+				p.start()
+			}
+		}
 	}()
 }
 
@@ -584,6 +615,13 @@
 	return k.life == life && !k.stopped
 }
 
+// startedAt returns the Unix millisecond of the start of the worker's life.
+func (k *worker) startedAt() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.born
+}
+
 func (k *worker) softwareVersion() string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -623,7 +661,7 @@
 		case "/health":
 			c.answer(200, http.Header{"X-Instance": {k.id}}, nil)
 		case "/report":
-			c.json(map[string]any{"stage": "colocated", "models": []any{}, "busy": false, "seq": 0, "queued": 0, "active": 0, "kvUsed": 0, "kvTotal": 621758, "handles": 0})
+			c.json(map[string]any{"born": k.startedAt(), "stage": "colocated", "models": []any{}, "busy": false, "seq": 0, "queued": 0, "active": 0, "kvUsed": 0, "kvTotal": 621758, "handles": 0})
 		case "/kv-list":
 			c.json(map[string]any{"epoch": "e" + strconv.Itoa(c.life), "nextToken": 1, "held": []any{}})
 		default:
