--- a/review/standin-2/harness_test.go
+++ b/review/standin-2/harness_test.go
@@ -273,6 +273,8 @@
 	models        []string
 	stageServices []string
 	plain         []string
+	// keys are the keys of the tenant, or none if only key is.
+	keys []string
 }
 
 func (s *store) publish(c config) {
@@ -302,8 +304,12 @@
 	for _, name := range c.plain {
 		services = append(services, map[string]any{"name": name, "maxConns": 96})
 	}
+	keys := c.keys
+	if keys == nil {
+		keys = []string{key}
+	}
 	s.put("op", "config", map[string]any{
-		"version": c.version, "routes": routes, "services": services, "tenants": []map[string]any{{"name": tenant, "apiKeys": []string{key}}},
+		"version": c.version, "routes": routes, "services": services, "tenants": []map[string]any{{"name": tenant, "apiKeys": keys}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 }
@@ -778,9 +784,11 @@
 // request is a client's attempt.
 type request struct {
 	id, path, method string
-	header           map[string]string
-	body             []byte
-	deadline         time.Duration
+	// key is the client's key, or "" for the usual one.
+	key      string
+	header   map[string]string
+	body     []byte
+	deadline time.Duration
 }
 
 // do sends an attempt on a new connection and reads the answer to its end. onBytes is called with what has
@@ -797,6 +805,9 @@
 	req.Header.Set("X-Request-Id", q.id)
 	req.Header.Set("X-Request-Deadline", strconv.FormatInt(q.deadline.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Token "+key)
+	if q.key != "" {
+		req.Header.Set("Authorization", "Token "+q.key)
+	}
 	for name, value := range q.header {
 		req.Header.Set(name, value)
 	}
--- a/review/standin-2/stages_test.go
+++ b/review/standin-2/stages_test.go
@@ -100,7 +100,11 @@
 		k.busy--
 		k.mu.Unlock()
 		data, _ := json.Marshal(map[string]any{"items": answer})
-		text := c.answer(200, http.Header{"Content-Type": {"application/json"}, "X-Load": {"0,0,1"}}, data)
+		h := http.Header{"Content-Type": {"application/json"}, "X-Load": {"0,0,1"}}
+		if id := r.Header.Get("X-Request-Id"); id != "" {
+			h.Set("X-Request-Id", id)
+		}
+		text := c.answer(200, h, data)
 		ids := make([]string, len(call.Items))
 		for i, it := range call.Items {
 			ids[i] = fmt.Sprintf("%s/%d/%d", it.ID, it.Stage, it.Piece)
--- a/review/standin-2/versions_test.go
+++ b/review/standin-2/versions_test.go
@@ -180,3 +180,43 @@
 func TestVersionsFrozen(t *testing.T) {
 	runVersions(t, func(_ *world, nodes []*process) { nodes[0].signal(syscall.SIGSTOP) }, func(_ *world, nodes []*process) { nodes[0].signal(syscall.SIGCONT) })
 }
+
+// TestVersionsQuick is a quick rolling upgrade before 12 nodes, of which four read the store, without any trouble.
+func TestVersionsQuick(t *testing.T) {
+	w := newWorld(t)
+	w.store.publish(config{version: 1, models: []string{"model"}, routes: []routeOf{
+		{prefix: "/reply/", kind: "streaming", service: "model", attempts: 2, resumable: true, timeoutMS: 15000, sloMS: 2000, gapMS: 400},
+	}})
+	var workers []*worker
+	for range 6 {
+		workers = append(workers, w.addWorker("model", "v1", w.versionHandler()))
+	}
+	nodes := w.startNodes(12)
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	go func() {
+		time.Sleep(6 * time.Second)
+		for _, k := range workers[:4] {
+			w.upgrade(k, 50*time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(8 * time.Second)
+		close(stop)
+	}()
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			wg.Wait()
+			w.verdict(3)
+			return
+		case <-ticker.C:
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			w.streamClient(nodes, n)
+		}()
+	}
+}
