--- a/review/standin-2/harness_test.go
+++ b/review/standin-2/harness_test.go
@@ -22,7 +22,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -144,21 +143,6 @@
 	return s
 }
 
-// setDown makes the store answer 503 to every call, also to those that wait.
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if down == s.away {
-		return
-	}
-	s.away = down
-	if down {
-		close(s.down)
-		return
-	}
-	s.down = make(chan struct{})
-}
-
 func (s *store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -173,8 +157,6 @@
 	s.set(table, row{Table: table, Key: key, Value: data})
 }
 
-func (s *store) remove(table, key string) { s.set(table, row{Table: table, Key: key, Gone: true}) }
-
 func (s *store) set(table string, r row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -447,12 +429,6 @@
 	}()
 }
 
-func (p *process) signal(s syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(s)
-}
-
 func (p *process) end() {
 	p.mu.Lock()
 	p.ended = true
@@ -505,7 +481,6 @@
 	conns    map[net.Conn]bool
 	life     int
 	stopped  bool
-	busy     int
 }
 
 // conn is a connection of a worker, with what it keeps between requests.
