--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
 . "$(dirname "$0")/../lib-2.sh"
-run_case TestVersionsRelease
+run_case TestStageOrder
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins of the scripts 4 to 7. The node itself is built by the deploy file.
+# Builds the stand-ins of the scripts 4 and 5. The node itself is built by the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
--- a/review/standin-2/stageorder_test.go
+++ b/review/standin-2/stageorder_test.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// TestStageOrder is case 7: a configuration that adds a route whose stages are numbered in another order than that of their
+// TestStageOrder is case 5: a configuration that adds a route whose stages are numbered in another order than that of their
 // work, and that drops a key.
 func TestStageOrder(t *testing.T) {
 	w := newWorld(t)
