bounded: a stated length of 2^63-1 no longer overflows

Cause: Buffer.Expect adds one to the stated length for the read that finds the end. The sum is negative, and becomes the capacity of a slice. Where net/http recovers the panic, Reservation.Extend had already taken the negative number, so that the budget admitted more than it has.

Extend refuses sizes that are negative or overflow, whoever states them.

--- a/internal/bounded/bounded_test.go
+++ b/internal/bounded/bounded_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -45,7 +46,7 @@
 	const limit = 100_000
 	for _, size := range []int{0, 1, 4095, 4096, 4097, 12_288, limit - 1, limit, limit + 1, 300_000} {
 		for name, wrap := range map[string]func(io.Reader) io.Reader{"whole": func(r io.Reader) io.Reader { return r }, "halves": iotest.HalfReader, "with end": iotest.DataErrReader} {
-			for _, expected := range []int64{-1, 0, int64(size), 1 << 50} {
+			for _, expected := range []int64{math.MinInt64, -1, 0, int64(size), 1 << 50, math.MaxInt64 - 1, math.MaxInt64} {
 				body := randomBytes(size)
 				b, budget := newBuffer(limit)
 				b.Expect(expected)
--- a/internal/bounded/buffer.go
+++ b/internal/bounded/buffer.go
@@ -42,7 +42,7 @@
 func (b *Buffer) Expect(size int64) {
 	if size >= 0 && len(b.chunks) == 0 {
 		// One more than stated leaves room for the read that finds the end.
-		b.next = int(min(size+1, maxChunk))
+		b.next = int(min(size, maxChunk-1)) + 1
 	}
 }
 
--- a/internal/core/membudget/membudget.go
+++ b/internal/core/membudget/membudget.go
@@ -21,7 +21,10 @@
 //	}
 package membudget
 
-import "sync/atomic"
+import (
+	"math"
+	"sync/atomic"
+)
 
 // Kind is what bytes are held for.
 type Kind int
@@ -143,8 +146,11 @@
 
 // Extend reserves n further bytes of something that is being received, and reports whether they may be held. A
 // reservation that stays small always may, so that nothing small is given up for what is large; others may while
-// the budget admits work of their size.
+// the budget admits work of their size. A negative n, or one that overflows the size, may not.
 func (r *Reservation) Extend(n int64) bool {
+	if n < 0 || n > math.MaxInt64-r.size {
+		return false
+	}
 	if r.size+n <= smallBytes {
 		r.Grow(n)
 		return true
--- a/internal/core/membudget/membudget_test.go
+++ b/internal/core/membudget/membudget_test.go
@@ -1,6 +1,9 @@
 package membudget
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 // TestBudget guards against a budget that is exceeded by what may be refused, and against refusals
 // that leave bytes reserved.
@@ -69,3 +72,16 @@
 		t.Error("a budget without a bound refuses")
 	}
 }
+
+// TestExtendRefusesInvalidSizes guards against a size that another process states and that is negative, or overflows what
+// is reserved: it would give memory back that others hold.
+func TestExtendRefusesInvalidSizes(t *testing.T) {
+	b := New(1 << 20)
+	r := b.Reservation(Responses)
+	r.Grow(1000)
+	for _, n := range []int64{-1, -2000, math.MinInt64, math.MaxInt64, math.MaxInt64 - 999} {
+		if r.Extend(n) || r.Size() != 1000 || b.Held() != 1000 || b.HeldOf(Responses) != 1000 {
+			t.Errorf("Extend(%d): %d bytes reserved, %d held, want 1000", n, r.Size(), b.Held())
+		}
+	}
+}
