internal/node: a panic on another's bytes costs its task, not the process

Cause: nothing recovers a panic in the goroutines of second attempts, stage calls, cache lists, store updates, relays and peer messages. In the handler of a request net/http recovers it and closes the connection: the request gets no answer, is not tried again, and nothing is recorded of its endpoint.

An attempt that panics counts as one without a response, and is tried again where that is allowed. The results of a call can be recorded once only, and the merge of members releases its lock with defer.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -9,6 +9,8 @@
 	eventAttemptFailed = "attempt failed"
 	// A request that waited far too long at an endpoint was sent to another one as well.
 	eventSecondAttempt = "second attempt"
+	// Handling what another process sent panicked. The task failed, the process goes on.
+	eventPanic = "panic"
 	// A response was truncated.
 	eventAnswerBroken = "answer broke"
 	// A response is larger than what is held of one, or than the memory has room for, and is passed on as it arrives.
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -119,6 +119,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_responses_cut_total{kind=%q,reason=%q}`, kind, reason)).Inc()
 }
 
+// panicked counts a task that ended with a panic.
+func (m *meters) panicked(t task) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_panics_total{task=%q}`, t)).Inc()
+}
+
 // responsePassedOn counts a response that is too large to be held whole.
 func (m *meters) responsePassedOn(service string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_responses_passed_on_total{service=%q}`, m.label(service))).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -231,7 +231,7 @@
 	}, hash.Of(s.Node))
 	n.setEntries(n.members.Entries())
 	n.links = peer.NewLinks(n.hello(), &peer.Security{}, func(m wire.Message, answer peer.Answer) {
-		n.handleMessage(n.hello(), m, answer)
+		n.receiveMessage(n.hello(), m, answer)
 	}, n.peerLost)
 	return n
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -243,13 +243,38 @@
 			return
 		}
 		if m, ok := m.(*wire.RelayOpen); ok {
-			n.serveRelay(c, m)
+			_ = n.contain(taskRelay, c.Hello().Node, func() error {
+				n.serveRelay(c, m)
+				return nil
+			})
 			return
 		}
-		n.handleMessage(c.Hello(), m, answer)
+		n.receiveMessage(c.Hello(), m, answer)
 	}
 }
 
+// mergeMembers merges the members of a gossip message. It returns the messages to send and, unless they were built
+// just before, the entries of the live nodes and whether they changed.
+func (n *Node) mergeMembers(m *wire.Gossip) (sends []member.Message, entries []wire.Entry, changed bool) {
+	n.membersMu.Lock()
+	defer n.membersMu.Unlock()
+	n.submissions.clearSuspicion(n.members.Address(m.Node))
+	now := time.Now()
+	sends = n.members.Receive(now, *m)
+	if now.Sub(n.entriesBuiltAt) >= minEntriesInterval {
+		entries, changed = n.changedEntries(now)
+	}
+	return sends, entries, changed
+}
+
+// receiveMessage handles a message that arrived from another node.
+func (n *Node) receiveMessage(from wire.Hello, m wire.Message, answer peer.Answer) {
+	_ = n.contain(taskPeer, from.Node, func() error {
+		n.handleMessage(from, m, answer)
+		return nil
+	})
+}
+
 // handleMessage handles a message from another node, or from this one if it leads a cell.
 func (n *Node) handleMessage(from wire.Hello, m wire.Message, answer peer.Answer) {
 	switch m := m.(type) {
@@ -258,16 +283,7 @@
 		if n.mergeSignals(m) || needsReply {
 			_ = answer(n.withUpdates(m.Node, n.selfGossip()))
 		}
-		n.membersMu.Lock()
-		n.submissions.clearSuspicion(n.members.Address(m.Node))
-		now := time.Now()
-		sends := n.members.Receive(now, *m)
-		var entries []wire.Entry
-		changed := false
-		if now.Sub(n.entriesBuiltAt) >= minEntriesInterval {
-			entries, changed = n.changedEntries(now)
-		}
-		n.membersMu.Unlock()
+		sends, entries, changed := n.mergeMembers(m)
 		n.sendGossip(n.sendReplies(sends, answer))
 		if changed {
 			n.applyEntries(entries)
--- a/internal/node/placement.go
+++ b/internal/node/placement.go
@@ -53,7 +53,10 @@
 		sem <- struct{}{}
 		go func() {
 			defer func() { <-sem }()
-			l.learnCache(e)
+			_ = l.contain(taskCacheList, e.ID, func() error {
+				l.learnCache(e)
+				return nil
+			})
 		}()
 	}
 }
--- a/internal/node/plainattempt.go
+++ b/internal/node/plainattempt.go
@@ -91,12 +91,27 @@
 	stopTimer := q.cancelHung(time.Now(), cancel)
 	defer stopTimer()
 	a := &plainAttempt{node: n, call: c, cancel: cancel, closers: []func(){cancel}}
+	err := n.contain(taskAttempt, q.in.RequestID, func() error {
+		n.sendPlain(ctx, limited, q, a)
+		return nil
+	})
+	if err != nil {
+		a.event, a.rest = n.recordPanic(q, c), nil
+		a.request = *q
+		a.close()
+	}
+	return a
+}
+
+// sendPlain sends an attempt with the context limited, and reads its response. ctx is the context of the request.
+func (n *Node) sendPlain(ctx, limited context.Context, q *request, a *plainAttempt) {
+	c := a.call
 	resp, err := n.workers.Send(limited, n.workerRequest(q, c.endpoint, time.Now()))
 	if err != nil {
 		a.event = n.recordSendError(ctx, limited, q, c, err)
 		a.request = *q
 		a.close()
-		return a
+		return
 	}
 	a.response, a.event = resp, resp.Event
 	a.closers = append(a.closers, func() { _ = resp.Body.Close() })
@@ -112,10 +127,9 @@
 		_ = resp.Discard()
 		a.finish(place.Result{})
 		a.close()
-		return a
+		return
 	}
 	a.read(limited, q)
-	return a
 }
 
 // read reads the body of the response, until its end or as much of it as is held. A response that breaks off before
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -185,6 +185,8 @@
 	answeredAt time.Time
 	// bounded is true if, as far as this node knows, the endpoint has a rate limit or is cold.
 	bounded bool
+	// finished is true once the result is recorded.
+	finished bool
 }
 
 // need is what a call requires of its endpoint.
@@ -504,6 +506,10 @@
 func (c *placedCall) finish(now time.Time, r place.Result) {
 	c.pools.mu.Lock()
 	defer c.pools.mu.Unlock()
+	if c.finished {
+		return
+	}
+	c.finished = true
 	if r.Latency == 0 {
 		r.Latency = now.Sub(c.started)
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -194,7 +194,14 @@
 		e := candidates[0]
 		candidates = candidates[1:]
 		pending[e.Node] = true
-		go func() { answers <- n.askRelay(ctx, e, to.Endpoint) }()
+		go func() {
+			a := askedRelay{node: e.Node, answer: relayUnavailable}
+			_ = n.contain(taskRelay, e.Node, func() error {
+				a = n.askRelay(ctx, e, to.Endpoint)
+				return nil
+			})
+			answers <- a
+		}()
 	}
 	stagger := time.NewTicker(relayStagger)
 	defer stagger.Stop()
--- a/internal/node/stagecalls.go
+++ b/internal/node/stagecalls.go
@@ -25,7 +25,11 @@
 	end := c.leaders.tracked(a.Service, a.Endpoint)
 	e := catalog.Endpoint{ID: a.Endpoint, Service: a.Service, Address: a.Address}
 	overdue := time.AfterFunc(a.Overdue, func() { c.leaders.checkPath(e) })
-	outcome, err := c.leaders.workers.RunStages(ctx, a)
+	outcome := stagepool.Outcome{Status: stagepool.Lost}
+	err := c.leaders.contain(taskStageCall, a.Endpoint, func() (err error) {
+		outcome, err = c.leaders.workers.RunStages(ctx, a)
+		return err
+	})
 	overdue.Stop()
 	lost, unmade := unmadePieces(outcome)
 	end(outcome.Status == stagepool.Answered && !broken(outcome), time.Since(started))
@@ -95,7 +99,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	if err := c.leaders.workers.FreeResults(ctx, a); err != nil {
+	err := c.leaders.contain(taskStageCall, a.Endpoint, func() error { return c.leaders.workers.FreeResults(ctx, a) })
+	if err != nil {
 		c.leaders.log.Debug(eventResultsNotFreed, zap.String("endpoint", a.Endpoint), zap.Error(err))
 	}
 }
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -274,6 +274,20 @@
 
 // tryStream sends one attempt and forwards the events of its response.
 func (n *Node) tryStream(ctx context.Context, s *stream, c *placedCall) (*platform.Response, attempt.Event) {
+	var response *platform.Response
+	var event attempt.Event
+	err := n.contain(taskAttempt, s.q.in.RequestID, func() error {
+		response, event = n.sendStream(ctx, s, c)
+		return nil
+	})
+	if err != nil {
+		return nil, n.recordPanic(s.q, c)
+	}
+	return response, event
+}
+
+// sendStream is tryStream without the containment of panics.
+func (n *Node) sendStream(ctx context.Context, s *stream, c *placedCall) (*platform.Response, attempt.Event) {
 	q := s.q
 	q.endpoint, q.version = c.endpoint.ID, c.endpoint.Version
 	if s.continues() {
--- a/internal/node/system_test.go
+++ b/internal/node/system_test.go
@@ -41,8 +41,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startBuiltNode(t, New(s, options...), addresses)
+}
+
+// startBuiltNode starts a node that New returned.
+func startBuiltNode(t *testing.T, n *Node, addresses platformtest.Addresses) *testNode {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &testNode{Addresses: addresses, node: New(s, options...), stop: cancel, done: make(chan struct{})}
+	r := &testNode{Addresses: addresses, node: n, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(r.done)
 		if err := r.node.Run(ctx); err != nil {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -75,7 +75,11 @@
 	if present := n.view.Load().file; present != nil && bytes.Equal(present.data, data) {
 		return
 	}
-	cfg, err := platform.ParseConfig(data)
+	var cfg *catalog.Config
+	err := n.contain(taskStore, source, func() (err error) {
+		cfg, err = platform.ParseConfig(data)
+		return err
+	})
 	if err != nil {
 		n.configsRefused.Add(1)
 		n.log.Error(eventConfigurationRefused, zap.String("source", source), zap.Uint64("in_force", n.view.Load().version()), zap.Error(err))
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -38,7 +38,11 @@
 			continue
 		}
 		wait := n.ranking.Load().ConfigWait()
-		r, err := n.nextConfig(ctx, revision, failed, wait)
+		var r platform.ConfigUpdate
+		err := n.contain(taskStore, callConfig.String(), func() (err error) {
+			r, err = n.nextConfig(ctx, revision, failed, wait)
+			return err
+		})
 		n.recordStoreResult(callConfig, err)
 		if err != nil {
 			// The next call reads the whole configuration: that confirms it immediately and
@@ -136,7 +140,11 @@
 	if failed == 0 {
 		wait = discovery.ReadInterval
 	}
-	u, err := watch.Next(ctx, discovery.ReadTimeout(n.hasCompleteView(), failed), wait)
+	var u platform.EndpointUpdate
+	err := n.contain(taskStore, callEndpoints.String(), func() (err error) {
+		u, err = watch.Next(ctx, discovery.ReadTimeout(n.hasCompleteView(), failed), wait)
+		return err
+	})
 	n.recordStoreResult(callEndpoints, err)
 	if err != nil {
 		return err
