Bound the numbers that clients, endpoints, nodes and the store state

What callers saw: a client that states 2^62 pieces in X-Pieces could end the process of the leader, and with it all work in flight there.

Times that overflow look short, so that such a task was admitted and its pieces were allocated: 'makeslice: len out of range', or a process out of memory, which no recover can contain.

A request for more than 65,536 pieces is answered 400 at once; a leader rejects it, and cells below zero, whoever sends them.

--- a/client/client.go
+++ b/client/client.go
@@ -15,6 +15,7 @@
 
 	"gradetiller.example/failure"
 	"gradetiller.example/internal/bounded"
+	"gradetiller.example/internal/core/clamp"
 )
 
 const (
@@ -169,7 +170,7 @@
 			continue
 		}
 		c.addresses = body.Addresses
-		c.addressesExpire = time.Now().Add(time.Duration(body.KeepMS) * time.Millisecond)
+		c.addressesExpire = time.Now().Add(clamp.Milliseconds(body.KeepMS))
 		c.next = mathrand.IntN(len(body.Addresses))
 		return nil
 	}
--- a/client/try.go
+++ b/client/try.go
@@ -14,10 +14,10 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"time"
 
 	"gradetiller.example/failure"
 	"gradetiller.example/internal/bounded"
+	"gradetiller.example/internal/core/clamp"
 )
 
 type runBody struct {
@@ -66,7 +66,7 @@
 func (b *errorBody) failure() error {
 	kind, _ := failure.ParseCode(b.Error.Code)
 	return failure.New(kind, b.Error.Message, failure.WithStage(b.Error.Stage),
-		failure.WithRetryAfter(time.Duration(b.Error.RetryAfterMS)*time.Millisecond))
+		failure.WithRetryAfter(clamp.Milliseconds(b.Error.RetryAfterMS)))
 }
 
 // mayRetry reports whether a request may be sent again after err.
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -228,6 +228,10 @@
 
 // Submit admits or rejects a task.
 func (p *Pool) Submit(now time.Time, t Task) (Admission, []Action) {
+	if !t.piecesInRange() {
+		p.counters.Rejected++
+		return Admission{RetryAfter: maxRetryAfter}, nil
+	}
 	booked := p.redeem(now, &t)
 	if p.scheduled {
 		p.shares.Offer(now, t.shareRequest())
--- a/internal/endpoints/http.go
+++ b/internal/endpoints/http.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -158,7 +159,7 @@
 
 func parseLoad(resp *http.Response) place.Load {
 	busy, err := strconv.ParseFloat(resp.Header.Get(headerLoad), 64)
-	if err != nil || busy < 0 {
+	if err != nil || !(busy >= 0) || math.IsInf(busy, 1) {
 		return place.Load{}
 	}
 	return place.Load{Calls: busy, ReceivedAt: time.Now()}
--- a/internal/endpoints/http_test.go
+++ b/internal/endpoints/http_test.go
@@ -126,3 +126,13 @@
 		server.Close()
 	}
 }
+
+// TestLoadsOfEndpoints guards against a load that is no number, or infinite: each later one that is averaged with it is none either.
+func TestLoadsOfEndpoints(t *testing.T) {
+	for text, want := range map[string]float64{"2.5": 2.5, "0": 0, "-1": 0, "NaN": 0, "Inf": 0, "+Inf": 0, "1e400": 0, "": 0, "x": 0} {
+		load := parseLoad(&http.Response{Header: http.Header{headerLoad: {text}}})
+		if load.Calls != want {
+			t.Errorf("%q is parsed as a load of %v, want %v", text, load.Calls, want)
+		}
+	}
+}
--- a/internal/entry/codec.go
+++ b/internal/entry/codec.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"gradetiller.example/failure"
+	"gradetiller.example/internal/core/clamp"
 	corehash "gradetiller.example/internal/core/hash"
 	"gradetiller.example/internal/core/run"
 )
@@ -64,7 +65,7 @@
 		request: run.Request{
 			Pipeline:   r.PathValue("pipeline"),
 			RequestID:  id,
-			Timeout:    time.Duration(body.DeadlineMS) * time.Millisecond,
+			Timeout:    clamp.Milliseconds(body.DeadlineMS),
 			Repeatable: body.Repeatable == nil || *body.Repeatable,
 			Class:      normalizeClass(body.Class),
 			Input:      []byte(body.Input),
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -23,6 +23,7 @@
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/poison"
 	"gradetiller.example/internal/core/signal"
+	"gradetiller.example/internal/core/stagepool"
 	"gradetiller.example/platform"
 )
 
@@ -169,7 +170,7 @@
 			q.priority = account.Priority
 		}
 	}
-	if q.in.RequestID == "" {
+	if q.in.RequestID == "" || !stagepool.PiecesInRange(q.in.Pieces...) {
 		return http.StatusBadRequest
 	}
 	if status := n.checkRegion(q, account); status != 0 {
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -9,6 +9,7 @@
 
 	"gradetiller.example/internal/core/booking"
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/patience"
@@ -237,11 +238,11 @@
 	f := l.modelPools.predict(now, request.needAt(now), m.ExtraTokens)
 	t := stagepool.Task{
 		RequestID: m.RequestID, Key: m.Key, Priority: m.Priority, Domain: f.domain, Domains: domains,
-		SoftDeadline: now.Add(time.Duration(m.SoftDeadline)*time.Millisecond - f.ttft),
+		SoftDeadline: now.Add(clamp.Milliseconds(m.SoftDeadline) - f.ttft),
 		Allowance:    f.extraPrefill, FirstEvent: f.ttft,
-		Deadline: now.Add(time.Duration(m.Deadline) * time.Millisecond),
+		Deadline: now.Add(clamp.Milliseconds(m.Deadline)),
 		Route:    m.Route, Account: m.Account, RoutePriority: m.RoutePriority,
-		Tokens: m.Tokens + m.OutputTokens, Patience: time.Duration(m.Patience) * time.Millisecond,
+		Tokens: m.Tokens + m.OutputTokens, Patience: clamp.Milliseconds(m.Patience),
 	}
 	// Nodes of an earlier version do not send the content ID.
 	t.Content, _ = poison.ParseID(m.Content)
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/mechanism"
 	"gradetiller.example/internal/core/origin"
 	"gradetiller.example/internal/peer"
@@ -367,6 +368,6 @@
 	}
 	return origin.Record{
 		Key: key, Origin: origin.Origin{Service: m.Service, Version: m.Version},
-		TTL: time.Duration(m.Remaining) * time.Millisecond, Ambiguous: m.Ambiguous,
+		TTL: clamp.Milliseconds(m.Remaining), Ambiguous: m.Ambiguous,
 	}, nil
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -333,6 +333,10 @@
 // node, unaware of the stop, would send it again. Just before the process ends, the node
 // declines all work.
 func (n *Node) handleStagesSubmit(from wire.Hello, m *wire.StagesSubmit, answer peer.Answer) {
+	if m.Cell < 0 {
+		_ = answer(wire.StagesAdmission{ID: m.ID, RetryAfter: time.Second.Milliseconds()})
+		return
+	}
 	if s := n.shutdown.Load(); s != nil && (s.closing.Load() || n.hasSuccessor(time.Now())) {
 		_ = answer(n.selfGossip())
 		_ = answer(leavingAnswer(m.ID, time.Until(s.endsAt)))
--- a/internal/node/pendingplacement.go
+++ b/internal/node/pendingplacement.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/pending"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/rollout"
@@ -180,7 +181,7 @@
 		a.prompt.Parts = append(a.prompt.Parts, place.Part(part))
 	}
 	for _, b := range m.Avoid {
-		a.avoid = append(a.avoid, signal.Backoff{Endpoint: b.Endpoint, Until: now.Add(time.Duration(b.Remaining) * time.Millisecond)})
+		a.avoid = append(a.avoid, signal.Backoff{Endpoint: b.Endpoint, Until: now.Add(clamp.Milliseconds(b.Remaining))})
 	}
 	return a
 }
--- a/internal/node/poisonwire.go
+++ b/internal/node/poisonwire.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/poison"
 	"gradetiller.example/internal/wire"
 )
@@ -131,7 +132,7 @@
 		return poison.Refusal{}, err
 	}
 	refusal := poison.Refusal{
-		Subject: poison.Subject{ID: id, Part: r.Part}, Version: r.Version, Remaining: time.Duration(r.Remaining) * time.Millisecond,
+		Subject: poison.Subject{ID: id, Part: r.Part}, Version: r.Version, Remaining: clamp.Milliseconds(r.Remaining),
 		Age: ageOf(r.Age), Count: r.Count, Cleared: r.Cleared, Suspected: r.Suspected, Companions: companions,
 	}
 	return refusal, refusal.Validate()
@@ -139,7 +140,7 @@
 
 // ageOf returns an age sent in milliseconds. With a negative one, a crash would count beyond its time.
 func ageOf(milliseconds int64) time.Duration {
-	return max(time.Duration(milliseconds)*time.Millisecond, 0)
+	return max(clamp.Milliseconds(milliseconds), 0)
 }
 
 func bytesOf(id poison.ID) []byte { return id[:] }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/membudget"
 	"gradetiller.example/internal/core/reach"
 	"gradetiller.example/internal/core/signal"
@@ -388,5 +389,5 @@
 
 // handleRelayBackoff applies a backoff that an endpoint asked for in an answer that this node relayed.
 func (n *Node) handleRelayBackoff(m *wire.RelayBackoff) {
-	n.applySignals(m.Endpoint, signal.Signals{Backoff: time.Duration(m.Remaining) * time.Millisecond})
+	n.applySignals(m.Endpoint, signal.Signals{Backoff: clamp.Milliseconds(m.Remaining)})
 }
--- a/internal/node/rolloutdecisions.go
+++ b/internal/node/rolloutdecisions.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/core/rollout"
 	"gradetiller.example/internal/peer"
@@ -111,7 +112,7 @@
 	if !ok || uint64(s.order.Revision) != m.Revision {
 		return rollout.Stage{}, false
 	}
-	s.startAt(now.Add(-time.Duration(m.Age) * time.Millisecond))
+	s.startAt(now.Add(-clamp.Milliseconds(m.Age)))
 	if s.decision == nil {
 		limits := rollout.Limits{Share: n.settings.CanaryShare, Slack: n.settings.CanarySlack}
 		s.decision = rollout.NewDecision(s.order, limits, s.startedAt, s.stage.Phase)
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/rollout"
 	"gradetiller.example/internal/wire"
@@ -180,8 +181,8 @@
 	ages := make(map[string]time.Duration, len(m.Rollouts))
 	orders := make([]rollout.Order, 0, len(m.Rollouts))
 	for _, o := range m.Rollouts {
-		ages[o.Service] = time.Duration(o.Age) * time.Millisecond
-		orders = append(orders, rollout.Order{Service: o.Service, Version: o.Version, Duration: time.Duration(o.Duration) * time.Millisecond, Revision: catalog.Revision(o.Revision)})
+		ages[o.Service] = clamp.Milliseconds(o.Age)
+		orders = append(orders, rollout.Order{Service: o.Service, Version: o.Version, Duration: clamp.Milliseconds(o.Duration), Revision: catalog.Revision(o.Revision)})
 	}
 	n.updateRollouts(sourcePeer, ages, func(known rollout.Orders) rollout.Orders {
 		return known.Replace(catalog.Revision(m.RolloutsRevision), orders)
--- a/internal/node/signalgossip.go
+++ b/internal/node/signalgossip.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/intake"
 	"gradetiller.example/internal/core/signal"
 	"gradetiller.example/internal/wire"
@@ -91,7 +92,7 @@
 	}
 	updates := make([]signal.DrainingUpdate, 0, len(in.Updates))
 	for _, u := range in.Updates {
-		updates = append(updates, signal.DrainingUpdate{Endpoint: u.Endpoint, Age: time.Duration(u.Age) * time.Millisecond})
+		updates = append(updates, signal.DrainingUpdate{Endpoint: u.Endpoint, Age: clamp.Milliseconds(u.Age)})
 	}
 	now := time.Now()
 	n.signals.mu.Lock()
@@ -109,7 +110,7 @@
 	}
 	updates := make([]signal.LimitUpdate, 0, len(in.Updates))
 	for _, u := range in.Updates {
-		update := signal.LimitUpdate{Endpoint: u.Endpoint, Age: time.Duration(u.Age) * time.Millisecond}
+		update := signal.LimitUpdate{Endpoint: u.Endpoint, Age: clamp.Milliseconds(u.Age)}
 		if u.Bounded {
 			rate, err := intake.NewRate(u.PerSecond)
 			if err != nil {
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/lead"
 	"gradetiller.example/internal/wire"
 )
@@ -149,7 +150,7 @@
 	}
 	if done.FailureReason != "" {
 		release(wire.StagesRelease{})
-		return stageResults{}, &refusal{reason: "stages: " + done.FailureReason, retryAfter: time.Duration(done.RetryAfter) * time.Millisecond, predicted: predicted}
+		return stageResults{}, &refusal{reason: "stages: " + done.FailureReason, retryAfter: clamp.Milliseconds(done.RetryAfter), predicted: predicted}
 	}
 	return stageResults{handles: done.Handles, endpoint: done.Endpoint, bounded: done.Bounded, copyFrom: done.CopyFrom, leader: to.Node, predicted: predicted, release: release}, nil
 }
@@ -162,9 +163,9 @@
 	select {
 	case v := <-s.verdicts:
 		if !v.Accepted {
-			return nil, 0, &refusal{reason: cmp.Or(v.Reason, "stages would be late"), retryAfter: time.Duration(v.RetryAfter) * time.Millisecond, predicted: time.Duration(v.Finish) * time.Millisecond}
+			return nil, 0, &refusal{reason: cmp.Or(v.Reason, "stages would be late"), retryAfter: clamp.Milliseconds(v.RetryAfter), predicted: clamp.Milliseconds(v.Finish)}
 		}
-		return nil, time.Duration(v.Finish) * time.Millisecond, nil
+		return nil, clamp.Milliseconds(v.Finish), nil
 	case d := <-s.dones:
 		return d, 0, nil
 	case <-s.broken:
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/clamp"
 	"gradetiller.example/internal/core/cowmap"
 	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/intake"
@@ -319,7 +320,7 @@
 	if age >= unknownAge {
 		return time.Time{}
 	}
-	return now.Add(-time.Duration(age) * time.Millisecond)
+	return now.Add(-clamp.Milliseconds(age))
 }
 
 // applyView applies the response of a peer to a view request.
