--- a/internal/core/stagepool/dispatch.go
+++ b/internal/core/stagepool/dispatch.go
@@ -320,7 +320,7 @@
 
 func item(now time.Time, ref itemRef) Item {
 	st := &ref.task.stages[ref.stage]
-	it := Item{RequestID: ref.task.RequestID, Content: ref.task.Content, Stage: ref.stage, Piece: ref.piece, Left: ref.task.Deadline.Sub(now)}
+	it := Item{RequestID: ref.task.RequestID, Content: ref.task.Content, Stage: ref.task.number(ref.stage), Piece: ref.piece, Left: ref.task.Deadline.Sub(now)}
 	if len(st.After) == 0 {
 		it.Key = ref.task.Key
 		return it
--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -1,6 +1,7 @@
 package stagepool
 
 import (
+	"cmp"
 	"iter"
 	"maps"
 	"slices"
@@ -228,7 +229,7 @@
 
 // Submit admits or rejects a task.
 func (p *Pool) Submit(now time.Time, t Task) (Admission, []Action) {
-	if !t.piecesInRange() {
+	if !t.piecesInRange() || !t.normalize() {
 		p.counters.Rejected++
 		return Admission{RetryAfter: maxRetryAfter}, nil
 	}
@@ -289,7 +290,7 @@
 	begun := uint64(0)
 	for i := range t.stages {
 		if t.stages[i].begun {
-			begun |= stageBit(i)
+			begun |= stageBit(t.number(i))
 		}
 	}
 	return begun
@@ -366,7 +367,7 @@
 	p.emit(c)
 }
 
-// finalStages returns the stages that no other stage depends on.
+// finalStages returns the stages that no other stage depends on, by their numbers.
 func (t *task) finalStages() []int {
 	var list []int
 	for i := range t.stages {
@@ -380,6 +381,7 @@
 			list = append(list, i)
 		}
 	}
+	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(t.number(a), t.number(b)) })
 	return list
 }
 
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -16,7 +16,7 @@
 // Stage is one stage of a task.
 type Stage struct {
 	Service string
-	// After lists the stages whose results are inputs of this one.
+	// After lists the stages whose results are inputs of this one, by their numbers, which are indexes of Task.Stages.
 	After []int
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
@@ -63,10 +63,12 @@
 	// Remade has a bit for each stage whose pieces another leader may have requested before it was
 	// lost. They count as retries.
 	Remade uint64
+	// numbers holds the caller's number of each stage, or is nil if these are the indexes.
+	numbers []int
 }
 
 // remakes reports whether the pieces of a stage count as retries.
-func (t *Task) remakes(stage int) bool { return t.Remade&stageBit(stage) != 0 }
+func (t *Task) remakes(stage int) bool { return t.Remade&stageBit(t.number(stage)) != 0 }
 
 // stageBit returns the bit of a stage; stages beyond the 63rd share one.
 func stageBit(stage int) uint64 { return 1 << min(stage, 63) }
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -110,6 +110,48 @@
 	}
 }
 
+// TestStagesNumberedInAnyOrder guards against a configuration that is refused whole because a stage needs one of a higher number, so
+// that a dropped key still runs and an added route is unknown, and against such stages that run out of order or without inputs.
+func TestStagesNumberedInAnyOrder(t *testing.T) {
+	site, c := newSite(t)
+	c.Keys["key-2"] = "barbers"
+	c.Version++
+	site.Publish(c)
+	site.AddWorkers("desk", 1)
+	models := site.AddWorkers("model", 1)
+	site.AddWorkers("encode", 2)
+	site.AddWorkers("rank", 2)
+	r := startNode(t, site)
+	r.awaitReady(t)
+	delete(c.Keys, "key-2")
+	c.Version++
+	c.Routes = append(c.Routes, platformtest.Route{Prefix: "/turned/", Kind: "streaming", Service: "model", Resumable: true, MaxAttempts: 2, Stages: []platformtest.RouteStage{
+		{Service: "rank", After: []int{2}, ResultBytes: 100}, {Service: "rank", After: []int{0}, ResultBytes: 100}, {Service: "encode", ResultBytes: 1000},
+	}})
+	site.Publish(c)
+	eventually(t, "the version is in force", func() bool { return r.node.view.Load().version() == c.Version })
+	if a := do(r.Front, platformtest.Request{ID: "dropped", Path: "/book/x", Key: "key-2"}); a.Status != 401 {
+		t.Errorf("a request with a dropped key is answered %d, want 401", a.Status)
+	}
+	for k, pieces := range [][]int{{2, 3, 1}, {1, 1, 4}, {2, 0, 1}, {0, 0, 2}} {
+		id := fmt.Sprint("turned-", k)
+		a := do(r.Front, platformtest.Request{ID: id, Path: "/turned/x", Streaming: true, Pieces: pieces})
+		if a.Status != 200 || a.Body != events(id, 4) {
+			t.Errorf("%v pieces: %+v", pieces, a)
+		}
+		want := pieces[1]
+		if pieces[1] == 0 {
+			want = pieces[0]
+		}
+		if pieces[0] == 0 {
+			want = pieces[2]
+		}
+		if got := models[0].Inputs(id); len(got) != want {
+			t.Errorf("%v pieces: the request has %d inputs, want the %d results of the last stage", pieces, len(got), want)
+		}
+	}
+}
+
 // TestConfigOverSlowStoreLink guards against a timeout on the whole response of the store. Over a
 // link that is slow but never pauses, a large configuration takes longer than such a timeout on
 // every attempt, so the node never gets it: with 61 processes on separate links, a node never
