internal/httpstrict: refuse responses that net/http accepts but that are none

What callers saw: an endpoint's answer with status 000 closed the client's connection without an answer; one with 101, 600, another version of HTTP, a control byte in its reason, or a blank in a field's name was passed on, the line dropped, or with a body that was read in another way than it was sent (MIXED). Results of stages were taken from such answers as well.

Cause: net/http's client accepts any three digits as a status, changes of protocol that nobody asked for, any major version, and blanks in field names, which it does not recognize then ('Content-Length : 4' leaves the body to end with its connection). WriteHeader panics below 100.

Evidence, before: 38 of the 52 scripts in TestResponsesOfEndpoints that send such answers on plain routes, streams and stage calls fail (up to 36 of 36 answers passed on, connections closed or results used; control bytes in names and values pass, since net/http refuses these). All pass now, also with the race detector. TestTransport lists what is refused and what is not; TestStoreAnswersThatAreNone fails before in three of its four cases.

Change: a RoundTripper checks the heads of interim and final responses, for endpoints, the store, gradetiller-entry and the client. An invalid one counts as no answer of an endpoint that may have run the request: the endpoint is ejected as for other failures, and the request tried again where it may be.

--- a/client/client.go
+++ b/client/client.go
@@ -16,6 +16,7 @@
 	"gradetiller.example/failure"
 	"gradetiller.example/internal/bounded"
 	"gradetiller.example/internal/core/clamp"
+	"gradetiller.example/internal/httpstrict"
 	"gradetiller.example/internal/socket"
 )
 
@@ -191,7 +192,7 @@
 		return nil, err
 	}
 	req.Header.Set("Authorization", "Bearer "+c.key)
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := httpstrict.Transport(c.transport).RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
--- a/client/try.go
+++ b/client/try.go
@@ -18,6 +18,7 @@
 	"gradetiller.example/failure"
 	"gradetiller.example/internal/bounded"
 	"gradetiller.example/internal/core/clamp"
+	"gradetiller.example/internal/httpstrict"
 )
 
 type runBody struct {
@@ -149,7 +150,7 @@
 	hreq.Header.Set("Authorization", "Bearer "+c.key)
 	hreq.Header.Set("X-Request-Id", req.ID)
 	hreq.Header.Set("Content-Type", "application/json")
-	return c.transport.RoundTrip(hreq)
+	return httpstrict.Transport(c.transport).RoundTrip(hreq)
 }
 
 func unknownOutcome(req Request, message string, cause error) (*Answer, bool, error) {
--- a/internal/endpoints/http.go
+++ b/internal/endpoints/http.go
@@ -20,6 +20,7 @@
 	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/place"
 	"gradetiller.example/internal/core/run"
+	"gradetiller.example/internal/httpstrict"
 	"gradetiller.example/internal/socket"
 )
 
@@ -126,7 +127,7 @@
 	}
 	req.ContentLength = int64(len(body))
 	req.Header.Set("Content-Type", contentJSON)
-	resp, err := h.transport(call).RoundTrip(req)
+	resp, err := httpstrict.Transport(h.transport(call)).RoundTrip(req)
 	if err != nil {
 		if !connected.Load() {
 			return newResult(attempt.NotSent, err.Error())
--- a/internal/endpoints/order.go
+++ b/internal/endpoints/order.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"gradetiller.example/internal/httpstrict"
 )
 
 // LoadOrder instructs an engine to hold exactly the given model versions.
@@ -36,7 +38,7 @@
 		return err
 	}
 	req.Header.Set("Content-Type", contentJSON)
-	resp, err := h.unpooled.RoundTrip(req)
+	resp, err := httpstrict.Transport(h.unpooled).RoundTrip(req)
 	if err != nil {
 		return fmt.Errorf("order to %s: %w", address, err)
 	}
--- a/internal/endpoints/state.go
+++ b/internal/endpoints/state.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"gradetiller.example/internal/bounded"
+	"gradetiller.example/internal/httpstrict"
 )
 
 // State is the state that an endpoint reports.
@@ -34,7 +35,7 @@
 	if err != nil {
 		return State{}, err
 	}
-	resp, err := h.pooled.RoundTrip(req)
+	resp, err := httpstrict.Transport(h.pooled).RoundTrip(req)
 	if err != nil {
 		return State{}, fmt.Errorf("state of %s: %w", address, err)
 	}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"gradetiller.example/internal/bounded"
+	"gradetiller.example/internal/httpstrict"
 	"gradetiller.example/internal/socket"
 )
 
@@ -161,7 +162,7 @@
 		return nil, 0, err
 	}
 	req.ContentLength = int64(len(data))
-	resp, err := h.transport.RoundTrip(req)
+	resp, err := httpstrict.Transport(h.transport).RoundTrip(req)
 	if err != nil {
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
