core/origin: a process knows nothing of versions before it followed the list

What callers saw (reported from a system like this one, shown here by a test): all nodes were killed while, or just after, the endpoints of a software version left. Clients that took up a stream without naming its first attempt got the rest from another version, with nothing to show it (ORDER).

Cause: without a record such a stream goes on at the only version that served since the client waits. A process that has just begun saw none leave, and took that for the whole past. The same holds for one that had no list for a while.

TestHistoryReachesBack.

Change: a history says that a version is the only one only if it has followed the list of endpoints since then without a gap of more than 3 s.

--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -1,10 +1,20 @@
 package origin
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
-// History knows which software versions the endpoints of services had lately. It is not safe for concurrent
-// use.
+// maxListGap is the longest time without a list of endpoints in which versions can't come and go unseen: an endpoint that was
+// listed only within it served hardly any streams.
+const maxListGap = 3 * time.Second
+
+// History knows which software versions the endpoints of services had lately. It knows nothing of the time before its process
+// followed the list of endpoints. It is not safe for concurrent use.
 type History struct {
+	// followedSince is since when the list is followed without a gap, and listedAt the time of the newest one.
+	followedSince, listedAt time.Time
 	// leftAt holds when endpoints were last removed from the list, by what they served.
 	leftAt map[Origin]time.Time
 }
@@ -12,31 +22,46 @@
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{leftAt: make(map[Origin]time.Time)} }
 
+// Follow records that the list of endpoints is known as of a time.
+func (h *History) Follow(asOf time.Time) {
+	if h.followedSince.IsZero() || asOf.Sub(h.listedAt) > maxListGap {
+		h.followedSince = asOf
+	}
+	if asOf.After(h.listedAt) {
+		h.listedAt = asOf
+	}
+}
+
 // Left records that an endpoint is listed no more.
 func (h *History) Left(now time.Time, o Origin) {
-	for known, at := range h.leftAt {
-		if now.Sub(at) > MaxTTL {
-			delete(h.leftAt, known)
-		}
-	}
+	maps.DeleteFunc(h.leftAt, func(_ Origin, at time.Time) bool { return now.Sub(at) > MaxTTL })
 	h.leftAt[o] = now
 }
 
 // Sole returns the only version of a service's endpoints since the given time, of those that are listed and
-// those that have left, or false if there are several or none.
+// those that have left, or false if there are several or none, or if the history does not reach back so far.
 func (h *History) Sole(since time.Time, service string, listed []string) (string, bool) {
-	if len(listed) == 0 {
+	versions := h.Recent(since, service, listed)
+	if len(listed) == 0 || len(versions) != 1 || !h.reaches(since) {
 		return "", false
 	}
-	for _, version := range listed {
-		if version != listed[0] {
-			return "", false
-		}
-	}
+	return versions[0], true
+}
+
+// Recent returns the versions of a service's endpoints since the given time, as far as they are known, without duplicates and in
+// order.
+func (h *History) Recent(since time.Time, service string, listed []string) []string {
+	versions := slices.Clone(listed)
 	for o, at := range h.leftAt {
-		if o.Service == service && o.Version != listed[0] && !at.Before(since) {
-			return "", false
+		if o.Service == service && !at.Before(since) {
+			versions = append(versions, o.Version)
 		}
 	}
-	return listed[0], true
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
+// reaches reports whether all versions since the given time are known.
+func (h *History) reaches(since time.Time) bool {
+	return !h.followedSince.IsZero() && !h.followedSince.After(since)
 }
--- a/internal/core/origin/history_test.go
+++ b/internal/core/origin/history_test.go
@@ -9,6 +9,7 @@
 // have begun at another one that has just left.
 func TestSoleVersion(t *testing.T) {
 	now, h := time.Unix(1000, 0), NewHistory()
+	follow(h, now.Add(-time.Minute), now)
 	h.Left(now, Origin{"s", "v1"})
 	h.Left(now, Origin{"other", "v3"})
 	for _, c := range []struct {
@@ -29,3 +30,36 @@
 		}
 	}
 }
+
+// follow makes a history follow the list of endpoints, second by second.
+func follow(h *History, from, to time.Time) {
+	for at := from; !at.After(to); at = at.Add(time.Second) {
+		h.Follow(at)
+	}
+}
+
+// TestHistoryReachesBack guards against a process that takes the short time for which it has followed the list for the whole past: a
+// stream may have begun at a version that left before.
+func TestHistoryReachesBack(t *testing.T) {
+	start := time.Unix(1000, 0)
+	h, listed := NewHistory(), []string{"v1"}
+	sole := func(since time.Time) bool {
+		_, ok := h.Sole(since, "s", listed)
+		return ok
+	}
+	if sole(start) {
+		t.Error("a history without a list knows the only version")
+	}
+	follow(h, start, start.Add(10*time.Second))
+	for since, want := range map[time.Duration]bool{-time.Millisecond: false, 0: true, 10 * time.Second: true} {
+		if sole(start.Add(since)) != want {
+			t.Errorf("the only version since %v is known: %t, want %t", since, !want, want)
+		}
+	}
+	// Without a list for too long, versions may have come and gone.
+	back := start.Add(10*time.Second + maxListGap + time.Second)
+	follow(h, back, back.Add(5*time.Second))
+	if sole(start) || sole(back.Add(-time.Millisecond)) || !sole(back) {
+		t.Error("a gap in the list is overlooked")
+	}
+}
--- a/internal/node/continuations_test.go
+++ b/internal/node/continuations_test.go
@@ -24,6 +24,10 @@
 //	work plain|placed     the kind of requests, default plain: placed ones have stages and a leader
 //	endpoints VERSION N   starts N endpoints of the model service, and awaits that nodes list them
 //	drain VERSION         its endpoints announce that they drain, and nodes learn it
+//	unlist VERSION        its endpoints are listed no more, and nodes learn it; they serve on for a while
+//	end                   all nodes end at once
+//	restart               they start again, and know nothing of before
+//	wait DURATION         nothing happens for a while
 //	run A B               streams run at the nodes A to B; one endpoint of each version breaks off all of
 //	                      its streams midway
 //	begin A B             streams begin at the nodes A to B, and their clients leave after three events
@@ -66,7 +70,7 @@
 		}
 	case "work":
 		s.work = words[1]
-	case "endpoints", "drain", "run", "begin", "return", "order", "stop", "isolate", "want":
+	case "endpoints", "drain", "unlist", "end", "restart", "wait", "run", "begin", "return", "order", "stop", "isolate", "want":
 		s.steps = append(s.steps, words)
 	default:
 		return fmt.Errorf("unknown line %q", strings.Join(words, " "))
@@ -125,24 +129,31 @@
 func newContinuationRun(t *testing.T, s continuationScript) *continuationRun {
 	site, _ := newSite(t)
 	site.MarkEvents = true
-	r := &continuationRun{t: t, script: s, site: site, cut: make([]bool, s.nodes), workers: make(map[string][]*platformtest.Worker)}
+	r := &continuationRun{t: t, script: s, site: site, workers: make(map[string][]*platformtest.Worker)}
 	site.AddWorkers("encode", 2)
 	site.AddWorkers("rank", 2)
+	r.startAll()
+	return r
+}
+
+// startAll starts the nodes in place of any before. Those of this process can't listen at the addresses of ended ones again, so
+// that they have other addresses and names.
+func (r *continuationRun) startAll() {
+	r.nodes, r.links, r.stores, r.cut = nil, nil, nil, make([]bool, r.script.nodes)
 	var seeds []string
-	for k := range s.nodes {
-		store := site.AddStoreProxy()
-		text, addresses := site.SettingsFor(platformtest.Instance{Zone: platformtest.DefaultZone, MemoryMB: 284, Store: store.Address}, seeds...)
-		link := startPeerProxy(t, addresses.Peer)
+	for k := range r.script.nodes {
+		store := r.site.AddStoreProxy()
+		text, addresses := r.site.SettingsFor(platformtest.Instance{Zone: platformtest.DefaultZone, MemoryMB: 284, Store: store.Address}, seeds...)
+		link := startPeerProxy(r.t, addresses.Peer)
 		options := []Option{WithPeerAddress(link.address), withPatientSearch}
-		if slices.Contains(s.previous, k+1) {
+		if slices.Contains(r.script.previous, k+1) {
 			options = append(options, asPreviousRelease)
 		}
-		r.nodes = append(r.nodes, startNodeWith(t, text, addresses, options...))
+		r.nodes = append(r.nodes, startNodeWith(r.t, text, addresses, options...))
 		r.links, r.stores = append(r.links, link), append(r.stores, store)
 		seeds = []string{r.links[0].address}
 	}
-	awaitSystem(t, r.nodes)
-	return r
+	awaitSystem(r.t, r.nodes)
 }
 
 // withPatientSearch gives searches so much time that no verdict depends on the machine's speed.
@@ -200,6 +211,19 @@
 			w.Drain()
 		}
 		r.awaitListed(words[1], false)
+	case "unlist":
+		for _, w := range r.workers[words[1]] {
+			w.Unlist()
+		}
+		r.awaitListed(words[1], false)
+	case "end":
+		r.endAll()
+	case "restart":
+		r.startAll()
+	case "wait":
+		d, e := time.ParseDuration(words[1])
+		err = e
+		time.Sleep(d)
 	case "run":
 		r.breakStreams()
 		r.begin(number(1), number(2), 0)
@@ -237,6 +261,15 @@
 	<-r.nodes[k].done
 }
 
+// endAll ends all nodes at once.
+func (r *continuationRun) endAll() {
+	var ends sync.WaitGroup
+	for k := range r.nodes {
+		ends.Go(func() { r.stop(k) })
+	}
+	ends.Wait()
+}
+
 func (r *continuationRun) isolate(k int) {
 	r.cut[k] = true
 	r.stores[k].Disrupt(platformtest.AllCalls, platformtest.Unavailable)
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// followList records that the list of endpoints is known as of a time.
+func (o *origins) followList(asOf time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !asOf.IsZero() {
+		o.history.Follow(asOf)
+	}
+}
+
 // endpointsLeft records that endpoints are listed no more.
 func (o *origins) endpointsLeft(list []*catalog.Endpoint) {
 	o.mu.Lock()
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -163,6 +163,7 @@
 		next.cold = n.list.Cold()
 		n.logEndpoints(source, listAge, old.endpoints, next.endpoints)
 	}
+	n.origins.followList(next.freshness.List)
 	n.view.Store(&next)
 	n.viewMu.Unlock()
 	n.updateGuardEndpoints(next.freshness.List, next.endpoints)
