Keep in the store what streams need to go on after the end of all nodes

What callers saw: all nodes were killed while two software versions served.

Cause: where streams began was known in the memory of the nodes only.

--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -17,10 +17,14 @@
 	followedSince, listedAt time.Time
 	// leftAt holds when endpoints were last removed from the list, by what they served.
 	leftAt map[Origin]time.Time
+	// recoveredSince holds, by service, since when the versions are known from the record of other processes.
+	recoveredSince map[string]time.Time
 }
 
 // NewHistory returns an empty history.
-func NewHistory() *History { return &History{leftAt: make(map[Origin]time.Time)} }
+func NewHistory() *History {
+	return &History{leftAt: make(map[Origin]time.Time), recoveredSince: make(map[string]time.Time)}
+}
 
 // Follow records that the list of endpoints is known as of a time.
 func (h *History) Follow(asOf time.Time) {
@@ -38,11 +42,28 @@
 	h.leftAt[o] = now
 }
 
+// Recover adds the versions that a service's endpoints had since a time, as other processes recorded them. When those left that
+// are not listed is not known, so that they count as having left now.
+func (h *History) Recover(now, since time.Time, service string, recorded, listed []string) {
+	for _, version := range recorded {
+		if o := (Origin{Service: service, Version: version}); !slices.Contains(listed, version) && !h.leftSince(o, since) {
+			h.Left(now, o)
+		}
+	}
+	h.recoveredSince[service] = since
+}
+
+// leftSince reports whether endpoints were removed from the list since a time.
+func (h *History) leftSince(o Origin, since time.Time) bool {
+	at, ok := h.leftAt[o]
+	return ok && !at.Before(since)
+}
+
 // Sole returns the only version of a service's endpoints since the given time, of those that are listed and
 // those that have left, or false if there are several or none, or if the history does not reach back so far.
 func (h *History) Sole(since time.Time, service string, listed []string) (string, bool) {
 	versions := h.Recent(since, service, listed)
-	if len(listed) == 0 || len(versions) != 1 || !h.reaches(since) {
+	if len(listed) == 0 || len(versions) != 1 || !h.reaches(since, service) {
 		return "", false
 	}
 	return versions[0], true
@@ -61,7 +82,11 @@
 	return slices.Compact(versions)
 }
 
-// reaches reports whether all versions since the given time are known.
-func (h *History) reaches(since time.Time) bool {
-	return !h.followedSince.IsZero() && !h.followedSince.After(since)
+// reaches reports whether all versions of a service since the given time are known.
+func (h *History) reaches(since time.Time, service string) bool {
+	if h.followedSince.IsZero() {
+		return false
+	}
+	recovered, ok := h.recoveredSince[service]
+	return !h.followedSince.After(since) || ok && !recovered.After(since)
 }
--- a/internal/core/origin/history_test.go
+++ b/internal/core/origin/history_test.go
@@ -63,3 +63,34 @@
 		t.Error("a gap in the list is overlooked")
 	}
 }
+
+// TestRecoveredVersions guards against a stream that goes on at the only version that is listed after a restart, although another was
+// recorded before, and against one that is refused although only one was.
+func TestRecoveredVersions(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start.Add(2 * time.Second)
+	for _, c := range []struct {
+		recorded, listed []string
+		since            time.Duration
+		want             bool
+	}{
+		{[]string{"v1"}, []string{"v1", "v1"}, -20 * time.Second, true},
+		{[]string{"v1"}, []string{"v1"}, -40 * time.Second, false},
+		{[]string{"v1", "v2"}, []string{"v1"}, -20 * time.Second, false},
+		{[]string{"v1"}, []string{"v2"}, -20 * time.Second, false},
+		{[]string{"v1"}, []string{"v1", "v2"}, -20 * time.Second, false},
+	} {
+		h := NewHistory()
+		follow(h, start, now)
+		if _, ok := h.Sole(now.Add(c.since), "s", c.listed); ok {
+			t.Errorf("%+v: the only version is known before the record is", c)
+		}
+		h.Recover(now, now.Add(-StoredTTL), "s", c.recorded, c.listed)
+		if _, ok := h.Sole(now.Add(c.since), "s", c.listed); ok != c.want {
+			t.Errorf("%+v: the only version is known: %t", c, ok)
+		}
+		if _, ok := h.Sole(now.Add(c.since), "other", c.listed); ok {
+			t.Errorf("%+v: the only version of another service is known", c)
+		}
+	}
+}
--- a/internal/core/origin/members.go
+++ b/internal/core/origin/members.go
@@ -94,3 +94,20 @@
 	}
 	return names
 }
+
+// keeperCount is the number of nodes that write records to the platform's store on behalf of all others. With few writers, the
+// number of writes does not grow with the number of nodes.
+const keeperCount = 4
+
+// keeperKey is the key by which the keepers are chosen.
+var keeperKey = KeyOf("", "keepers of stream origins")
+
+// Keeper returns the name of the node that writes the record of a stream to the platform's store, or "" if there are no members.
+// Nodes that know the same members return the same one.
+func (m Members) Keeper(key Key) string {
+	keepers := m.ranked(keeperKey, "", keeperCount)
+	if len(keepers) == 0 {
+		return ""
+	}
+	return keepers[binary.LittleEndian.Uint64(key[8:])%uint64(len(keepers))].Name
+}
--- a/internal/node/continuation.go
+++ b/internal/node/continuation.go
@@ -22,6 +22,8 @@
 	// originOwn means that this node holds a record of it, and originPeer that another node does.
 	originOwn  originSource = "own"
 	originPeer originSource = "peer"
+	// originStored means that the record was read from the store.
+	originStored originSource = "store"
 	// originAssumed means that no record was found, and that only one version has served lately.
 	originAssumed originSource = "assumed"
 )
@@ -103,6 +105,25 @@
 	n.refuse(s.w, s.q, http.StatusServiceUnavailable, reason, retryAfter)
 }
 
+// continuedShare is the share of the remaining time in which a stream that goes on should have its next event; the client needs the
+// rest for the events that follow.
+const continuedShare = 0.5
+
+// softDeadline returns when the next event should come. The objective is that of the first one. The client of a stream that goes on
+// has had it, and waits longer, since it would lose what it has.
+func (s *stream) softDeadline() time.Time {
+	q := s.q
+	soft := q.arrived.Add(q.route.Objective)
+	if !s.continues() {
+		return soft
+	}
+	later := q.arrived.Add(time.Duration(continuedShare * float64(q.deadline.Sub(q.arrived))))
+	if later.Before(soft) {
+		return soft
+	}
+	return later
+}
+
 // mayGoOn reports whether an endpoint at which a stream may go on is listed. If none is, waiting does not
 // help the client: it may begin the stream anew.
 func (n *Node) mayGoOn(wants need) bool { return len(wants.versions) == 0 || n.pools.lists(wants) }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -38,6 +38,14 @@
 	eventStreamContinued = "stream continued"
 	// A client's attempt to continue a stream is refused, since no node that was asked knows where it began.
 	eventOriginUnknown = "stream origin unknown"
+	// Records of where streams began, or the versions of services, can't be written to the store, or can again.
+	eventOriginsNotStored = "stream origins not stored"
+	eventOriginsStored    = "stream origins stored again"
+	// What the store holds of where streams began was read, since no node that was asked knew, or can't be read.
+	eventOriginsRead    = "stream origins read"
+	eventOriginsNotRead = "stream origins not read"
+	// The versions that a service's endpoints had lately were written to the store.
+	eventVersionsRecorded = "service versions recorded"
 	// A leader did not respond and is not used for a while.
 	eventLeaderLost = "leader lost"
 	// A standby received nothing from a leader for a while and opened a new connection to it.
--- a/internal/node/meters.go
+++ b/internal/node/meters.go
@@ -124,6 +124,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_panics_total{task=%q}`, t)).Inc()
 }
 
+// originsWritten counts a batch of records of streams that was written to the store, or could not be.
+func (m *meters) originsWritten(records int, ok bool) {
+	result := "written"
+	if !ok {
+		result = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_stream_origin_batches_total{result=%q}`, result)).Inc()
+	if ok {
+		m.set.GetOrCreateCounter(`gradetiller_stream_origins_stored_total`).Add(records)
+	}
+}
+
 // responsePassedOn counts a response that is too large to be held whole.
 func (m *meters) responsePassedOn(service string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`gradetiller_responses_passed_on_total{service=%q}`, m.label(service))).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,7 @@
 	poisonGuard   *lockedGuard
 	waits         waits
 	origins       *origins
+	originStore   *originStore
 	// originTimeout bounds a search for where a stream began.
 	originTimeout time.Duration
 	signals       *signals
@@ -192,7 +193,7 @@
 func New(s platform.Settings, options ...Option) *Node {
 	n := &Node{
 		settings: s, incarnation: settings.Incarnation(), started: time.Now(), log: zap.NewNop(),
-		submissions: newSubmissions(), origins: newOrigins(), originTimeout: originTimeout, standbys: newStandbys(), durations: newDurations(), memory: membudget.New(int64(heldShare * float64(s.MemoryBytes))), mixes: &lockedMixes{mixes: intake.NewMixes()}, rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
+		submissions: newSubmissions(), origins: newOrigins(), originStore: newOriginStore(), originTimeout: originTimeout, standbys: newStandbys(), durations: newDurations(), memory: membudget.New(int64(heldShare * float64(s.MemoryBytes))), mixes: &lockedMixes{mixes: intake.NewMixes()}, rollouts: newRollouts(), promptSizes: &promptSizes{averages: make(map[string]float64)},
 		verdictTimeouts: verdictTimeouts{first: verdictTimeout, afterReconnect: reconnectVerdictTimeout},
 		peerAddress:     s.PeerAddress, dialDirect: platform.DialWorker,
 	}
@@ -271,6 +272,7 @@
 	go n.runMembers(background)
 	go n.watchConfig(background)
 	go n.watchEndpoints(background)
+	go n.runOriginStore(background)
 	n.log.Info(eventStarted, zap.String("node", n.settings.Node), zap.String("front", n.settings.FrontAddress))
 	<-ctx.Done()
 	n.drain(f)
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -138,6 +138,20 @@
 	return o.history.Sole(since, service, listed)
 }
 
+// recent returns the versions of a service's endpoints since the given time.
+func (o *origins) recent(since time.Time, service string, listed []string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.history.Recent(since, service, listed)
+}
+
+// recoverVersions adds the versions that a service had lately, as recorded in the store at a time.
+func (o *origins) recoverVersions(readAt time.Time, service string, recorded, listed []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.Recover(readAt, readAt.Add(-origin.StoredTTL), service, recorded, listed)
+}
+
 // size returns the number of records, and of those that were dropped for want of room.
 func (o *origins) size() (records int, dropped uint64) {
 	o.mu.Lock()
@@ -178,8 +192,10 @@
 	for i, key := range keys {
 		records[i] = origin.Record{Key: key, Origin: began, TTL: q.waits() + originMargin}
 	}
-	members := n.origins.put(time.Now(), records...)
+	now := time.Now()
+	members := n.origins.put(now, records...)
 	n.sendOrigins(members.Owners(n.settings.Node, keys...), records...)
+	n.keepOrigin(now, records[0])
 }
 
 // sendOrigins sends records to nodes.
@@ -226,7 +242,8 @@
 }
 
 // findOrigin returns where the stream began that a request continues. If the client doesn't name the attempt
-// that began it, all streams of the same content must have begun there.
+// that began it, all streams of the same content must have begun there. If no node knows, what was written to the store is
+// read.
 func (n *Node) findOrigin(ctx context.Context, q *request) originSearch {
 	attempt, content := q.originKeys()
 	key, owners := attempt, []origin.Key{attempt, content}
@@ -246,28 +263,28 @@
 	if found.result == origin.Found {
 		n.origins.put(time.Now(), found.record)
 	}
-	if found.result == origin.Unknown && q.in.Resumes == "" {
-		return n.assumeOrigin(q, found)
+	if found.result != origin.Unknown {
+		return found
 	}
-	return found
+	recovered := n.recoverOrigins(ctx)
+	if r, ok := n.origins.get(time.Now(), key); ok && !r.Ambiguous {
+		return originSearch{record: r, result: origin.Found, source: originStored, asked: found.asked, silent: found.silent}
+	}
+	if q.in.Resumes != "" && !recovered {
+		return found
+	}
+	return n.assumeOrigin(q, found)
 }
 
-// assumeOrigin completes a search in vain for a client that doesn't name its first attempt, as where versions
-// don't differ. If the endpoints of the service, by a fresh list, have been of one version as long as the
-// client waits, the stream goes on there. It may have begun before this node or the holders of its
+// assumeOrigin completes a search in vain. If the endpoints of the service, by a fresh list, have been of one version as long
+// as the client waits, the stream goes on there. It may have begun before this node or the holders of its
 // record were restarted.
 func (n *Node) assumeOrigin(q *request, found originSearch) originSearch {
 	now, v := time.Now(), n.view.Load()
 	if v.freshness.Stale(now) {
 		return found
 	}
-	var listed []string
-	for e := range v.endpoints.All() {
-		if e.Service == q.service {
-			listed = append(listed, e.Version)
-		}
-	}
-	version, ok := n.origins.sole(now.Add(-q.waits()), q.service, listed)
+	version, ok := n.origins.sole(now.Add(-q.waits()), q.service, n.listedVersions(v)[q.service])
 	if !ok {
 		return found
 	}
@@ -333,6 +350,9 @@
 		records = append(records, r)
 	}
 	n.origins.put(time.Now(), records...)
+	if m.Keep {
+		n.writeLater(records...)
+	}
 }
 
 // handleOriginRequest answers another node's search.
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -32,6 +32,7 @@
 	RelayOpened{Result: RelayUnavailable},
 	RelayBackoff{Endpoint: "e", Remaining: 300},
 	StreamOrigins{Origins: []StreamOrigin{{Key: []byte("k"), Service: "s", Version: "v", Remaining: 9, Ambiguous: true}}},
+	StreamOrigins{Origins: []StreamOrigin{{Key: []byte("k")}}, Keep: true},
 	StreamOriginRequest{ID: 1, Key: []byte("k")},
 	PartCrashReports{Reports: []CrashReport{{Request: []byte("0123456789abcdef"), Crashes: []EndpointCrash{{Endpoint: "e/1", Age: 40, Companions: [][]byte{[]byte("k")}}}}}},
 	StreamOriginResponse{ID: 1, Found: true, Origin: StreamOrigin{Key: []byte("k"), Version: "v"}},
--- a/internal/wire/origins.go
+++ b/internal/wire/origins.go
@@ -3,6 +3,8 @@
 // StreamOrigins tells the receiver where streams began.
 type StreamOrigins struct {
 	Origins []StreamOrigin
+	// Keep asks the receiver to write them to the platform's store. Nodes of an earlier version don't send it.
+	Keep bool
 }
 
 // StreamOrigin is an origin.Record, with Remaining, its TTL, in milliseconds.
