internal/node: a stopping node sends nothing that it would cut

A stream whose first endpoint failed late was sent to a second one and cut midway.

Cause: whether a request can be finished was decided once, by the time of its arrival. The limit for requests whose deadlines the grace does not cover didn't count the time for the body, and later attempts were not checked.

Evidence, before: TestSlowBodyLateInGrace 502 and one run instead of 503; TestRetryLateInGrace 'unexpected EOF' after 5.6 s and two runs. Both pass, and the other tests of stops.

Change: the limit applies when the body is there, and each attempt has to fit the rest of the grace. What can't be finished is refused at once: 503 if it has not run, 502 if it may have, the end of the connection if the client has a part, which it can take up elsewhere. An endpoint that was chosen for such a stream gets its place back also when the connection is aborted.

--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -260,3 +263,69 @@
 		t.Errorf("connections are accepted for %v after SIGTERM, want less than %v", acceptTime, allowed)
 	}
 }
+
+// TestSlowBodyLateInGrace guards against a request that begins early in a stop and whose body is there only late: it was sent to an
+// endpoint then, which took longer than before, and was cut at the end of the grace period, although it may run only once.
+func TestSlowBodyLateInGrace(t *testing.T) {
+	site, c := newSite(t)
+	for i := range c.Routes {
+		c.Routes[i].Timeout = longStreamTimeout
+	}
+	c.Version = 2
+	site.Publish(c)
+	desk := site.AddWorkers("desk", 1)[0]
+	n := startNode(t, site)
+	n.node.settings.GracePeriod = stopGracePeriod
+	n.awaitReady(t)
+	for k := range 5 {
+		if a := do(n.Front, platformtest.Request{ID: fmt.Sprint("known-", k), Path: "/book/x"}); !isComplete(a) {
+			t.Fatalf("request before the stop: %+v", a)
+		}
+	}
+	desk.Delay(2 * time.Second)
+	conn, err := net.Dial("tcp", n.Front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	n.stopAndWait(t)
+	const whole = "the whole body"
+	fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Request-Id: slow\r\nContent-Length: %d\r\n\r\n%s", platformtest.Host, key, len(whole), whole[:4])
+	time.Sleep(stopGracePeriod - shutdownMargin - 1200*time.Millisecond)
+	_, _ = io.WriteString(conn, whole[4:])
+	_ = conn.SetReadDeadline(time.Now().Add(15 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no response: %v; it ran %d times", err, desk.Runs("slow"))
+	}
+	_ = response.Body.Close()
+	checkRefused(t, "slow", platformtest.Response{Status: response.StatusCode, RetryAfter: response.Header.Get("Retry-After")}, desk)
+}
+
+// TestRetryLateInGrace guards against a stream that is sent to a second endpoint so late in a stop that it is cut at the end of the grace
+// period: its client learns at once that it must go elsewhere.
+func TestRetryLateInGrace(t *testing.T) {
+	n, model := startLongStreamNode(t)
+	n.recordLongStreams("/plain/")
+	second := model.Site().AddWorkers("model", 1)[0]
+	second.Events, second.EventInterval = longStreamEvents, eventInterval
+	eventually(t, "both engines are listed", func() bool { return n.node.view.Load().endpoints.Len() == 5 })
+	// Whichever is first holds the stream back, until it breaks off.
+	for _, w := range []*platformtest.Worker{model, second} {
+		w.RespondRaw(platformtest.RawResponse{Pause: lateArrival + 200*time.Millisecond, End: platformtest.EndReset}, 1)
+	}
+	n.stopAndWait(t)
+	begun := time.Now()
+	q := longRequest("retried", "/plain/")
+	q.Pieces = nil
+	answered := make(chan platformtest.Response, 1)
+	go func() { answered <- do(n.Front, q) }()
+	eventually(t, "the first attempt is at an engine", func() bool { return model.RawResponses()+second.RawResponses() > 0 })
+	for _, w := range []*platformtest.Worker{model, second} {
+		w.RespondRaw(platformtest.RawResponse{}, 0)
+	}
+	a := <-answered
+	if runs := model.Runs("retried") + second.Runs("retried"); a.Status != http.StatusBadGateway || runs != 1 || time.Since(begun) > lateArrival+time.Second {
+		t.Errorf("status %d and %v after %v, %d runs; want 502 once the first attempt has failed, and no second one", a.Status, a.Err, time.Since(begun), runs)
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -394,6 +394,11 @@
 			n.answerNotRun(w, q, noEndpointReason)
 			return
 		}
+		if !n.finishesAttempt(q) {
+			c.finish(time.Now(), place.Result{Neutral: true})
+			n.endStopping(w, q)
+			return
+		}
 		tried = append(tried, c.endpoint.ID)
 		a := n.tryWithSecond(ctx, q, c, &tried)
 		next := n.nextAction(q, a.event, a.response)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -51,14 +51,26 @@
 		return false
 	case s.coversDeadline(q):
 		return true
-	case q.afterStop > s.acceptFor:
-		// It arrived on a connection opened before, and the client knows other addresses by now.
+	case time.Since(s.requestedAt) > s.acceptFor:
+		// It arrived on a connection opened before, or its body came slowly, and the client knows other addresses by now. An
+		// estimate that is too short would leave the client without an answer.
 		return false
 	}
 	duration, known := n.durations.upperEstimate(q)
 	return known && s.window.Fits(time.Now(), duration)
 }
 
+// finishesAttempt reports whether a request that was accepted is expected to be answered before a graceful shutdown ends the process
+// if an attempt begins now.
+func (n *Node) finishesAttempt(q *request) bool {
+	s := n.shutdown.Load()
+	if s == nil || s.coversDeadline(q) {
+		return true
+	}
+	duration, known := n.durations.upperEstimate(q)
+	return known && s.window.Fits(time.Now(), duration)
+}
+
 // finishesAfterStages is finishesInTime for a request whose stages have ended.
 func (n *Node) finishesAfterStages(q *request) bool {
 	s := n.shutdown.Load()
@@ -85,6 +97,15 @@
 	n.refuse(w, q, http.StatusServiceUnavailable, stoppingReason, retryAfter)
 }
 
+// endStopping answers a request that this node can't finish before it stops. If it may have run, it answers 502.
+func (n *Node) endStopping(w http.ResponseWriter, q *request) {
+	if q.mayHaveRun {
+		n.answerNotRun(w, q, stoppingReason)
+		return
+	}
+	n.refuseStopping(w, q)
+}
+
 // terminated reports whether the grace period is over and requests are aborted.
 func (n *Node) terminated() bool { return n.requestContext.Err() != nil }
 
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -97,21 +97,40 @@
 	case err != nil:
 		n.endStagesFailed(ctx, s, err)
 		return nil, false
-	case !q.mayHaveRun && !n.finishesAfterStages(q):
-		n.refuseStopping(s.w, q)
+	case n.endIfStopping(ctx, s):
 		return nil, false
 	}
 	c, ok := n.choose(waiting, q, s.need(tried))
-	if n.endIfPoison(ctx, s) {
-		if ok {
+	used := false
+	defer func() {
+		// Also if ending the stream aborts its connection, with a panic.
+		if ok && !used {
 			c.finish(time.Now(), place.Result{Neutral: true})
 		}
+	}()
+	switch {
+	case n.endIfPoison(ctx, s) || ok && n.endIfStopping(ctx, s):
 		return nil, false
-	}
-	if !ok {
+	case !ok:
 		n.endStream(ctx, s, attempt.AnswerNotRun, noEndpointReason)
+		return nil, false
+	}
+	used = true
+	return c, true
+}
+
+// endIfStopping ends a stream if an attempt that begins now would be cut when this node stops, and reports whether it did. The client
+// can go elsewhere sooner.
+func (n *Node) endIfStopping(ctx context.Context, s *stream) bool {
+	switch {
+	case n.finishesAfterStages(s.q):
+		return false
+	case s.started, s.q.mayHaveRun:
+		n.endStream(ctx, s, attempt.AnswerUnknown, stoppingReason)
+	default:
+		n.refuseStopping(s.w, s.q)
 	}
-	return c, ok
+	return true
 }
 
 // backoffEndLimit returns the time by which the backoff of a stream's service must end for the
