--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -9,7 +9,9 @@
 	"go.uber.org/zap"
 
 	"gradetiller.example/config"
+	"gradetiller.example/internal/contain"
 	"gradetiller.example/internal/core/assignment"
+	"gradetiller.example/internal/core/attempt"
 	"gradetiller.example/internal/core/decisionlog"
 	"gradetiller.example/internal/core/run"
 	"gradetiller.example/internal/endpoints"
@@ -193,13 +195,26 @@
 	ctx, stop := context.WithDeadline(ctx, c.Deadline.Add(deadlineGrace))
 	defer stop()
 	sink := &attemptSink{node: n, stream: s, call: c}
-	end := n.caller.Call(ctx, c, sink)
+	end := containedCall(ctx, n.caller, c, sink)
 	n.step(func(now time.Time) []run.Action {
 		delete(n.cancels, c.Attempt)
 		return n.engine.CallEnded(now, c.Attempt, end)
 	})
 }
 
+// containedCall sends a call. A panic in the handling of the answer counts as no response.
+func containedCall(ctx context.Context, caller endpoints.Caller, c run.Call, sink endpoints.Sink) run.CallResult {
+	var end run.CallResult
+	err := contain.Call(func() error {
+		end = caller.Call(ctx, c, sink)
+		return nil
+	})
+	if err != nil {
+		return run.CallResult{Event: attempt.NoResponse, Reason: err.Error()}
+	}
+	return end
+}
+
 // deadlineGrace is the time after the deadline at which a call is canceled if
 // the engine has not done so.
 const deadlineGrace = time.Second
