internal/node: a response to HTTP/1.0 that breaks off is reset

The deployments speak HTTP/1.1, whose chunks tell; found by looking for the cause of the resets on related paths.

Evidence: TestAbortedResponsesOfHTTP10, before: the connection ends without an error after 215 bytes. Now with ECONNRESET; a whole stream ends in order.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"syscall"
@@ -280,6 +281,18 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(at)
 }
 
+// connContextKey is the context key of the connection of a client's request.
+type connContextKey struct{}
+
+// abortResponse ends the client's connection in the middle of a response. It does not return. A response to HTTP/1.0 has no chunks, so
+// that the connection is reset: an end in order would look like that of a whole response.
+func abortResponse(r *http.Request) {
+	if conn, ok := r.Context().Value(connContextKey{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+		_ = conn.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // announceClose adds "Connection: close" to a response header that is not yet sent if this
 // node is shutting down, so that the client opens its next connection to another node.
 func (n *Node) announceClose(w http.ResponseWriter) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -318,6 +318,9 @@
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return n.requestContext },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connContextKey{}, c)
+		},
 	}
 	go func() { _ = s.Serve(listener) }()
 	return &front{server: s, listener: listener}, nil
--- a/internal/node/plainattempt.go
+++ b/internal/node/plainattempt.go
@@ -227,7 +227,7 @@
 	n.recordCut(q, cut{kind: membudget.Responses, reason: reason, bytes: size, bound: maxHeldResponse, begun: true, err: err})
 	q.outcome = "broken: " + n.failureReason(q, err.Error())
 	n.logRequest(q, a.response.Status)
-	panic(http.ErrAbortHandler)
+	abortResponse(q.source)
 }
 
 // clientWriter writes to a client, which may take clientStallTimeout for each part.
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -283,7 +283,7 @@
 		s.q.outcome = "broken: " + n.failureReason(s.q, reason)
 		n.logRequest(s.q, http.StatusOK)
 		s.release()
-		panic(http.ErrAbortHandler)
+		abortResponse(s.q.source)
 	case next == attempt.AnswerNotRun:
 		n.answerNotRun(s.w, s.q, reason)
 	default:
