internal/node: assume no version on routes that lead to several services

What a client would see: on a route that is split over services, a stream without a record goes on at another service than it began at, since the ID of each attempt draws one of them.

Evidence: TestNoServiceIsAssumed, before: found at the service that the second attempt drew, want unknown. Found by reading the change once more.

--- a/internal/node/continuation_test.go
+++ b/internal/node/continuation_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"gradetiller.example/internal/core/catalog"
+	"gradetiller.example/internal/core/discovery"
 	"gradetiller.example/internal/core/origin"
 	"gradetiller.example/platform"
 	"gradetiller.example/platform/platformtest"
@@ -168,3 +169,27 @@
 		}
 	}
 }
+
+// TestNoServiceIsAssumed guards against a stream without a record that goes on at another service than it began at, because its route leads
+// to several, of which the ID of the client's attempt draws one.
+func TestNoServiceIsAssumed(t *testing.T) {
+	n, now := New(platform.Settings{Node: "n"}), time.Now()
+	v := &view{freshness: discovery.Freshness{List: now, Config: now}, endpoints: catalog.EndpointsOf([]catalog.Endpoint{{ID: "i-1", Service: "a", Version: "v1"}, {ID: "i-2", Service: "b", Version: "v1"}})}
+	n.view.Store(v)
+	for at := now.Add(-time.Minute); !at.After(now); at = at.Add(time.Second) {
+		n.origins.followList(at)
+	}
+	for _, c := range []struct {
+		backends []catalog.Backend
+		want     origin.Result
+	}{
+		{[]catalog.Backend{{Service: "a", Weight: 1}}, origin.Found},
+		{[]catalog.Backend{{Service: "a", Weight: 1}, {Service: "a", Weight: 2}}, origin.Found},
+		{[]catalog.Backend{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}, origin.Unknown},
+	} {
+		q := &request{view: v, route: &catalog.Route{Resumable: true, Backends: c.backends}, service: "a", arrived: now}
+		if got := n.assumeOrigin(q, originSearch{result: origin.Unknown}); got.result != c.want || got.result == origin.Found && got.record.Origin != (origin.Origin{Service: "a", Version: "v1"}) {
+			t.Errorf("%v: %v at %+v, want %v", c.backends, got.result, got.record.Origin, c.want)
+		}
+	}
+}
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -277,11 +278,12 @@
 }
 
 // assumeOrigin completes a search in vain. If the endpoints of the service, by a fresh list, have been of one version as long
-// as the client waits, the stream goes on there. It may have begun before this node or the holders of its
-// record were restarted.
+// as the client waits, the stream goes on there, unless its route leads to several services. It may have begun before this node
+// or the holders of its record were restarted.
 func (n *Node) assumeOrigin(q *request, found originSearch) originSearch {
 	now, v := time.Now(), n.view.Load()
-	if v.freshness.Stale(now) {
+	elsewhere := func(b catalog.Backend) bool { return b.Service != q.service }
+	if v.freshness.Stale(now) || slices.ContainsFunc(q.route.Backends, elsewhere) {
 		return found
 	}
 	version, ok := n.origins.sole(now.Add(-q.waits()), q.service, n.listedVersions(v)[q.service])
