stagepool: a stream that goes on gets a later deadline only if it is rejected otherwise

Change: the leader admits by the usual soft deadline, and by the later one where it would reject. A leader of the release before doesn't know it and rejects.

--- a/internal/core/stagepool/pool.go
+++ b/internal/core/stagepool/pool.go
@@ -243,7 +243,12 @@
 		return Admission{RetryAfter: p.retryAfter(now, t)}, nil
 	}
 	finish := p.forecast(t, planned)
-	if v, rejected := p.admit(now, &t, finish, booked); rejected {
+	v, rejected := p.admit(now, &t, finish, booked)
+	if rejected && t.LaterDeadline.After(t.SoftDeadline) {
+		t.SoftDeadline = t.LaterDeadline
+		v, rejected = p.admit(now, &t, finish, booked)
+	}
+	if rejected {
 		p.counters.Rejected++
 		return p.bookReturn(now, &t, v), nil
 	}
--- a/internal/core/stagepool/task.go
+++ b/internal/core/stagepool/task.go
@@ -34,6 +34,8 @@
 	Stages []Stage
 	// SoftDeadline is when the last result is wanted; a later result has little value.
 	SoftDeadline time.Time
+	// LaterDeadline takes the place of SoftDeadline if the task would be rejected otherwise; zero if nothing does.
+	LaterDeadline time.Time
 	// Allowance is by how much the predicted finish may exceed SoftDeadline for the task still to
 	// be admitted.
 	Allowance time.Duration
--- a/internal/node/continuation.go
+++ b/internal/node/continuation.go
@@ -109,19 +109,15 @@
 // rest for the events that follow.
 const continuedShare = 0.5
 
-// softDeadline returns when the next event should come. The objective is that of the first one. The client of a stream that goes on
-// has had it, and waits longer, since it would lose what it has.
-func (s *stream) softDeadline() time.Time {
+// laterDeadline returns when the next event of a stream that goes on should come if there is no room for its stages before, or zero for
+// other streams. Its client has had the first event, which the objective is for, and waits longer, since it would lose what it
+// has.
+func (s *stream) laterDeadline() time.Time {
 	q := s.q
-	soft := q.arrived.Add(q.route.Objective)
 	if !s.continues() {
-		return soft
+		return time.Time{}
 	}
-	later := q.arrived.Add(time.Duration(continuedShare * float64(q.deadline.Sub(q.arrived))))
-	if later.Before(soft) {
-		return soft
-	}
-	return later
+	return q.arrived.Add(time.Duration(continuedShare * float64(q.deadline.Sub(q.arrived))))
 }
 
 // mayGoOn reports whether an endpoint at which a stream may go on is listed. If none is, waiting does not
--- a/internal/node/leaders.go
+++ b/internal/node/leaders.go
@@ -250,7 +250,12 @@
 		t.Stages = append(t.Stages, stagepool.Stage(s))
 	}
 	request.softDeadline = t.SoftDeadline
-	by := pending.Until(now, t.SoftDeadline.Add(t.Allowance))
+	wanted := t.SoftDeadline
+	if m.LaterDeadline > 0 {
+		t.LaterDeadline = now.Add(clamp.Milliseconds(m.LaterDeadline) - f.ttft)
+		wanted = t.LaterDeadline
+	}
+	by := pending.Until(now, wanted.Add(t.Allowance))
 	if retryAfter, ok := l.modelPools.admits(now, m.Model, by); !ok && l.placesCalls() {
 		_ = o.answer(wire.StagesAdmission{ID: m.ID, RetryAfter: retryAfter.Milliseconds(), Reason: noCapacityReason})
 		return
--- a/internal/node/stream.go
+++ b/internal/node/stream.go
@@ -212,7 +212,8 @@
 		RequestID: q.in.RequestID, Key: q.in.PieceKey, Priority: q.priority,
 		Model: q.service, Prefix: q.prefix, Tokens: q.in.PromptTokens, Parts: q.promptParts(), Content: bytesOf(q.content),
 	}}
-	work.softDeadline = s.softDeadline()
+	work.softDeadline = q.arrived.Add(q.route.Objective)
+	work.laterDeadline = s.laterDeadline()
 	work.submit.Avoid = n.avoided(q.service)
 	work.submit.Arm, work.submit.Regions, work.submit.Versions = n.armOf(q).String(), q.regions, q.versions
 	work.submit.NodePlaced = n.mixes.takeUnreported(q.service)
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -36,7 +36,9 @@
 type stageWork struct {
 	submit       wire.StagesSubmit
 	softDeadline time.Time
-	deadline     time.Time
+	// laterDeadline takes the place of softDeadline if the work would be rejected otherwise; zero if nothing does.
+	laterDeadline time.Time
+	deadline      time.Time
 	// accepted is the ID of the last submission that a leader accepted and did not hand off, or 0.
 	accepted uint64
 }
@@ -124,6 +126,9 @@
 	submit := w.submit
 	submit.ID, submit.Replaces = sub.id, w.accepted
 	submit.SoftDeadline = w.softDeadline.Sub(now).Milliseconds()
+	if !w.laterDeadline.IsZero() {
+		submit.LaterDeadline = max(w.laterDeadline.Sub(now).Milliseconds(), 0)
+	}
 	submit.Deadline = w.deadline.Sub(now).Milliseconds()
 	n.sendToLeader(to, &submit)
 	var once sync.Once
--- a/internal/wire/stages.go
+++ b/internal/wire/stages.go
@@ -64,6 +64,9 @@
 	// Versions are the software versions of Model's endpoints at which the request may run; none means
 	// any. Leaders of an earlier version don't know it and may choose an endpoint of another version.
 	Versions []string
+	// LaterDeadline is the SoftDeadline of a request that would be rejected otherwise, or 0. Nodes of an earlier version leave it
+	// out.
+	LaterDeadline int64
 }
 
 // Avoided is an endpoint in backoff. Remaining is the rest of the backoff in milliseconds.
