internal/node: wait after a failed store call of stream origins; ambiguous records stay ambiguous

Found by reading the change once more: while the store is away, nodes with records to write tried again every 0.2 s, each call of which is priced; they wait for 1 s now. A record that the store made ambiguous fell through to the only version; it is refused as before.

--- a/internal/core/clamp/clamp.go
+++ b/internal/core/clamp/clamp.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	deadline := now.Add(clamp.Milliseconds(message.Deadline))
-//	timeout := clamp.Seconds(route.TimeoutSeconds)
+//	timeout := clamp.Duration(route.TimeoutSeconds, time.Second)
 package clamp
 
 import (
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -268,8 +268,12 @@
 		return found
 	}
 	recovered := n.recoverOrigins(ctx)
-	if r, ok := n.origins.get(time.Now(), key); ok && !r.Ambiguous {
-		return originSearch{record: r, result: origin.Found, source: originStored, asked: found.asked, silent: found.silent}
+	if r, ok := n.origins.get(time.Now(), key); ok {
+		found.record, found.result, found.source = r, origin.Found, originStored
+		if r.Ambiguous {
+			found.result = origin.Ambiguous
+		}
+		return found
 	}
 	if q.in.Resumes != "" && !recovered {
 		return found
--- a/internal/node/originstore.go
+++ b/internal/node/originstore.go
@@ -19,6 +19,8 @@
 	// client waits.
 	originStoreTimeout = time.Second
 	originReadTimeout  = 250 * time.Millisecond
+	// originRetryDelay is the time after a failed call until the next one.
+	originRetryDelay = time.Second
 	// originReadInterval is the shortest time between two reads of what the store holds, and originReadIntervalPerNode that for
 	// each node, so that all together read at most 100 times a second.
 	originReadInterval        = time.Second
@@ -47,7 +49,8 @@
 	clockAt  time.Time
 	recorded map[string]platform.StoredVersions
 	era      uint64
-	failing  bool
+	// failedAt is when the last call failed, or zero if the last one succeeded.
+	failedAt time.Time
 }
 
 func newOriginStore() *originStore { return &originStore{several: make(map[string]bool)} }
@@ -132,17 +135,23 @@
 	for service, versions := range recent {
 		n.setSeveral(now, service, len(versions) > 1)
 	}
+	failedAt := n.originStore.failedAt
+	if now.Sub(failedAt) < originRetryDelay {
+		return
+	}
 	err := n.writeBatch(ctx)
 	if err == nil && n.ranking.Load().IsPrimary(n.settings.Node) && !v.freshness.Stale(now) {
 		err = n.recordVersions(ctx, recent)
 	}
-	if failing := err != nil; failing != n.originStore.failing {
-		n.originStore.failing = failing
-		if failing {
+	switch {
+	case err != nil:
+		n.originStore.failedAt = time.Now()
+		if failedAt.IsZero() {
 			n.log.Warn(eventOriginsNotStored, zap.Error(err))
-		} else {
-			n.log.Info(eventOriginsStored)
 		}
+	case !failedAt.IsZero():
+		n.originStore.failedAt = time.Time{}
+		n.log.Info(eventOriginsStored)
 	}
 }
 
