internal/node: tests of floods and of unknown streams

The run begins once nothing is held, and has to end so, which is stricter.

A record that was lost with all nodes can't be told from an ID that never was, and such a stream can't cross versions. The test has endpoints of two versions now, where all its cases must be refused without a run or a record as before; what goes on at the only version, and with two doesn't, is in TestStreamGoesOnAtTheOnlyVersion.

--- a/internal/node/continuation_test.go
+++ b/internal/node/continuation_test.go
@@ -56,13 +56,13 @@
 	}
 }
 
-// TestUnknownStreamIsRefused guards against a stream that goes on although it is not known where it began:
-// at once, as not run, and without a record that the client could fill the table with.
+// TestUnknownStreamIsRefused guards against a stream that goes on although it is not known where it began, while endpoints of two versions
+// serve: at once, as not run, and without a record that the client could fill the table with.
 func TestUnknownStreamIsRefused(t *testing.T) {
 	site, c := newSite(t)
 	c.Version, c.Keys = 2, map[string]string{key: "barbers", "key-2": "clinics"}
 	site.Publish(c)
-	models := site.AddWorkers("model", 2)
+	models := append(site.AddWorkers("model", 2), site.AddWorkersOfVersion("v2", "model", 1)...)
 	text, addresses := site.Settings()
 	n := startNodeWith(t, text, addresses, withPatientSearch)
 	text, addresses = site.Settings(n.Peer)
@@ -70,6 +70,7 @@
 	for _, node := range []*testNode{n, other} {
 		node.awaitReady(t)
 		eventually(t, "the configuration is in force", func() bool { return node.node.view.Load().version() == 2 })
+		eventually(t, "all endpoints are listed", func() bool { return len(listedEndpoints(node.node)) == 3 })
 	}
 	stream := platformtest.Request{ID: "first", Path: "/plain/", Streaming: true, Prefix: "aa:1"}
 	if a := do(n.Front, stream); a.Status != 200 {
@@ -91,7 +92,7 @@
 				t.Errorf("%s: status %d, Retry-After %q; want 503 with a delay", name, a.Status, a.RetryAfter)
 			}
 		}
-		if runs := models[0].Runs(name) + models[1].Runs(name); runs > 0 {
+		if runs := models[0].Runs(name) + models[1].Runs(name) + models[2].Runs(name); runs > 0 {
 			t.Errorf("%s ran %d times", name, runs)
 		}
 	}
@@ -134,22 +135,26 @@
 	}
 }
 
-// TestUnnamedStreamGoesOnAtTheOnlyVersion guards against streams that are refused after all records were
-// lost, although only one version serves, and against those that go on although there are several.
-func TestUnnamedStreamGoesOnAtTheOnlyVersion(t *testing.T) {
+// TestStreamGoesOnAtTheOnlyVersion guards against streams that are refused after all records were lost, although only one version serves,
+// and against those that go on although there are several, whether or not clients name their first attempts. A client learns nothing by
+// an ID of another account: it is treated as an unknown one.
+func TestStreamGoesOnAtTheOnlyVersion(t *testing.T) {
 	site, _ := newSite(t)
 	site.AddWorkers("model", 2)
 	n := startNode(t, site)
 	n.awaitReady(t)
-	send := func(id string) platformtest.Response {
-		return do(n.Front, platformtest.Request{ID: id, Path: "/plain/", Streaming: true, Prefix: "aa:1", Body: id, LastEventID: "2"})
+	send := func(id, resumes string) platformtest.Response {
+		return do(n.Front, platformtest.Request{ID: id, Path: "/plain/", Streaming: true, Prefix: "aa:1", Body: id, LastEventID: "2", Resumes: resumes})
 	}
-	// The list must be fresh.
-	eventually(t, "a stream goes on where one version serves", func() bool { return send("one-version").Status == 200 })
+	// The list must be fresh, and the version recorded.
+	eventually(t, "a stream goes on where one version serves", func() bool { return send("one-version", "").Status == 200 })
+	eventually(t, "a stream of an unknown attempt goes on there", func() bool { return send("one-version-named", "lost").Status == 200 })
 	site.AddWorkersOfVersion("v2", "model", 1)
 	eventually(t, "the second version is listed", func() bool { return len(listedEndpoints(n.node)) == 3 })
-	if a := send("two-versions"); a.Status != 503 {
-		t.Errorf("with two versions: status %d, want 503", a.Status)
+	for _, resumes := range []string{"", "lost-too"} {
+		if a := send("two-versions"+resumes, resumes); a.Status != 503 {
+			t.Errorf("with two versions, first attempt %q: status %d, want 503", resumes, a.Status)
+		}
 	}
 }
 
--- a/internal/node/floods_test.go
+++ b/internal/node/floods_test.go
@@ -241,6 +241,8 @@
 }
 
 func (r *floodRun) run() {
+	// A response to a list of cached prompts may be held for a moment after the start.
+	eventually(r.t, "nothing is held before the run", func() bool { return r.node.node.memory.Held() == 0 })
 	if r.script.text("held") == "all" {
 		all := int64(heldShare * floodMemoryMB * 1e6)
 		r.node.node.memory.Reserve(all)
